--- /dev/null
+++ b/basalthook/__init__.py
@@ -0,0 +1,1 @@
+"""basalthook: a load balancer that lives in every client process."""
--- /dev/null
+++ b/basalthook/policy/interface.py
@@ -0,0 +1,139 @@
+"""What goes in and out of the decisions: events and start-up terms in, effects out. Nothing is decided here.
+
+Any protocol can drive the decisions. It builds one `decide.Proxy(agreement, seed, now)` for each client
+process, hands it every event below with the present time, in order of arrival, and carries out the
+effects that come back, in order. Times are whole tenths of a millisecond on the caller's clock; waits that
+a rule bounds are rounded down and cold times up. Transactions and hosts are whole numbers chosen by the
+caller, never used again for another one; a key and a host's `hash` are the same number at every proxy.
+"""
+from typing import NamedTuple
+
+# Kinds of profile: what a repeat does.
+IDEMPOTENT, JOURNALLED, NON_IDEMPOTENT = "idempotent", "journalled", "non-idempotent"
+# Repeat groups: which hosts discard repeats of a journalled transaction.
+EVERYWHERE, ZONE, CELL = "everywhere", "zone", "cell"
+# Outcomes of a hop. Of REFUSED, UNREACHABLE and UNSENT it is certain that nothing ran.
+COMMITTED, ERROR, TIMED_OUT, RESET = "committed", "error", "timed out", "reset"
+CANCELLED, REFUSED, UNREACHABLE, UNSENT = "cancelled", "refused", "unreachable", "unsent"
+
+
+class Profile(NamedTuple):
+    kind: str                       # one of the three kinds
+    group: str                      # repeat group and window: journalled only
+    repeat_window: int
+    service_goal: int
+    revenue: float
+
+
+class Agreement(NamedTuple):
+    """What the operator grants and demands, read once at start."""
+    profiles: tuple[Profile, ...]
+    position: int                   # this proxy among its fellows, from 0
+    proxies: int
+    zone: str
+    list_on_request: bool           # the host list comes only to those who ask
+    ask_within: int
+    cold_share: float               # a fresh host has at least this share of its capacity
+    cold_time: int                  # and all of it after this time
+    fall_multiple: float            # sent more than this multiple of present capacity ...
+    fall_time: int                  # ... for this long, a cold host falls
+    max_hops: int
+    second_copies: bool
+    cancelling: bool
+    probes: bool
+    come_back_max: int              # longest come-back time that clients are told; 0: none
+
+
+class Host(NamedTuple):
+    """One line of the host list."""
+    host: int
+    hash: int
+    zone: str
+    cell: int
+    ready: bool                     # false: draining or gone
+    weight: float
+    started: int | None             # None: long ago
+
+
+# Events
+
+class HostsListed(NamedTuple):
+    hosts: tuple[Host, ...]
+    complete: bool                  # the whole list: a host that is not in it is gone
+    answered: bool                  # false: the list held from before, nobody was asked
+
+
+class ListFailed(NamedTuple):
+    pass
+
+
+class TxArrived(NamedTuple):
+    tx: int
+    profile: int                    # index in Agreement.profiles
+    key: int | None
+    patience: int
+
+
+class HopEnded(NamedTuple):
+    tx: int
+    hop: int
+    host: int
+    outcome: str
+    elapsed: int
+    closed: bool                    # the transaction has its final answer
+    load: dict[str, float] | None   # the host's own figures, where it reports any: held, busy, errors
+
+
+class StreamBegan(NamedTuple):
+    tx: int
+    hop: int
+
+
+class TxGone(NamedTuple):
+    tx: int
+
+
+class TimerDue(NamedTuple):
+    mark: int
+
+
+class ProbeEnded(NamedTuple):
+    host: int
+    outcome: str
+    elapsed: int
+    load: dict[str, float] | None
+
+
+# Effects
+
+class SendHop(NamedTuple):
+    tx: int
+    host: int
+    time_limit: int
+
+
+class RollBack(NamedTuple):
+    tx: int
+    come_back: int                  # 0: nothing said
+
+
+class Abandon(NamedTuple):
+    tx: int
+
+
+class CancelHop(NamedTuple):
+    tx: int
+    hop: int
+
+
+class WatchList(NamedTuple):
+    pass
+
+
+class Probe(NamedTuple):
+    host: int
+
+
+class SetTimer(NamedTuple):
+    delay: int
+    mark: int
--- /dev/null
+++ b/basalthook/simwire/codec.py
@@ -0,0 +1,174 @@
+"""Words, units and ids of the bench's wire, turned into the events and effects of the decisions."""
+from hashlib import blake2b
+
+from ..policy import interface as i
+from ..policy.decide import Proxy
+
+TENTH = 100_000  # nanoseconds
+
+KINDS = {"repeatable": i.IDEMPOTENT, "by_key": i.JOURNALLED, "once": i.NON_IDEMPOTENT}
+GROUPS = {"all": i.EVERYWHERE, "zone": i.ZONE, "cell": i.CELL}
+OUTCOMES = {"success": i.COMMITTED, "failure": i.ERROR, "overloaded": i.REFUSED, "timed_out": i.TIMED_OUT,
+            "unreachable": i.UNREACHABLE, "broken": i.RESET, "withdrawn": i.CANCELLED, "void": i.UNSENT}
+LOAD = {"active": "held", "cpu": "busy", "err_rps": "errors"}
+
+
+def number(word: str) -> int:
+    """The same whole number for a word in every process."""
+    return int.from_bytes(blake2b(word.encode(), digest_size=6).digest(), "big")
+
+
+def up(ns: int) -> int:
+    return -(-ns // TENTH)
+
+
+def agreement(setup: dict) -> i.Agreement:
+    rules, allowed = setup["rules"], setup["allowed"]
+    profiles = tuple(
+        i.Profile(KINDS[p["effect"]], GROUPS[p.get("group") or "all"], p.get("repeat_window_ns", 0) // TENTH,
+                  p["service_goal_ns"] // TENTH, p.get("revenue", 1.0))
+        for p in setup["profiles"])
+    return i.Agreement(
+        profiles=profiles, position=setup["position"], proxies=setup["balancers"], zone=setup.get("zone", ""),
+        list_on_request=setup["discovery"] == "on_request", ask_within=rules["ask_within_ns"] // TENTH,
+        cold_share=rules["cold_from"], cold_time=up(rules["cold_ns"]), fall_multiple=rules["overload_factor"],
+        fall_time=up(rules["fall_ns"]), max_hops=allowed["max_hops"],
+        second_copies=bool(allowed.get("second_copies")), cancelling=bool(allowed.get("cancelling")),
+        probes=bool(allowed.get("probes")),
+        come_back_max=allowed.get("max_retry_after_ns", 0) // TENTH if allowed.get("retry_after") else 0)
+
+
+class Seat:
+    """One instance: its decisions, and its ids against the small numbers that stand for them."""
+
+    def __init__(self, seed: int, setup: dict, now: int) -> None:
+        agreed = agreement(setup)
+        self.proxy = Proxy(agreed, seed, now)
+        self.profiles = {p["name"]: n for n, p in enumerate(setup["profiles"])}
+        self.fields = [LOAD.get(f) for f in setup.get("load_report", {}).get("fields", ())]
+        self.hosts: dict[str, int] = {}      # grows with hosts ever listed, emptied at restart
+        self.addresses: list[str] = []
+        self.cells: dict[str, int] = {}
+        self.numbers: dict[str, int] = {}    # open transactions; emptied when one is closed and no hop is out
+        self.words: dict[int, list] = {}     # number -> [word, hops out, closed]
+        self.next = 0
+
+    def host(self, address: str) -> int:
+        known = self.hosts.get(address)
+        if known is None:
+            known = self.hosts[address] = len(self.addresses)
+            self.addresses.append(address)
+        return known
+
+    def load(self, row: list | None) -> dict | None:
+        return {f: v for f, v in zip(self.fields, row, strict=False) if f and v is not None} if row else None
+
+    def listed(self, records: list) -> tuple:
+        return tuple(
+            i.Host(self.host(r["host"]), number(r["host"]), r.get("area", ""), r.get("block", 0),
+                   r["status"] == "in_service", r.get("capacity_hint") or 1.0,
+                   up(r["came_up_ns"]) if r.get("came_up_ns") else None)
+            for r in records)
+
+    def close(self, tx: int, hops: int = 0, closed: bool = False) -> None:
+        entry = self.words.get(tx)
+        if entry is None:
+            return
+        entry[1] += hops
+        entry[2] = entry[2] or closed
+        if entry[2] and not entry[1]:
+            del self.words[tx]
+            del self.numbers[entry[0]]
+
+    def event(self, name: str, f: dict, lists: dict) -> tuple | None:
+        """The event in our words; None where it speaks of what is already closed here."""
+        if name == "QUERY":
+            tx = self.numbers[f["corr"]] = self.next
+            self.next += 1
+            self.words[tx] = [f["corr"], 0, False]
+            key = f.get("path_key")
+            return i.TxArrived(tx, self.profiles[f["tier_class"]], number(key) if key else None,
+                               f["patience_left_ns"] // TENTH)
+        if name == "VERDICT":
+            tx, closed = self.numbers.get(f["corr"]), bool(f.get("terminal"))
+            if tx is None:
+                return None
+            self.close(tx, -1, closed)
+            return i.HopEnded(tx, f.get("hop", 0), self.host(f["host"]), OUTCOMES[f["code"]],
+                              f.get("lag_ns", 0) // TENTH, closed, self.load(f.get("gauge")))
+        if name == "DEADLINE_HIT":
+            return i.TimerDue(f["mark"])
+        if name == "GONE":
+            tx = self.numbers.get(f["corr"])
+            if tx is None:
+                return None
+            self.close(tx, 0, True)
+            return i.TxGone(tx)
+        if name == "UNDER_WAY":
+            tx = self.numbers.get(f["corr"])
+            return None if tx is None else i.StreamBegan(tx, f.get("hop", 0))
+        if name == "PONG":
+            return i.ProbeEnded(self.host(f["host"]), OUTCOMES[f["code"]], f.get("lag_ns", 0) // TENTH,
+                                self.load(f.get("gauge")))
+        if name == "VIEW":
+            if f["scope"] == "unavailable":
+                return i.ListFailed()
+            return i.HostsListed(self.listed(lists[f["slot"]]), complete=f["scope"] != "update",
+                                 answered=f["scope"] != "restored")
+        if name == "INBOX":
+            return None                      # proxies share nothing
+        raise ValueError(f"unknown event {name}")
+
+    def action(self, effect: tuple) -> dict:
+        kind = type(effect)
+        if kind is i.SendHop:
+            word = self.words[effect.tx]
+            word[1] += 1
+            return {"FORWARD": {"corr": word[0], "host": self.addresses[effect.host],
+                                "allow_for_ns": effect.time_limit * TENTH}}
+        if kind is i.SetTimer:
+            return {"SLEEP": {"delay_ns": effect.delay * TENTH, "mark": effect.mark}}
+        if kind is i.RollBack:
+            word = self.words[effect.tx][0]
+            self.close(effect.tx, 0, True)
+            return {"SHED": {"corr": word, "stay_away_ns": effect.come_back * TENTH}}
+        if kind is i.Abandon:
+            word = self.words[effect.tx][0]
+            self.close(effect.tx, 0, True)
+            return {"ABORT": {"corr": word}}
+        if kind is i.CancelHop:
+            return {"REVOKE": {"corr": self.words[effect.tx][0], "hop": effect.hop}}
+        if kind is i.Probe:
+            return {"POLL": {"host": self.addresses[effect.host]}}
+        return {"OBSERVE": {"on": True}}
+
+
+class Desk:
+    """All instances of one process; they share the numbered lists of the wire and nothing else."""
+
+    def __init__(self) -> None:
+        self.seats: dict[str, Seat] = {}
+        self.lists: dict[int, list] = {}     # at most sixteen, each replaced by the next of its number
+
+    def serve(self, batch: dict) -> dict:
+        now, parts = batch["ts_ns"] // TENTH, []
+        for part in batch["parts"]:
+            who, decisions = part["who"], []
+            for event in part["events"]:
+                (name, fields), = event.items()
+                if name == "DIRECTORY":
+                    self.lists[fields.get("slot", 0)] = fields["records"]
+                elif name == "SPAWN":
+                    seat = self.seats[who] = Seat(fields["nonce64"], fields["setup"], now)
+                    decisions += map(seat.action, seat.proxy.begin())
+                elif name == "KILL":
+                    self.seats.pop(who, None)
+                    decisions.clear()        # what was decided before in this batch died with it
+                else:
+                    seat = self.seats[who]
+                    told = seat.event(name, fields, self.lists)
+                    if told is not None:
+                        decisions += map(seat.action, seat.proxy.handle(now, told))
+            if decisions:
+                parts.append({"who": who, "decisions": decisions})
+        return {"parts": parts}
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,199 @@
+"""Short stories, one for each failure met or foreseen."""
+import unittest
+
+from basalthook.policy import interface as i
+from tests.fake import IDEMPOTENT, NON_IDEMPOTENT, PUSH_ZONE, SCAN_CELL, UPLOAD, FakeHost, Stage
+
+
+def fleet(count, **ways):
+    return [FakeHost(n, **ways) for n in range(count)]
+
+
+class Design(unittest.TestCase):
+    def test_throttling_everywhere_bans_none_and_backs_off(self):
+        hosts = fleet(4, outcome=i.REFUSED)
+        stage = Stage(hosts, elapsed=20)
+        stage.arrive(key=5)
+        sent = len(stage.sends())
+        stage.arrive(key=5)
+        self.assertEqual(len(stage.sends()), sent)          # all backed off: it waits
+        for host in hosts:
+            host.outcome = i.COMMITTED
+        stage.wait(5_000)
+        self.assertEqual(stage.answers[1], i.COMMITTED)     # a ban would have lasted longer
+
+    def test_uniform_failure_of_a_key_goes_back_to_the_caller(self):
+        hosts = fleet(4, outcome=i.ERROR)
+        stage = Stage(hosts)
+        stage.arrive(key=5)
+        self.assertEqual(stage.answers[0], i.RollBack)
+        self.assertEqual(len(stage.sends()), 2)
+        for host in hosts:
+            host.outcome = i.COMMITTED
+        for n in range(20):
+            stage.arrive(key=100 + n)
+        self.assertEqual(len(set(stage.sends()[2:])), 4)    # and no host was banned for it
+
+    def test_transport_fault_bans_and_the_ban_ends(self):
+        bad, *others = hosts = fleet(3)
+        stage = Stage(hosts)
+        bad.outcome = i.UNREACHABLE
+        for n in range(20):
+            stage.arrive(key=n)
+        self.assertEqual(len(bad.got), 1)
+        bad.outcome = i.COMMITTED
+        stage.wait(110_000)
+        for n in range(20):
+            stage.arrive(key=n)
+        self.assertGreater(len(bad.got), 1)
+
+    def test_a_run_of_timeouts_bans(self):
+        hosts = fleet(1, outcome=i.TIMED_OUT)
+        stage = Stage(hosts, max_hops=1)
+        for key in range(3):
+            stage.arrive(key=key)
+        hosts += fleet(2)[1:]
+        stage.hosts[1] = hosts[1]
+        stage.tell(i.HostsListed((hosts[1].line,), False, True))
+        for key in range(20):
+            stage.arrive(key=key)
+        self.assertEqual(len(hosts[0].got), 3)
+
+    def test_a_key_stays_with_its_two_candidates(self):
+        stage = Stage(fleet(6))
+        for _ in range(30):
+            stage.arrive(key=9)
+        self.assertEqual(len(set(stage.sends())), 2)
+
+    def test_equal_seeds_act_alike(self):
+        def play(seed):
+            stage = Stage(fleet(5), seed=seed)
+            for n in range(50):
+                stage.arrive(key=n % 7 or None)
+            return stage.record
+        self.assertEqual(play(3), play(3))
+        self.assertNotEqual(play(3), play(4))
+
+
+class Rules(unittest.TestCase):
+    def test_no_host_at_all_still_gives_one_answer_in_time(self):
+        stage = Stage([])
+        stage.arrive(patience=3_000)
+        stage.wait(3_000)
+        self.assertEqual(stage.answers, {0: i.RollBack})
+
+    def test_timeout_at_the_hard_limit_abandons_what_must_not_run_twice(self):
+        stage = Stage(fleet(2, outcome=None))
+        stage.arrive(NON_IDEMPOTENT)
+        stage.now += 20_000
+        stage.end(0, 0, stage.sends()[0], i.TIMED_OUT, 20_000)
+        self.assertEqual(stage.answers, {0: i.Abandon})
+        self.assertEqual(len(stage.sends()), 1)
+
+    def test_non_idempotent_goes_on_after_unreachable_but_not_after_reset(self):
+        hosts = fleet(4, outcome=None)
+        stage = Stage(hosts)
+        stage.arrive(NON_IDEMPOTENT)
+        stage.end(0, 0, stage.sends()[0], i.UNREACHABLE)
+        stage.end(0, 1, stage.sends()[1], i.RESET)
+        self.assertEqual(len(stage.sends()), 2)
+        self.assertEqual(stage.answers, {0: i.Abandon})
+
+    def test_journalled_stays_in_its_zone_or_cell_and_window(self):
+        for profile, ways in ((PUSH_ZONE, "zone"), (SCAN_CELL, "cell")):
+            hosts = [FakeHost(n, zone="ab"[n % 2], cell=n % 2, outcome=None) for n in range(8)]
+            stage = Stage(hosts)
+            stage.arrive(profile)
+            stage.end(0, 0, stage.sends()[0], i.RESET)
+            first, second = (getattr(stage.hosts[h].line, ways) for h in stage.sends())
+            self.assertEqual(first, second)
+            stage.now += 6_000                      # the window runs from the earliest that may have run
+            stage.end(0, 1, stage.sends()[1], i.RESET)
+            self.assertEqual(len(stage.sends()), 2)
+            self.assertEqual(stage.answers, {0: i.Abandon})
+
+    def test_rolled_back_after_it_may_have_run_only_where_all_discard_repeats(self):
+        stage = Stage(fleet(3, outcome=i.RESET), max_hops=1)
+        stage.arrive(UPLOAD)
+        stage.arrive(SCAN_CELL)
+        self.assertEqual(stage.answers, {0: i.RollBack, 1: i.Abandon})
+
+    def test_nothing_waiting_goes_to_a_drained_host(self):
+        host = FakeHost(0, outcome=i.REFUSED)
+        stage = Stage([host])
+        stage.arrive()
+        stage.tell(i.HostsListed((host.line._replace(ready=False),), False, True))
+        host.outcome = i.COMMITTED
+        stage.wait(20_000)
+        self.assertEqual(stage.sends(), [0])
+        self.assertEqual(stage.answers, {0: i.RollBack})
+
+    def test_a_cold_host_is_not_pushed_over_though_all_others_are_banned(self):
+        hosts = fleet(4)
+        stage = Stage(hosts, elapsed=30)
+        for n in range(200):
+            stage.arrive(key=n)
+        cold = FakeHost(9, started=stage.now)
+        stage.hosts[9] = cold
+        stage.tell(i.HostsListed((cold.line,), False, True))
+        for host in hosts:
+            host.outcome = i.UNREACHABLE
+        for n in range(200):
+            stage.arrive(key=n)
+        self.assertLessEqual(len(cold.got), 50 * 0.2 * 2.5)     # a warm host's traffic, share, multiple
+
+    def test_one_hop_at_a_time_where_copies_are_not_allowed(self):
+        stage = Stage(fleet(4, outcome=None), cancelling=True)
+        stage.arrive()
+        stage.wait(6_000)
+        self.assertEqual(len(stage.sends()), 1)
+        self.assertIn(i.CancelHop(0, 0), stage.record)
+        stage.end(0, 0, stage.sends()[0], i.CANCELLED)
+        self.assertEqual(len(stage.sends()), 2)
+
+
+class Departures(unittest.TestCase):
+    def test_a_silent_host_is_passed_by(self):
+        hosts = fleet(2)
+        stage = Stage(hosts)
+        hosts[0].outcome = None
+        while not hosts[0].got:
+            stage.arrive(key=1)
+        stage.now += 6_000
+        before = len(hosts[0].got)
+        for _ in range(20):
+            stage.arrive(NON_IDEMPOTENT, key=1)
+        self.assertEqual(len(hosts[0].got), before)
+
+    def test_a_late_hop_gets_a_copy_and_the_loser_is_called_back(self):
+        stage = Stage(fleet(3, outcome=None), second_copies=True, cancelling=True)
+        stage.arrive()
+        stage.wait(6_000)
+        self.assertEqual(len(set(stage.sends())), 2)
+        stage.end(0, 1, stage.sends()[1], i.COMMITTED)
+        self.assertIn(i.CancelHop(0, 0), stage.record)
+
+    def test_a_late_hop_that_must_not_run_twice_gets_no_copy(self):
+        stage = Stage(fleet(3, outcome=None), second_copies=True, cancelling=True)
+        stage.arrive(NON_IDEMPOTENT)
+        stage.wait(19_000)
+        self.assertEqual(len(stage.sends()), 1)
+
+    def test_list_is_asked_again_after_a_failure_never_twice_at_once(self):
+        stage = Stage(fleet(1))
+        stage.tell(i.ListFailed())
+        stage.tell(i.ListFailed())
+        stage.record.clear()
+        stage.wait(100_000)
+        self.assertEqual(stage.record.count(i.WatchList()), 1)
+
+    def test_late_and_unknown_events_are_taken_quietly(self):
+        stage = Stage(fleet(2))
+        stage.arrive()
+        stage.record.clear()
+        for event in (i.TxGone(0), i.TxGone(77), i.StreamBegan(77, 0), i.TimerDue(2), i.TimerDue(900),
+                      i.HopEnded(77, 0, 5, i.COMMITTED, 10, True, None),
+                      i.ProbeEnded(5, i.COMMITTED, 10, None)):
+            stage.tell(event)
+        self.assertEqual(stage.record, [])
+        self.assertEqual(stage.arrive(IDEMPOTENT), 1)
