--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -21,14 +21,15 @@
 
 COOLDOWN = 100_000      # a ban; the design's figure
 BACKOFF = 500           # first backoff after a throttle, doubled while throttles go on; the design's figure
-BACKOFF_MOST = 10_000   # no throttle outlasts a tenth of a ban by itself
+BACKOFF_MOST = 25_000   # a quarter of a ban
 TIMEOUT_RUN = 3         # timeouts in a row that ban; the design's figure
 SPREAD = 2              # distinct hosts at which a failing key is at fault itself; the design's figure
 SPREAD_WINDOW = 100_000
 KEYS_KEPT = 2_000       # rankings and failing keys held at once
 COLD_STEPS = 16         # steps in which the slice of a fresh host widens
 COLD_KEYS = 4           # a fresh host knows no key: a hop may cost it several times what a warm one pays
-BUDGET = 4.0            # hops of ours that a host may hold before anything is known of it
+CROWDED = 3.0           # answers this many times slower than in quiet times mean a crowd at the host
+FAIR = 1.25             # a host holds at most this multiple of its share of our hops
 
 WAITING, OUT, STREAMING, DONE = "waiting", "out", "streaming", "done"
 (ARRIVED, ROOM, SENT, HELD, HOPELESS, FELL, FELL_ONE, LATE, WON, BEGAN, GONE) = (
@@ -48,7 +49,7 @@
     (OUT, LATE): (OUT, "second_look"),
     (OUT, WON): (DONE, "settle"),
     (OUT, GONE): (DONE, "settle"),
-    (OUT, BEGAN): (STREAMING, "settle_copies"),
+    (OUT, BEGAN): (STREAMING, None),
     (STREAMING, WON): (DONE, "settle"),
     (STREAMING, GONE): (DONE, "settle"),
 }
@@ -67,7 +68,7 @@
     """What this proxy knows of one host."""
 
     __slots__ = ("id", "line", "out", "banned_until", "shy_until", "throttles", "timeouts", "heard", "strain",
-                 "budget", "sent", "fresh_from")
+                 "sent", "fresh_from")
 
     def __init__(self, line, now):
         self.id, self.line = line.host, line
@@ -79,7 +80,7 @@
     def renew(self, now):
         """Forget what was learned of an earlier process."""
         self.throttles = self.timeouts = 0
-        self.strain, self.budget = 0.0, BUDGET
+        self.strain = 1.0
         self.fresh_from = self.line.started
         self.banned_until = now
 
@@ -110,6 +111,8 @@
         self.failing = OrderedDict()    # key -> {host: when}; aged by the window, bounded by KEYS_KEPT
         self.first_line, self.further_line = deque(), deque()   # waiting; emptied by answers and time
         self.usual = [(p.service_goal / 8,) * 2 for p in agreement.profiles]    # latency, its deviation
+        self.quiet = [p.service_goal / 8 for p in agreement.profiles]   # latency with little waiting
+        self.quiet_mix = min(self.quiet)    # its mean over our hops
         self.pace = 0.0             # time between our committed answers
         self.last_commit = now
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
@@ -205,9 +208,6 @@
         wait = min(self.terms.ask_within, self.terms.ask_within // 8 * 2 ** min(self.list_failures, 4))
         self.effects.append(i.SetTimer(int(wait * (0.5 + self.chance.random() / 2)), 0))
 
-    def on_probe(self, event):
-        pass
-
     # ---- the life of a transaction
 
     def step(self, tx, given):
@@ -275,9 +275,6 @@
         elif self.terms.cancelling:
             self.effects.append(i.CancelHop(tx.id, hop))
 
-    def settle_copies(self, tx):
-        pass
-
     def settle(self, tx):
         """Answered: whatever is still out is called back."""
         if self.terms.cancelling:
@@ -325,6 +322,7 @@
         tx.tried.append(server.id)
         server.out[tx.id, hop] = now
         self.recent(server).append(now)
+        self.quiet_mix += (self.quiet[tx.profile] - self.quiet_mix) * 0.05
         self.effects.append(i.SendHop(tx.id, server.id, tx.hard_limit - now))
         late = self.late_after(tx.profile)
         if now + late < tx.hard_limit:
@@ -346,7 +344,7 @@
                 if len(best) == 2:
                     break
         if not best and not unbanned and not instead:
-            best = [s for s in open_ones if len(s.out) < s.budget][:2]     # all banned: all ready ones count
+            best = [s for s in open_ones if len(s.out) < self.budget(s)][:2]     # all banned: all ready ones count
         if not best:
             return None
         if len(best) == 2 and len(best[0].out) == len(best[1].out):
@@ -354,13 +352,22 @@
         return min(best, key=lambda s: len(s.out))
 
     def fit(self, server, tx):
-        if server.shy_until > self.now or len(server.out) >= server.budget:
+        if server.shy_until > self.now or len(server.out) >= min(self.budget(server), self.fair(server)):
             return False
         if server.out:
             waited_since = max(server.heard, next(iter(server.out.values())))
             return self.now - waited_since < self.late_after(tx.profile)
         return True
 
+    def budget(self, server):
+        """Little's law: our hops at a host when its answers take CROWDED times their time in quiet."""
+        return max(1.0, CROWDED * len(self.recent(server)) / self.terms.fall_time * self.quiet_mix)
+
+    def fair(self, server):
+        out = sum(len(s.out) for s in self.servers.values())
+        total = sum(s.line.weight * self.warmth(s) for s in self.servers.values() if s.line.ready)
+        return max(1.0, FAIR * (out + 1) * server.line.weight * self.warmth(server) / total)
+
     def ranking(self, key):
         if self.ranked_until is not None and self.now >= self.ranked_until:
             self.rankings.clear()
@@ -417,20 +424,22 @@
     # ---- health
 
     def judge(self, server, bucket, event, tx):
-        goal = self.terms.profiles[tx.profile].service_goal
         if bucket is SOUND:
-            server.heard, server.timeouts, server.throttles = self.now, 0, 0
+            server.heard, server.timeouts = self.now, 0
             self.learn(tx.profile, event.elapsed)
             self.pace += ((self.now - self.last_commit) - self.pace) * 0.1
             self.last_commit = self.now
-            self.weigh(server, event.elapsed / goal)
+            self.weigh(server, event.elapsed / self.quiet[tx.profile])
             if server.fresh_from is None:
                 self.warm_commits.append(self.now)
                 if self.warm_commits[0] <= self.now - self.terms.fall_time:
                     self.warm_commits.popleft()
-            return
-        if event.outcome in (i.TIMED_OUT, i.CANCELLED) and event.elapsed / goal > server.strain:
-            self.weigh(server, event.elapsed / goal)
+            if server.strain > CROWDED:
+                bucket = THROTTLE
+            else:
+                server.throttles = 0
+        if event.outcome in (i.TIMED_OUT, i.CANCELLED):
+            self.weigh(server, max(server.strain, event.elapsed / self.quiet[tx.profile]))
         if event.outcome in (i.ERROR, i.REFUSED):
             server.heard = self.now
         if event.outcome == i.TIMED_OUT:
@@ -438,24 +447,20 @@
             if server.timeouts >= TIMEOUT_RUN:
                 bucket = FAULT
         if bucket is FAULT:
-            server.banned_until, server.timeouts, server.budget = self.now + COOLDOWN, 0, 1.0
+            server.banned_until, server.timeouts = self.now + COOLDOWN, 0
             self.effects.append(i.SetTimer(COOLDOWN, 1))
         elif bucket is THROTTLE:
             wait = min(BACKOFF_MOST, BACKOFF * 2 ** server.throttles)
             server.throttles, server.shy_until = min(server.throttles + 1, 8), self.now + wait
-            server.budget = max(1.0, server.budget * 0.8)
             self.effects.append(i.SetTimer(wait, 1))
 
     def weigh(self, server, strain):
-        """The budget of a host follows how its answers stand against the service goal."""
-        server.strain += (min(strain, 1.0) - server.strain) * 0.2
-        if server.strain > 0.5:
-            server.budget = max(1.0, server.budget - 0.3)
-        elif len(server.out) + 1 >= server.budget * 0.7:
-            server.budget += 1.0 / server.budget
+        """How the answers of a host stand against those of a quiet fleet."""
+        server.strain += (min(strain, 10.0) - server.strain) * (0.5 if server.throttles else 0.1)
 
     def learn(self, profile, elapsed):
         mean, deviation = self.usual[profile]
+        self.quiet[profile] += (mean - self.quiet[profile]) * (0.02 if mean < self.quiet[profile] else 0.0005)
         self.usual[profile] = (mean + (elapsed - mean) * 0.05,
                                deviation + (abs(elapsed - mean) - deviation) * 0.05)
 
@@ -478,5 +483,6 @@
 
     EVENTS = {
         i.HostsListed: on_listed, i.ListFailed: on_list_failed, i.TxArrived: on_arrived, i.HopEnded: on_ended,
-        i.StreamBegan: on_stream, i.TxGone: on_gone, i.TimerDue: on_timer, i.ProbeEnded: on_probe,
+        i.StreamBegan: on_stream, i.TxGone: on_gone, i.TimerDue: on_timer,
+        i.ProbeEnded: lambda self, event: None,
     }
