--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -344,11 +344,11 @@
                 if len(best) == 2:
                     break
         if not best and not unbanned and not instead:
-            best = [s for s in open_ones if len(s.out) < self.budget(s)][:2]     # all banned: all ready ones count
+            best = [s for s in open_ones if len(s.out) < self.budget(s)][:2]   # all banned: all count
         if not best:
             return None
         if len(best) == 2 and len(best[0].out) == len(best[1].out):
-            return self.chance.choice(best)
+            return best[0]
         return min(best, key=lambda s: len(s.out))
 
     def fit(self, server, tx):
