--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -29,6 +29,8 @@
 COLD_STEPS = 16         # steps in which the slice of a fresh host widens
 COLD_KEYS = 4           # a fresh host knows no key: a hop may cost it several times what a warm one pays
 CROWDED = 3.0           # answers this many times slower than in quiet times mean a crowd at the host
+BUSY = 1.25             # above this, ties go to the first candidate, whose keys are warm
+ERRING = 0.3            # share of quick errors that makes them the host's own fault
 FAIR = 1.25             # a host holds at most this multiple of its share of our hops
 
 WAITING, OUT, STREAMING, DONE = "waiting", "out", "streaming", "done"
@@ -68,7 +70,7 @@
     """What this proxy knows of one host."""
 
     __slots__ = ("id", "line", "out", "banned_until", "shy_until", "throttles", "timeouts", "heard", "strain",
-                 "sent", "fresh_from")
+                 "sent", "erring", "erred_key", "fresh_from")
 
     def __init__(self, line, now):
         self.id, self.line = line.host, line
@@ -80,7 +82,7 @@
     def renew(self, now):
         """Forget what was learned of an earlier process."""
         self.throttles = self.timeouts = 0
-        self.strain = 1.0
+        self.strain, self.erring, self.erred_key = 1.0, 0.0, None
         self.fresh_from = self.line.started
         self.banned_until = now
 
@@ -115,6 +117,7 @@
         self.quiet_mix = min(self.quiet)    # its mean over our hops
         self.pace = 0.0             # time between our committed answers
         self.last_commit = now
+        self.strain = 1.0           # how all answers stand against those of a quiet fleet
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
         self.warm_commits = deque()     # when; aged by the fall window
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
@@ -348,7 +351,7 @@
         if not best:
             return None
         if len(best) == 2 and len(best[0].out) == len(best[1].out):
-            return best[0]
+            return best[0] if self.strain > BUSY else self.chance.choice(best)
         return min(best, key=lambda s: len(s.out))
 
     def fit(self, server, tx):
@@ -426,6 +429,8 @@
     def judge(self, server, bucket, event, tx):
         if bucket is SOUND:
             server.heard, server.timeouts = self.now, 0
+            server.erring *= 0.8
+            self.failing.pop(tx.key, None)
             self.learn(tx.profile, event.elapsed)
             self.pace += ((self.now - self.last_commit) - self.pace) * 0.1
             self.last_commit = self.now
@@ -442,6 +447,11 @@
             self.weigh(server, max(server.strain, event.elapsed / self.quiet[tx.profile]))
         if event.outcome in (i.ERROR, i.REFUSED):
             server.heard = self.now
+        if event.outcome == i.ERROR and (tx.key is None or tx.key != server.erred_key):
+            # Quick errors look like an idle host and draw more: those of several keys are the host's fault.
+            server.erring, server.erred_key = server.erring * 0.8 + 0.2, tx.key
+            if server.erring > ERRING:
+                bucket, server.erring = FAULT, 0.0
         if event.outcome == i.TIMED_OUT:
             server.timeouts += 1
             if server.timeouts >= TIMEOUT_RUN:
@@ -457,6 +467,7 @@
     def weigh(self, server, strain):
         """How the answers of a host stand against those of a quiet fleet."""
         server.strain += (min(strain, 10.0) - server.strain) * (0.5 if server.throttles else 0.1)
+        self.strain += (min(strain, 10.0) - self.strain) * 0.02
 
     def learn(self, profile, elapsed):
         mean, deviation = self.usual[profile]
