--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -381,14 +381,12 @@
             ready = [s for s in self.servers.values() if s.line.ready]
             self.chance.shuffle(ready)
             return ready
-        near = self.strain <= BUSY
-        found = self.rankings.get((key, near))
+        found = self.rankings.get(key)
         if found is None:
             if len(self.rankings) >= KEYS_KEPT:
                 self.rankings.popitem(last=False)
             ready = [s for s in self.servers.values() if s.line.ready]
-            found = self.rankings[key, near] = sorted(
-                ready, key=lambda s: (near and s.line.zone != self.terms.zone, self.claim(key, s), s.id))
+            found = self.rankings[key] = sorted(ready, key=lambda s: (self.claim(key, s), s.id))
         return found
 
     def claim(self, key, server):
