--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -439,7 +439,7 @@
                 self.warm_commits.append(self.now)
                 if self.warm_commits[0] <= self.now - self.terms.fall_time:
                     self.warm_commits.popleft()
-            if server.strain > CROWDED:
+            if server.strain > CROWDED * max(1.0, self.strain / 2):
                 bucket = THROTTLE
             else:
                 server.throttles = 0
@@ -471,7 +471,7 @@
 
     def learn(self, profile, elapsed):
         mean, deviation = self.usual[profile]
-        self.quiet[profile] += (mean - self.quiet[profile]) * (0.02 if mean < self.quiet[profile] else 0.0005)
+        self.quiet[profile] += (mean - self.quiet[profile]) * (0.005 if mean < self.quiet[profile] else 0.001)
         self.usual[profile] = (mean + (elapsed - mean) * 0.05,
                                deviation + (abs(elapsed - mean) - deviation) * 0.05)
 
