--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -13,6 +13,7 @@
  4. Second look: a late hop that may be repeated gets a copy, or is cancelled and sent elsewhere.
  5. Cold slice: a fresh host gets the share of keys, and of our usual traffic, that it can surely carry.
 """
+from bisect import insort
 from collections import OrderedDict, deque
 from math import log
 from random import Random
@@ -111,7 +112,7 @@
         self.rankings = OrderedDict()   # key -> servers; cleared when the list changes or a slice widens
         self.ranked_until = None
         self.failing = OrderedDict()    # key -> {host: when}; aged by the window, bounded by KEYS_KEPT
-        self.first_line, self.further_line = deque(), deque()   # waiting; emptied by answers and time
+        self.first_line, self.further_line = [], []     # (give up, tx) in order; emptied by answers and time
         self.usual = [(p.service_goal / 8,) * 2 for p in agreement.profiles]    # latency, its deviation
         self.quiet = [p.service_goal / 8 for p in agreement.profiles]   # latency with little waiting
         self.quiet_mix = min(self.quiet)    # its mean over our hops
@@ -241,8 +242,9 @@
         return goal - int(self.usual[tx.profile][0])
 
     def line_up(self, tx):
-        (self.further_line if tx.hops else self.first_line).append(tx)
+        """The shortest patience first: a short goal is lost behind long ones that could have waited."""
         tx.give_up = max(self.now + 1, self.wait_until(tx))     # kept: the estimate behind it moves
+        insort(self.further_line if tx.hops else self.first_line, (tx.give_up, tx.id))
         self.effects.append(i.SetTimer(tx.give_up - self.now, tx.id + 2))
 
     def last_chance(self, tx):
@@ -252,15 +254,14 @@
         """Room may have come up: first hops before further ones."""
         for line in (self.first_line, self.further_line):
             while line:
-                tx = line[0]
-                if tx.state == WAITING:
-                    server = self.pick(tx)
-                    if server is None:
+                tx = self.txs.get(line[0][1])
+                if tx is not None and tx.state == WAITING:
+                    if self.pick(tx) is None:
                         break
-                    line.popleft()
+                    line.pop(0)
                     self.step(tx, ROOM)
                 else:
-                    line.popleft()
+                    line.pop(0)
 
     def second_look(self, tx):
         """Still out after the usual time: a copy where two are allowed, else cancel and send elsewhere."""
@@ -439,7 +440,7 @@
                 self.warm_commits.append(self.now)
                 if self.warm_commits[0] <= self.now - self.terms.fall_time:
                     self.warm_commits.popleft()
-            if server.strain > CROWDED * max(1.0, self.strain / 2):
+            if server.strain > CROWDED:
                 bucket = THROTTLE
             else:
                 server.throttles = 0
@@ -471,7 +472,7 @@
 
     def learn(self, profile, elapsed):
         mean, deviation = self.usual[profile]
-        self.quiet[profile] += (mean - self.quiet[profile]) * (0.005 if mean < self.quiet[profile] else 0.001)
+        self.quiet[profile] += (mean - self.quiet[profile]) * (0.02 if mean < self.quiet[profile] else 0.0005)
         self.usual[profile] = (mean + (elapsed - mean) * 0.05,
                                deviation + (abs(elapsed - mean) - deviation) * 0.05)
 
