--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -31,8 +31,8 @@
 COLD_KEYS = 4           # a fresh host knows no key: a hop may cost it several times what a warm one pays
 CROWDED = 3.0           # answers this many times slower than in quiet times mean a crowd at the host
 BUSY = 1.25             # above this, ties go to the first candidate, whose keys are warm
-SPARE = 0.8             # a host that reports its cores less busy than this has room
 ERRING = 0.3            # share of quick errors that makes them the host's own fault
+ROOMY = 2.0             # a host gets no more of our hops than make its answers this many times slower
 FAIR = 1.25             # a host holds at most this multiple of its share of our hops
 
 WAITING, OUT, STREAMING, DONE = "waiting", "out", "streaming", "done"
@@ -365,8 +365,8 @@
         return True
 
     def budget(self, server):
-        """Little's law: our hops at a host when its answers take CROWDED times their time in quiet."""
-        return max(1.0, CROWDED * len(self.recent(server)) / self.terms.fall_time * self.quiet_mix)
+        """Little's law: our hops at a host when its answers take ROOMY times their time in quiet."""
+        return max(1.0, ROOMY * len(self.recent(server)) / self.terms.fall_time * self.quiet_mix)
 
     def fair(self, server):
         out = sum(len(s.out) for s in self.servers.values())
@@ -436,10 +436,7 @@
             self.learn(tx.profile, event.elapsed)
             self.pace += ((self.now - self.last_commit) - self.pace) * 0.1
             self.last_commit = self.now
-            strain = event.elapsed / self.quiet[tx.profile]
-            if event.load and event.load.get("busy", 1.0) < SPARE:
-                strain = min(strain, 1.0)   # a host with idle cores is not crowded: the transaction was heavy
-            self.weigh(server, strain)
+            self.weigh(server, event.elapsed / self.quiet[tx.profile])
             if server.fresh_from is None:
                 self.warm_commits.append(self.now)
                 if self.warm_commits[0] <= self.now - self.terms.fall_time:
@@ -471,9 +468,8 @@
 
     def weigh(self, server, strain):
         """How the answers of a host stand against those of a quiet fleet."""
-        strain = min(strain, 2 * CROWDED)
-        server.strain += (strain - server.strain) * (0.3 if server.throttles else 0.1)
-        self.strain += (strain - self.strain) * 0.02
+        server.strain += (min(strain, 10.0) - server.strain) * (0.5 if server.throttles else 0.1)
+        self.strain += (min(strain, 10.0) - self.strain) * 0.02
 
     def learn(self, profile, elapsed):
         mean, deviation = self.usual[profile]
