--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -240,7 +240,7 @@
 
     def wait_until(self, tx):
         goal = min(tx.arrived + self.terms.profiles[tx.profile].service_goal, tx.hard_limit)
-        return goal - int(sum(self.usual[tx.profile]))
+        return goal - int(self.usual[tx.profile][0])
 
     def line_up(self, tx):
         """The shortest patience first: a short goal is lost behind long ones that could have waited."""
