--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -109,6 +109,7 @@
     def __init__(self, agreement, seed, now):
         self.terms, self.chance, self.now = agreement, Random(seed), now
         self.servers = {}           # listed hosts, and those gone with hops still out
+        self.born, self.out, self.sent = now, 0, deque()    # our hops out; when sent, aged by the fall window
         self.txs = {}               # open transactions, and those answered with hops still out
         self.rankings = OrderedDict()   # key -> servers; cleared when the list changes or a slice widens
         self.ranked_until = None
@@ -167,7 +168,8 @@
         if tx is None or event.hop not in tx.out:
             return
         server, sent_at = tx.out.pop(event.hop)
-        server.out.pop((tx.id, event.hop), None)
+        del server.out[tx.id, event.hop]
+        self.out -= 1
         bucket, ran = BUCKETS[event.outcome]
         if ran and event.outcome != i.COMMITTED and (tx.ran is None or sent_at < tx.first_ran):
             tx.ran, tx.first_ran = server.line, sent_at
@@ -327,6 +329,8 @@
         tx.tried.append(server.id)
         server.out[tx.id, hop] = now
         self.recent(server).append(now)
+        self.sent.append(now)
+        self.out += 1
         self.quiet_mix += (self.quiet[tx.profile] - self.quiet_mix) * 0.05
         self.effects.append(i.SendHop(tx.id, server.id, tx.hard_limit - now))
         late = self.late_after(tx.profile)
@@ -337,6 +341,8 @@
     # ---- the pick
 
     def pick(self, tx, instead=False):
+        if self.full() and not instead:
+            return None
         best, open_ones, unbanned = [], [], False
         for server in self.ranking(tx.key):
             banned = server.banned_until > self.now
@@ -366,12 +372,23 @@
 
     def budget(self, server):
         """Little's law: our hops at a host when its answers take ROOMY times their time in quiet."""
-        return max(1.0, ROOMY * len(self.recent(server)) / self.terms.fall_time * self.quiet_mix)
+        return max(1.0, ROOMY * self.quiet_out(self.recent(server)))
+
+    def quiet_out(self, sent):
+        """Hops that would be out, at the rate of these sends, if all were answered as in quiet times."""
+        span = min(self.terms.fall_time, max(self.now - self.born, self.quiet_mix))
+        return len(sent) / span * self.quiet_mix
+
+    def full(self):
+        """Guards against many proxies that each keep every host's budget but hold one hop at each."""
+        while self.sent and self.sent[0] <= self.now - self.terms.fall_time:
+            self.sent.popleft()
+        usual = self.quiet_out(self.sent)
+        return self.out >= max(1.0, ROOMY * usual + usual ** 0.5)
 
     def fair(self, server):
-        out = sum(len(s.out) for s in self.servers.values())
         total = sum(s.line.weight * self.warmth(s) for s in self.servers.values() if s.line.ready)
-        return max(1.0, FAIR * (out + 1) * server.line.weight * self.warmth(server) / total)
+        return max(1.0, FAIR * (self.out + 1) * server.line.weight * self.warmth(server) / total)
 
     def ranking(self, key):
         if self.ranked_until is not None and self.now >= self.ranked_until:
