--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -384,7 +384,7 @@
         while self.sent and self.sent[0] <= self.now - self.terms.fall_time:
             self.sent.popleft()
         usual = self.quiet_out(self.sent)
-        return self.out >= max(1.0, ROOMY * usual + usual ** 0.5)
+        return self.out >= max(1.0, ROOMY * (usual + usual ** 0.5))
 
     def fair(self, server):
         total = sum(s.line.weight * self.warmth(s) for s in self.servers.values() if s.line.ready)
