--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -490,7 +490,7 @@
 
     def learn(self, profile, elapsed):
         mean, deviation = self.usual[profile]
-        self.quiet[profile] += (mean - self.quiet[profile]) * (0.02 if mean < self.quiet[profile] else 0.0005)
+        self.quiet[profile] += (mean - self.quiet[profile]) * (0.02 if mean < self.quiet[profile] else 0.00005)
         self.usual[profile] = (mean + (elapsed - mean) * 0.05,
                                deviation + (abs(elapsed - mean) - deviation) * 0.05)
 
