--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -458,7 +458,7 @@
                 self.warm_commits.append(self.now)
                 if self.warm_commits[0] <= self.now - self.terms.fall_time:
                     self.warm_commits.popleft()
-            if server.strain > CROWDED:
+            if server.strain > CROWDED * max(1.0, self.strain / 1.5):
                 bucket = THROTTLE
             else:
                 server.throttles = 0
