--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -30,6 +30,7 @@
 COLD_STEPS = 16         # steps in which the slice of a fresh host widens
 COLD_KEYS = 4           # a fresh host knows no key: a hop may cost it several times what a warm one pays
 CROWDED = 3.0           # answers this many times slower than in quiet times mean a crowd at the host
+LEAN_EVERY = 10_000     # the lean to the own zone changes by half at most this often
 BUSY = 1.25             # above this, ties go to the first candidate, whose keys are warm
 ERRING = 0.3            # share of quick errors that makes them the host's own fault
 ROOMY = 2.0             # a host gets no more of our hops than make its answers this many times slower
@@ -120,6 +121,7 @@
         self.quiet_mix = min(self.quiet)    # its mean over our hops
         self.pace = 0.0             # time between our committed answers
         self.last_commit = now
+        self.near_bias, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.strain = 1.0           # how all answers stand against those of a quiet fleet
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
         self.warm_commits = deque()     # when; aged by the fall window
@@ -390,7 +392,25 @@
         total = sum(s.line.weight * self.warmth(s) for s in self.servers.values() if s.line.ready)
         return max(1.0, FAIR * (self.out + 1) * server.line.weight * self.warmth(server) / total)
 
+    def lean(self):
+        """Own-zone hosts claim more keys while crossing costs and they are no busier than the others."""
+        if self.now < self.lean_next:
+            return
+        self.lean_next = self.now + LEAN_EVERY
+        near, far = [], []
+        for server in self.servers.values():
+            if server.line.ready and server.banned_until <= self.now:
+                (near if server.line.zone == self.terms.zone else far).append(server.strain)
+        before = self.near_bias
+        if near and far and sum(near) * len(far) > BUSY * sum(far) * len(near):
+            self.near_bias = max(1.0, self.near_bias / 1.5)
+        elif self.strain < CROWDED:
+            self.near_bias = min(1.0 + 100 * self.terms.cross_price, self.near_bias * 1.5)
+        if self.near_bias != before:
+            self.rankings.clear()
+
     def ranking(self, key):
+        self.lean()
         if self.ranked_until is not None and self.now >= self.ranked_until:
             self.rankings.clear()
         if not self.rankings:
@@ -410,10 +430,13 @@
 
     def claim(self, key, server):
         """Weighted rendezvous: the host with the least claim comes first, in proportion to weight."""
+        weight = server.line.weight * self.warmth(server)
+        if server.line.zone == self.terms.zone:
+            weight *= self.near_bias
         x = (key ^ server.line.hash) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
         x = (x ^ x >> 29) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
         x ^= x >> 32
-        return -log((x + 1) / 2 ** 64) / (server.line.weight * self.warmth(server))
+        return -log((x + 1) / 2 ** 64) / weight
 
     # ---- cold hosts
 
@@ -458,7 +481,7 @@
                 self.warm_commits.append(self.now)
                 if self.warm_commits[0] <= self.now - self.terms.fall_time:
                     self.warm_commits.popleft()
-            if server.strain > CROWDED * max(1.0, self.strain / 1.5):
+            if server.strain > CROWDED:
                 bucket = THROTTLE
             else:
                 server.throttles = 0
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -31,6 +31,7 @@
     position: int                   # this proxy among its fellows, from 0
     proxies: int
     zone: str
+    cross_price: float              # points lost where every transaction crosses zones once, of 1
     list_on_request: bool           # the host list comes only to those who ask
     ask_within: int
     cold_share: float               # a fresh host has at least this share of its capacity
