--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -34,7 +34,6 @@
 BUSY = 1.25             # above this, ties go to the first candidate, whose keys are warm
 ERRING = 0.3            # share of quick errors that makes them the host's own fault
 ROOMY = 2.0             # a host gets no more of our hops than make its answers this many times slower
-FAIR = 1.25             # a host holds at most this multiple of its share of our hops
 
 WAITING, OUT, STREAMING, DONE = "waiting", "out", "streaming", "done"
 (ARRIVED, ROOM, SENT, HELD, HOPELESS, FELL, FELL_ONE, LATE, WON, BEGAN, GONE) = (
@@ -365,7 +364,7 @@
         return min(best, key=lambda s: len(s.out))
 
     def fit(self, server, tx):
-        if server.shy_until > self.now or len(server.out) >= min(self.budget(server), self.fair(server)):
+        if server.shy_until > self.now or len(server.out) >= self.budget(server):
             return False
         if server.out:
             waited_since = max(server.heard, next(iter(server.out.values())))
@@ -388,10 +387,6 @@
         usual = self.quiet_out(self.sent)
         return self.out >= max(1.0, ROOMY * (usual + usual ** 0.5))
 
-    def fair(self, server):
-        total = sum(s.line.weight * self.warmth(s) for s in self.servers.values() if s.line.ready)
-        return max(1.0, FAIR * (self.out + 1) * server.line.weight * self.warmth(server) / total)
-
     def lean(self):
         """Own-zone hosts claim more keys while crossing costs and they are no busier than the others."""
         if self.now < self.lean_next:
@@ -513,7 +508,8 @@
 
     def learn(self, profile, elapsed):
         mean, deviation = self.usual[profile]
-        self.quiet[profile] += (mean - self.quiet[profile]) * (0.02 if mean < self.quiet[profile] else 0.00005)
+        quiet = self.quiet[profile]
+        self.quiet[profile] += (mean - quiet) * (0.02 if mean < quiet else 0.00005)
         self.usual[profile] = (mean + (elapsed - mean) * 0.05,
                                deviation + (abs(elapsed - mean) - deviation) * 0.05)
 
