--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -74,7 +74,7 @@
         """A new process: what was learned of an earlier one is void."""
         self.line, self.fresh_from, self.proven = line, line.started, True
         self.banned_until = self.shy_until = self.throttles = self.timeouts = 0
-        self.strain, self.slowness, self.erring, self.erred_key = 1.0, 1.0, 0.0, None
+        self.strain, self.erring, self.erred_key = 1.0, 0.0, None
 
 
 class Tx:
@@ -325,7 +325,7 @@
             if len(self.rankings) >= KEYS_KEPT:
                 self.rankings.popitem(last=False)
             found = self.rankings[key] = sorted(self.ready, key=lambda s: claim(
-                key, s.line.hash, self.appeal(s)))
+                key, s.line.hash, s.line.weight * self.warmth(s) * (self.lean if self.near(s) else 1.0)))
         return found
 
     def reset_rankings(self):
@@ -335,10 +335,6 @@
         cold = any(s.fresh_from is not None for s in self.ready)
         self.ranked_until = self.now + self.terms.cold_time // COLD_STEPS if cold else float("inf")
 
-    def appeal(self, server):
-        speed = min(2.0, max(0.25, self.strain / server.slowness))
-        return server.line.weight * self.warmth(server) * speed * (self.lean if self.near(server) else 1.0)
-
     def near(self, server):
         return server.line.zone == self.terms.zone
 
@@ -349,11 +345,13 @@
         self.lean_next = self.now + LEAN_EVERY
         known = [s for s in self.ready if s.banned_until <= self.now]
         near, far = ([s.strain for s in known if self.near(s) == own] for own in (True, False))
+        before = self.lean
         if near and far and sum(near) / len(near) > BUSY * sum(far) / len(far):
             self.lean = max(1.0, self.lean / 1.5)
         elif self.strain < CROWDED:
             self.lean = min(1.0 + 100 * self.terms.cross_price, self.lean * 1.5)
-        self.reset_rankings()
+        if self.lean != before:
+            self.reset_rankings()
 
     # ---- cold hosts
 
@@ -400,7 +398,6 @@
     def weigh(self, server, strain):
         strain = min(strain, 10.0)
         server.strain += (strain - server.strain) * (0.5 if server.throttles else 0.1)
-        server.slowness += (strain - server.slowness) * 0.03
         self.strain += (strain - self.strain) * 0.02
 
     def timed_out(self, server, tx, event):
