--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -67,7 +67,7 @@
 
     def __init__(self, line, span):
         self.id, self.heard, self.sent = line.host, 0, Window(span)
-        self.out = {}               # (tx, hop) -> sent at; emptied as hops end
+        self.out = {}               # (tx, hop) -> sent at, late after; emptied as hops end
         self.renew(line)
 
     def renew(self, line):
@@ -259,7 +259,7 @@
         hop, now = len(tx.tried), self.now
         tx.tried.append(server.id)
         tx.out[hop] = (server, now)
-        server.out[tx.id, hop] = now
+        server.out[tx.id, hop] = now, self.late_after(tx)
         server.sent.add(now)
         self.sent.add(now)
         self.out += 1
@@ -297,7 +297,8 @@
             return False        # back from a ban: one hop at a time, and none that could not be repeated
         if not server.out:
             return True         # else guards against hosts that went silent or stand still
-        return self.now - max(server.heard, next(iter(server.out.values()))) < self.late_after(tx)
+        sent_at, late_after = next(iter(server.out.values()))   # by its own measure, not by this one's
+        return self.now - max(server.heard, sent_at) < late_after
 
     def budget(self, server):
         """Little's law: our hops at a host when its answers take ROOMY times their time in quiet."""
