--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -30,6 +30,7 @@
 FAIR = 1.25             # nor more than this multiple of its share of all our hops
 CROWDED = 3.0           # answers this many times slower than in quiet times tell of a crowd
 BUSY = 1.25             # above this the fleet, or a zone against the others, is busy
+SPARE, SPARE_FOR = 0.7, 2_000   # a host that reports its cores less busy has room for this long
 ERRING = 0.3            # share of errors on several keys that makes them the host's own fault
 LEAN_EVERY = 10_000     # the lean to the own zone changes by half at most this often
 COLD_STEPS = 16         # steps in which the slice of a fresh host widens
@@ -73,7 +74,7 @@
     def renew(self, line):
         """A new process: what was learned of an earlier one is void."""
         self.line, self.fresh_from, self.proven = line, line.started, True
-        self.banned_until = self.shy_until = self.throttles = self.timeouts = 0
+        self.banned_until = self.shy_until = self.spare_until = self.throttles = self.timeouts = 0
         self.strain, self.erring, self.erred_key = 1.0, 0.0, None
 
 
@@ -151,6 +152,8 @@
         effect, ran = SORTED[event.outcome]
         if ran and (tx.ran is None or sent_at < tx.ran[0]):
             tx.ran = sent_at, server.line
+        if event.load and event.load.get("busy", 1.0) < SPARE:
+            server.spare_until = self.now + SPARE_FOR
         at_fault = event.outcome in KEYED_FAILURES and self.key_at_fault(tx, server)
         if effect and not at_fault:
             getattr(self, effect)(server, tx, event)
@@ -302,13 +305,15 @@
 
     def budget(self, server):
         """Little's law: our hops at a host when its answers take ROOMY times their time in quiet."""
-        share = server.line.weight * self.warmth(server) / self.weight
-        return max(1.0, min(ROOMY * self.quiet_out(server.sent), FAIR * (self.out + 1) * share))
+        share = FAIR * (self.out + 1) * server.line.weight * self.warmth(server) / self.weight
+        own = ROOMY * self.quiet_out(server.sent)
+        return max(1.0, share if server.spare_until > self.now else min(own, share))
 
     def full(self):
         """Guards against many proxies that each hold but one hop at every host, and so crowd them all."""
         usual = self.quiet_out(self.sent)
-        return self.strain > BUSY and self.out >= max(1.0, ROOMY * (usual + usual ** 0.5))
+        return (self.strain > BUSY and self.out >= max(1.0, ROOMY * (usual + usual ** 0.5))
+                and not any(s.spare_until > self.now for s in self.ready))
 
     def quiet_out(self, sent):
         """Hops that would be out, at the rate of these sends, if all were answered as in quiet times."""
