--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -15,7 +15,7 @@
  5. Second look: a late hop that may be repeated gets a copy, or is cancelled and sent elsewhere.
  6. Cold slice: a fresh host gets the share of keys, and of our usual traffic, that it can surely carry.
 """
-from bisect import insort
+from bisect import bisect, insort
 from collections import OrderedDict
 from random import Random
 
@@ -191,13 +191,15 @@
         server = None if self.full() else self.pick(tx)
         if server is not None and self.send(tx, server):
             return "sent"
-        turn = self.now + (len(self.first_line) + len(self.further_line)) * self.pace
+        tx.give_up = tx.goal - int(self.usual[tx.kind][0])      # kept: the estimate behind it moves
+        ahead = bisect(self.first_line, (tx.give_up, tx.id))
+        if tx.tried:
+            ahead = len(self.first_line) + bisect(self.further_line, (tx.give_up, tx.id))
         hope = not tx.tried or any(self.allowed(tx, s) for s in self.servers.values())
-        return "held" if hope and turn < tx.goal - self.usual[tx.kind][0] else "hopeless"
+        return "held" if hope and self.now + ahead * self.pace < tx.give_up else "hopeless"
 
     def line_up(self, tx):
         """The shortest patience first: a short goal is lost behind long ones that could have waited."""
-        tx.give_up = max(self.now + 1, tx.goal - int(self.usual[tx.kind][0]))   # kept: estimates move
         insort(self.further_line if tx.tried else self.first_line, (tx.give_up, tx.id))
         self.effects.append(i.SetTimer(tx.give_up - self.now, tx.id + 2))
 
