--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -191,7 +191,8 @@
         server = None if self.full() else self.pick(tx)
         if server is not None and self.send(tx, server):
             return "sent"
-        tx.give_up = tx.goal - int(self.usual[tx.kind][0])      # kept: the estimate behind it moves
+        mean, deviation = self.usual[tx.kind]
+        tx.give_up = tx.goal - int(mean + deviation)        # kept: the estimate behind it moves
         ahead = bisect(self.first_line, (tx.give_up, tx.id))
         if tx.tried:
             ahead = len(self.first_line) + bisect(self.further_line, (tx.give_up, tx.id))
