--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -60,6 +60,7 @@
     i.RESET: ("ban", True), i.CANCELLED: ("slow", True), i.REFUSED: ("back_off", False),
     i.UNREACHABLE: ("ban", False), i.UNSENT: (None, False),
 }
+SPOKEN = {i.COMMITTED, i.ERROR, i.REFUSED}
 KEYED_FAILURES = {i.ERROR, i.TIMED_OUT, i.RESET}
 
 
@@ -150,6 +151,8 @@
         del server.out[tx.id, event.hop]
         self.out -= 1
         effect, ran = SORTED[event.outcome]
+        if event.outcome in SPOKEN:
+            server.heard = self.now
         if ran and (tx.ran is None or sent_at < tx.ran[0]):
             tx.ran = sent_at, server.line
         if event.load and event.load.get("busy", 1.0) < SPARE:
@@ -384,7 +387,7 @@
     # ---- health: what an outcome does to its host
 
     def sound(self, server, tx, event):
-        server.heard, server.timeouts, server.proven = self.now, 0, True
+        server.timeouts, server.proven = 0, True
         server.erring *= 0.8
         self.failing.pop(tx.key, None)
         self.pace += (self.now - self.last_commit - self.pace) * 0.1
@@ -393,21 +396,22 @@
         quiet, error = self.quiet[tx.kind], event.elapsed - mean
         self.quiet[tx.kind] += (mean - quiet) * (0.02 if mean < quiet else 0.00005)
         self.usual[tx.kind] = mean + error * 0.05, deviation + (abs(error) - deviation) * 0.05
-        self.weigh(server, event.elapsed / quiet)
+        self.weigh(server, tx, event, event.elapsed / quiet)
         if server.fresh_from is None:
             self.warm_commits.add(self.now)
-        if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
-            self.back_off(server, tx, event)
-        else:
-            server.throttles = 0
 
     def slow(self, server, tx, event):
-        self.weigh(server, max(server.strain, event.elapsed / self.quiet[tx.kind]))
+        """A hop called back or timed out was at least this slow."""
+        self.weigh(server, tx, event, max(server.strain, event.elapsed / self.quiet[tx.kind]))
 
-    def weigh(self, server, strain):
+    def weigh(self, server, tx, event, strain):
         strain = min(strain, 10.0)
         server.strain += (strain - server.strain) * (0.5 if server.throttles else 0.1)
         self.strain += (strain - self.strain) * 0.02
+        if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
+            self.back_off(server, tx, event)
+        else:
+            server.throttles = 0
 
     def timed_out(self, server, tx, event):
         self.slow(server, tx, event)
@@ -417,7 +421,6 @@
 
     def erred(self, server, tx, event):
         """Quick errors look like an idle host and draw more: those of several keys are the host's fault."""
-        server.heard = self.now
         if tx.key is None or tx.key != server.erred_key:
             server.erring, server.erred_key = server.erring * 0.8 + 0.2, tx.key
         if server.erring > ERRING:
@@ -429,7 +432,6 @@
         self.effects.append(i.SetTimer(COOLDOWN, 1))
 
     def back_off(self, server, tx, event):
-        server.heard = self.now
         wait = min(BACKOFF_MOST, BACKOFF * 2 ** server.throttles)
         server.throttles, server.shy_until = min(server.throttles + 1, 8), self.now + wait
         self.effects.append(i.SetTimer(wait, 1))
