--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -302,8 +302,8 @@
     def fit(self, server, tx):
         if server.shy_until > self.now or len(server.out) >= self.budget(server):
             return False
-        if not server.proven and (server.out or tx.profile.kind == i.NON_IDEMPOTENT):
-            return False        # back from a ban: one hop at a time, and none that could not be repeated
+        if (server.throttles or not server.proven) and (server.out or tx.profile.kind == i.NON_IDEMPOTENT):
+            return False        # back from a ban or rest: one hop at a time, and only what may be repeated
         if not server.out:
             return True         # else guards against hosts that went silent or stand still
         sent_at, late_after = next(iter(server.out.values()))   # by its own measure, not by this one's
