--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -100,8 +100,8 @@
         self.quiet = [p.service_goal / 8 for p in agreement.profiles]   # latency with little waiting
         self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
         self.pace, self.last_commit = 0.0, now                  # time between our commits
-        self.sent, self.warm_commits = Window(agreement.fall_time), Window(agreement.fall_time)
-        self.out = set()            # (tx, hop) out, but for those that silent hosts owe us
+        self.sent, self.warm_commits = Window(COOLDOWN), Window(agreement.fall_time)
+        self.out = set()            # (tx, hop) out, but for those at hosts banned since
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
@@ -225,9 +225,6 @@
 
     def second_look(self, tx):
         """Still out after the usual time: a copy where two are allowed, else cancel and send elsewhere."""
-        for hop, (server, sent_at) in tx.out.items():
-            if server.heard < sent_at:      # guards against a few silent hosts that use up the whole budget
-                self.out.discard((tx.id, hop))
         if tx.profile.kind == i.NON_IDEMPOTENT or len(tx.out) > 1:
             return
         other = self.pick(tx, instead=True)
@@ -327,7 +324,7 @@
 
     def quiet_out(self, sent):
         """Hops that would be out, at the rate of these sends, if all were answered as in quiet times."""
-        span = min(self.terms.fall_time, max(self.now - self.born, self.quiet_mix))
+        span = min(sent.span, max(self.now - self.born, self.quiet_mix))
         return sent.count(self.now) / span * self.quiet_mix
 
     def ranking(self, key):
@@ -433,6 +430,7 @@
     def ban(self, server, tx, event):
         server.banned_until, server.timeouts, server.erring = self.now + COOLDOWN, 0, 0.0
         server.proven = False
+        self.out -= server.out.keys()   # guards against a few dead hosts that use up the budget over all
         self.effects.append(i.SetTimer(COOLDOWN, 1))
 
     def back_off(self, server, tx, event):
