--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -100,7 +100,7 @@
         self.quiet = [p.service_goal / 8 for p in agreement.profiles]   # latency with little waiting
         self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
         self.pace, self.last_commit = 0.0, now                  # time between our commits
-        self.sent, self.warm_commits = Window(COOLDOWN), Window(agreement.fall_time)
+        self.sent, self.warm_commits = Window(agreement.fall_time), Window(agreement.fall_time)
         self.out = set()            # (tx, hop) out, but for those at hosts banned since
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
