--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -100,8 +100,7 @@
         self.quiet = [p.service_goal / 8 for p in agreement.profiles]   # latency with little waiting
         self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
         self.pace, self.last_commit = 0.0, now                  # time between our commits
-        self.sent, self.warm_commits = Window(agreement.fall_time), Window(agreement.fall_time)
-        self.out = set()            # (tx, hop) out, but for those at hosts banned since
+        self.out, self.sent, self.warm_commits = 0, Window(agreement.fall_time), Window(agreement.fall_time)
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
@@ -150,7 +149,7 @@
             return
         server, sent_at = tx.out.pop(event.hop)
         del server.out[tx.id, event.hop]
-        self.out.discard((tx.id, event.hop))
+        self.out -= 1
         effect, ran = SORTED[event.outcome]
         if event.outcome in SPOKEN:
             server.heard = self.now
@@ -272,7 +271,7 @@
         server.out[tx.id, hop] = now, self.late_after(tx)
         server.sent.add(now)
         self.sent.add(now)
-        self.out.add((tx.id, hop))
+        self.out += 1
         self.quiet_mix += (self.quiet[tx.kind] - self.quiet_mix) * 0.05
         self.effects.append(i.SendHop(tx.id, server.id, tx.hard_limit - now))
         if now + self.late_after(tx) < tx.hard_limit:
@@ -312,19 +311,20 @@
 
     def budget(self, server):
         """Little's law: our hops at a host when its answers take ROOMY times their time in quiet."""
-        share = FAIR * (len(self.out) + 1) * server.line.weight * self.warmth(server) / self.weight
+        share = FAIR * (self.out + 1) * server.line.weight * self.warmth(server) / self.weight
         own = ROOMY * self.quiet_out(server.sent)
         return max(1.0, share if server.spare_until > self.now else min(own, share))
 
     def full(self):
         """Guards against many proxies that each hold but one hop at every host, and so crowd them all."""
         usual = self.quiet_out(self.sent)
-        return (self.strain > BUSY and len(self.out) >= max(1.0, ROOMY * (usual + usual ** 0.5))
+        share = len(self.ready) / self.terms.proxies    # guards against a budget starved by stuck hops
+        return (self.strain > BUSY and self.out >= max(1.0, share, ROOMY * (usual + usual ** 0.5))
                 and not any(s.spare_until > self.now for s in self.ready))
 
     def quiet_out(self, sent):
         """Hops that would be out, at the rate of these sends, if all were answered as in quiet times."""
-        span = min(sent.span, max(self.now - self.born, self.quiet_mix))
+        span = min(self.terms.fall_time, max(self.now - self.born, self.quiet_mix))
         return sent.count(self.now) / span * self.quiet_mix
 
     def ranking(self, key):
@@ -430,7 +430,6 @@
     def ban(self, server, tx, event):
         server.banned_until, server.timeouts, server.erring = self.now + COOLDOWN, 0, 0.0
         server.proven = False
-        self.out -= server.out.keys()   # guards against a few dead hosts that use up the budget over all
         self.effects.append(i.SetTimer(COOLDOWN, 1))
 
     def back_off(self, server, tx, event):
