--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -99,6 +99,7 @@
         self.usual = [(p.service_goal / 8,) * 2 for p in agreement.profiles]    # latency, its deviation
         self.quiet = [p.service_goal / 8 for p in agreement.profiles]   # latency with little waiting
         self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
+        self.pace, self.last_commit = 0.0, now                  # time between our commits
         self.out, self.sent, self.warm_commits = 0, Window(agreement.fall_time), Window(agreement.fall_time)
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
@@ -199,8 +200,7 @@
         if tx.tried:
             ahead = len(self.first_line) + bisect(self.further_line, (tx.give_up, tx.id))
         hope = not tx.tried or any(self.allowed(tx, s) for s in self.servers.values())
-        turn = ahead * self.quiet_mix * max(1.0, self.strain) / max(1, self.out)
-        return "held" if hope and self.now + turn < tx.give_up else "hopeless"
+        return "held" if hope and self.now + ahead * self.pace < tx.give_up else "hopeless"
 
     def line_up(self, tx):
         """The shortest patience first: a short goal is lost behind long ones that could have waited."""
@@ -390,6 +390,8 @@
         server.timeouts, server.proven = 0, True
         server.erring *= 0.8
         self.failing.pop(tx.key, None)
+        self.pace += (self.now - self.last_commit - self.pace) * 0.1
+        self.last_commit = self.now
         mean, deviation = self.usual[tx.kind]
         quiet, error = self.quiet[tx.kind], event.elapsed - mean
         self.quiet[tx.kind] += (mean - quiet) * (0.02 if mean < quiet else 0.00005)
