--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -29,6 +29,7 @@
 ROOMY = 2.0             # a host gets no more of our hops than make its answers this many times slower
 FAIR = 1.25             # nor more than this multiple of its share of all our hops
 CROWDED = 3.0           # answers this many times slower than in quiet times tell of a crowd
+RESTING = 4             # no more than one host in so many rests at once, or the others are crowded
 BUSY = 1.25             # above this the fleet, or a zone against the others, is busy
 SPARE, SPARE_FOR = 0.7, 2_000   # a host that reports its cores less busy has room for this long
 ERRING = 0.3            # share of errors on several keys that makes them the host's own fault
@@ -408,10 +409,10 @@
         strain = min(strain, 10.0)
         server.strain += (strain - server.strain) * (0.5 if server.throttles else 0.1)
         self.strain += (strain - self.strain) * 0.02
-        if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
-            self.back_off(server, tx, event)
-        else:
+        if server.strain <= CROWDED:
             server.throttles = 0
+        elif sum(s.shy_until > self.now for s in self.ready) * RESTING < len(self.ready):
+            self.back_off(server, tx, event)    # hosts that turn slower when crowded do so until they rest
 
     def timed_out(self, server, tx, event):
         self.slow(server, tx, event)
