--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -29,7 +29,8 @@
 ROOMY = 2.0             # a host gets no more of our hops than make its answers this many times slower
 FAIR = 1.25             # nor more than this multiple of its share of all our hops
 CROWDED = 3.0           # answers this many times slower than in quiet times tell of a crowd
-RESTING = 4             # no more than one host in so many rests at once, or the others are crowded
+REACH = 3               # while busy, a key waits for one of its first so many hosts before it goes elsewhere
+LOOK_AHEAD = 16         # waiting transactions tried when something has ended
 BUSY = 1.25             # above this the fleet, or a zone against the others, is busy
 SPARE, SPARE_FOR = 0.7, 2_000   # a host that reports its cores less busy has room for this long
 ERRING = 0.3            # share of errors on several keys that makes them the host's own fault
@@ -43,7 +44,7 @@
     ("waiting", "room"): ("waiting", "place"),
     ("waiting", "sent"): ("out", None),
     ("waiting", "held"): ("waiting", "line_up"),
-    ("waiting", "late"): ("waiting", "give_up"),
+    ("waiting", "late"): ("waiting", "last_chance"),
     ("waiting", "hopeless"): ("done", "answer"),
     ("waiting", "gone"): ("done", None),
     ("out", "fell"): ("waiting", "place"),
@@ -84,7 +85,7 @@
     def __init__(self, event, now, profile):
         self.id, self.key, self.kind, self.profile = event.tx, event.key, event.profile, profile
         self.hard_limit, self.goal = now + event.patience, now + min(event.patience, profile.service_goal)
-        self.state, self.tried, self.give_up = "waiting", [], 0     # hosts of its hops; end of waiting
+        self.state, self.tried, self.give_up = "waiting", [], self.goal     # hosts met; end of waiting
         self.out = {}               # hop -> (server, sent at)
         self.ran = None             # sent at and host line of the earliest hop that may have run
 
@@ -208,19 +209,18 @@
         insort(self.further_line if tx.tried else self.first_line, (tx.give_up, tx.id))
         self.effects.append(i.SetTimer(tx.give_up - self.now, tx.id + 2))
 
-    def give_up(self, tx):
-        return "hopeless" if self.now >= tx.give_up else None
+    def last_chance(self, tx):
+        return "room" if self.now >= tx.give_up else None
 
     def fill(self):
         """Room may have come up: first hops before further ones."""
         for line in (self.first_line, self.further_line):
-            while line and not self.full():
-                tx = self.txs.get(line[0][1])
-                waiting = tx is not None and tx.state == "waiting"
-                if waiting and self.pick(tx) is None:
-                    break
-                line.pop(0)
-                if waiting:
+            for entry in line[:LOOK_AHEAD]:
+                tx = self.txs.get(entry[1])
+                if tx is None or tx.state != "waiting":
+                    line.remove(entry)
+                elif not self.full() and self.pick(tx) is not None:
+                    line.remove(entry)
                     self.step(tx, "room")
 
     def second_look(self, tx):
@@ -282,7 +282,9 @@
     # ---- the pick
 
     def pick(self, tx, instead=False):
-        best, banned, unbanned = [], [], False
+        best, banned, unbanned, reach = [], [], False, len(self.ready)
+        if tx.key is not None and self.terms.warm_keys and self.strain > BUSY and self.now < tx.give_up:
+            reach = REACH       # guards against keys strewn over hosts that don't know them and work more
         for server in self.ranking(tx.key):
             ban = server.banned_until > self.now
             unbanned |= not ban
@@ -292,8 +294,9 @@
                 banned.append(server)
             elif self.fit(server, tx):
                 best.append(server)
-                if len(best) == 2:
-                    break
+            reach -= not ban
+            if len(best) == 2 or not reach:
+                break
         if not best and not unbanned and not instead:       # none unbanned: all ready ones count
             best = [s for s in banned if len(s.out) < self.budget(s)][:2]
         if len(best) == 2 and len(best[0].out) == len(best[1].out):
@@ -409,10 +412,10 @@
         strain = min(strain, 10.0)
         server.strain += (strain - server.strain) * (0.5 if server.throttles else 0.1)
         self.strain += (strain - self.strain) * 0.02
-        if server.strain <= CROWDED:
+        if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
+            self.back_off(server, tx, event)
+        else:
             server.throttles = 0
-        elif sum(s.shy_until > self.now for s in self.ready) * RESTING < len(self.ready):
-            self.back_off(server, tx, event)    # hosts that turn slower when crowded do so until they rest
 
     def timed_out(self, server, tx, event):
         self.slow(server, tx, event)
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -32,6 +32,7 @@
     proxies: int
     zone: str
     cross_price: float              # points lost where every transaction crosses zones once, of 1
+    warm_keys: bool                 # a host that met a key lately does less work for it
     list_on_request: bool           # the host list comes only to those who ask
     ask_within: int
     cold_share: float               # a fresh host has at least this share of its capacity
--- a/basalthook/simwire/codec.py
+++ b/basalthook/simwire/codec.py
@@ -30,6 +30,7 @@
         for p in setup["profiles"])
     return i.Agreement(
         profiles=profiles, position=setup["position"], proxies=setup["balancers"], zone=setup.get("zone", ""),
+        warm_keys=bool((setup.get("family_info") or {}).get("warm_keys")),
         cross_price=setup.get("prices", {}).get("cross_zone", 0.0),
         list_on_request=setup["discovery"] == "on_request", ask_within=rules["ask_within_ns"] // TENTH,
         cold_share=rules["cold_from"], cold_time=up(rules["cold_ns"]), fall_multiple=rules["overload_factor"],
