--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -283,7 +283,7 @@
 
     def pick(self, tx, instead=False):
         best, banned, unbanned, reach = [], [], False, len(self.ready)
-        if tx.key is not None and self.terms.warm_keys and self.strain > BUSY and self.now < tx.give_up:
+        if tx.key is not None and self.terms.warm_keys and self.strain > ROOMY and self.now < tx.give_up:
             reach = REACH       # guards against keys strewn over hosts that don't know them and work more
         for server in self.ranking(tx.key):
             ban = server.banned_until > self.now
@@ -292,9 +292,10 @@
                 continue
             if ban:
                 banned.append(server)
-            elif self.fit(server, tx):
-                best.append(server)
-            reach -= not ban
+            elif not self.doubtful(server, tx):
+                reach -= 1
+                if len(server.out) < self.budget(server):
+                    best.append(server)
             if len(best) == 2 or not reach:
                 break
         if not best and not unbanned and not instead:       # none unbanned: all ready ones count
@@ -303,15 +304,15 @@
             return best[0] if self.strain > BUSY else self.chance.choice(best)
         return min(best, key=lambda s: len(s.out), default=None)
 
-    def fit(self, server, tx):
-        if server.shy_until > self.now or len(server.out) >= self.budget(server):
-            return False
-        if (server.throttles or not server.proven) and (server.out or tx.profile.kind == i.NON_IDEMPOTENT):
-            return False        # back from a ban or rest: one hop at a time, and only what may be repeated
+    def doubtful(self, server, tx):
+        if server.shy_until > self.now:
+            return True
+        if server.throttles or not server.proven:       # back from a ban or rest: one hop at a time, and
+            return bool(server.out) or tx.profile.kind == i.NON_IDEMPOTENT      # only what may be repeated
         if not server.out:
-            return True         # else guards against hosts that went silent or stand still
+            return False        # else guards against hosts that went silent or stand still
         sent_at, late_after = next(iter(server.out.values()))   # by its own measure, not by this one's
-        return self.now - max(server.heard, sent_at) < late_after
+        return self.now - max(server.heard, sent_at) >= late_after
 
     def budget(self, server):
         """Little's law: our hops at a host when its answers take ROOMY times their time in quiet."""
