--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -283,7 +283,7 @@
 
     def pick(self, tx, instead=False):
         best, banned, unbanned, reach = [], [], False, len(self.ready)
-        if tx.key is not None and self.terms.warm_keys and self.strain > ROOMY and self.now < tx.give_up:
+        if tx.key is not None and self.terms.warm_keys and self.busy() and self.now < tx.give_up:
             reach = REACH       # guards against keys strewn over hosts that don't know them and work more
         for server in self.ranking(tx.key):
             ban = server.banned_until > self.now
@@ -301,7 +301,7 @@
         if not best and not unbanned and not instead:       # none unbanned: all ready ones count
             best = [s for s in banned if len(s.out) < self.budget(s)][:2]
         if len(best) == 2 and len(best[0].out) == len(best[1].out):
-            return best[0] if self.strain > BUSY else self.chance.choice(best)
+            return best[0] if self.busy() else self.chance.choice(best)
         return min(best, key=lambda s: len(s.out), default=None)
 
     def doubtful(self, server, tx):
@@ -320,11 +320,13 @@
         own = ROOMY * self.quiet_out(server.sent)
         return max(1.0, share if server.spare_until > self.now else min(own, share))
 
+    def busy(self):
+        return self.strain > BUSY and not any(s.spare_until > self.now for s in self.ready)
+
     def full(self):
         """Guards against many proxies that each hold but one hop at every host, and so crowd them all."""
         usual = self.quiet_out(self.sent)
-        return (self.strain > BUSY and self.out >= max(1.0, ROOMY * (usual + usual ** 0.5))
-                and not any(s.spare_until > self.now for s in self.ready))
+        return self.out >= max(1.0, ROOMY * (usual + usual ** 0.5)) and self.busy()
 
     def quiet_out(self, sent):
         """Hops that would be out, at the rate of these sends, if all were answered as in quiet times."""
