--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -100,6 +100,7 @@
         self.rankings = OrderedDict()   # key -> servers; bounded, cleared by the list, a step or a lean
         self.usual = [(p.service_goal / 8,) * 2 for p in agreement.profiles]    # latency, its deviation
         self.quiet = [p.service_goal / 8 for p in agreement.profiles]   # latency with little waiting
+        self.level = list(self.quiet)       # the same, as of late
         self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
         self.pace, self.last_commit = 0.0, now                  # time between our commits
         self.out, self.sent, self.warm_commits = 0, Window(agreement.fall_time), Window(agreement.fall_time)
@@ -401,7 +402,9 @@
         self.last_commit = self.now
         mean, deviation = self.usual[tx.kind]
         quiet, error = self.quiet[tx.kind], event.elapsed - mean
-        self.quiet[tx.kind] += (mean - quiet) * (0.02 if mean < quiet else 0.00005)
+        self.level[tx.kind] += (event.elapsed - self.level[tx.kind]) * 0.01     # steady: few are very heavy
+        gap = self.level[tx.kind] - quiet
+        self.quiet[tx.kind] += gap * (0.02 if gap < 0 else 0.00005)
         self.usual[tx.kind] = mean + error * 0.05, deviation + (abs(error) - deviation) * 0.05
         self.weigh(server, tx, event, event.elapsed / quiet)
         if server.fresh_from is None:
