--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -26,7 +26,7 @@
 COOLDOWN, BACKOFF, TIMEOUT_RUN, SPREAD, SPREAD_WINDOW = 100_000, 500, 3, 2, 100_000
 BACKOFF_MOST = COOLDOWN // 4    # backoffs double up to this
 KEYS_KEPT = 2_000       # rankings and failing keys held at once
-ROOMY = 2.0             # a host gets no more of our hops than make its answers this many times slower
+ROOMY = 1.5             # a host gets no more of our hops than make its answers this many times slower
 FAIR = 1.25             # nor more than this multiple of its share of all our hops
 CROWDED = 3.0           # answers this many times slower than in quiet times tell of a crowd
 REACH = 2               # while busy, a key waits for one of its first so many hosts before it goes elsewhere
