--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -319,7 +319,8 @@
         """Little's law: our hops at a host when its answers take ROOMY times their time in quiet."""
         share = FAIR * (self.out + 1) * server.line.weight * self.warmth(server) / self.weight
         own = ROOMY * self.quiet_out(server.sent)
-        return max(1.0, min(own, share) if self.busy() else share)
+        loose = self.strain <= BUSY or server.spare_until > self.now
+        return max(1.0, share if loose else min(own, share))
 
     def busy(self):
         return self.strain > BUSY and not any(s.spare_until > self.now for s in self.ready)
