--- /dev/null
+++ b/tests/test_simwire.py
@@ -0,0 +1,57 @@
+"""The adapter: a batch in, a reply out, and what must not be swallowed."""
+import unittest
+
+from basalthook.simwire.codec import Desk
+
+SETUP = {
+    "allowed": {"cancelling": True, "max_hops": 4, "max_retry_after_ns": 2_000_000_000, "retry_after": True},
+    "balancers": 2, "discovery": "pushed", "position": 0, "zone": "north", "unheard_of": 1,
+    "load_report": {"fields": ["cpu", "x0"], "how": "inline"},
+    "profiles": [{"name": "scan", "effect": "by_key", "group": "cell", "hard_limit_ns": 10**9,
+                  "repeat_window_ns": 600_000_000, "revenue": 2.0, "service_goal_ns": 200_000_050}],
+    "rules": {"ask_within_ns": 10**10, "cold_from": 0.3, "cold_ns": 8_300_000_001, "fall_ns": 2 * 10**9,
+              "overload_factor": 4},
+}
+
+
+def batch(now, *events):
+    return {"ts_ns": now, "parts": [{"who": "proxy_0", "events": list(events)}]}
+
+
+class Wire(unittest.TestCase):
+    def setUp(self):
+        self.desk = Desk()
+        records = [{"host": "10.0.0.1:1", "area": "north", "block": 0, "status": "in_service"}]
+        self.desk.serve(batch(10**9, {"SPAWN": {"nonce64": 5, "setup": SETUP}},
+                              {"DIRECTORY": {"slot": 3, "records": records}},
+                              {"VIEW": {"scope": "restored", "revision": 1, "slot": 3}},
+                              {"DIRECTORY": {"slot": 3, "records": []}}))
+
+    def ask(self, *events, now=2 * 10**9):
+        reply = self.desk.serve(batch(now, *events))
+        return [action for part in reply["parts"] for action in part["decisions"]]
+
+    def query(self, word="rq_a", left=300_050_000):
+        return {"QUERY": {"corr": word, "tier_class": "scan", "path_key": "k", "patience_left_ns": left}}
+
+    def test_round_trip(self):
+        sent = self.ask(self.query())
+        hop = {"corr": "rq_a", "host": "10.0.0.1:1", "allow_for_ns": 300_000_000}
+        self.assertEqual(sent[0], {"FORWARD": hop})
+        verdict = {"VERDICT": {"corr": "rq_a", "hop": 0, "host": "10.0.0.1:1", "code": "success",
+                               "lag_ns": 7, "terminal": True, "gauge": [0.5, 9]}}
+        self.assertEqual(self.ask(verdict), [])
+        seat = self.desk.seats["proxy_0"]
+        self.assertEqual((seat.words, seat.numbers, seat.proxy.txs), ({}, {}, {}))
+
+    def test_kill_drops_the_instance_and_what_it_had_decided(self):
+        self.assertEqual(self.ask(self.query(), {"KILL": {}}), [])
+        self.assertEqual(self.desk.seats, {})
+
+    def test_terms_are_rounded_to_the_safe_side(self):
+        terms = self.desk.seats["proxy_0"].proxy.terms
+        self.assertEqual((terms.profiles[0].service_goal, terms.cold_time), (2_000, 83_001))
+
+    def test_an_unknown_event_is_not_swallowed(self):
+        with self.assertRaises(ValueError):
+            self.ask({"NEWS": {}})
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -197,3 +197,98 @@
             stage.tell(event)
         self.assertEqual(stage.record, [])
         self.assertEqual(stage.arrive(IDEMPOTENT), 1)
+
+    def test_quick_errors_of_several_keys_ban_the_host(self):
+        bad, *_ = hosts = fleet(4)
+        bad.outcome = i.ERROR
+        stage = Stage(hosts)
+        for key in range(60):
+            stage.arrive(key=key)
+        self.assertLessEqual(len(bad.got), 3)
+
+    def test_a_host_whose_hops_are_all_called_back_rests(self):
+        """Overtaken by its copies, a slow host never answers, and was never found slow."""
+        stage = Stage(fleet(2, outcome=None), cancelling=True, elapsed=100)
+        for key in range(40):
+            tx = stage.arrive(key=key)
+            host = stage.sends()[-1]
+            stage.now += 50
+            stage.end(tx, 0, host, i.CANCELLED if host == 0 else i.COMMITTED, 6_000 if host == 0 else 700)
+            if host == 0:
+                stage.end(tx, 1, 1, i.COMMITTED, 700)
+        self.assertTrue(stage.proxy.servers[0].throttles)
+        self.assertFalse(stage.proxy.servers[1].throttles)
+
+    def test_what_waits_still_ends_when_estimates_move(self):
+        """The end of waiting was worked out anew at its timer, which could find it still to come."""
+        stage = Stage(fleet(1, outcome=None))
+        stage.proxy.strain = 2.0
+        stage.wait(30_000)
+        first = stage.arrive()
+        waiting = stage.arrive()
+        self.assertEqual(len(stage.sends()), 1)
+        stage.end(first, 0, 0, i.COMMITTED, 10)
+        stage.end(waiting, 0, 0, i.TIMED_OUT, 20_000)
+        stage.now += 20_000
+        late = [stage.arrive(patience=3_000) for _ in range(4)]
+        stage.wait(3_000)
+        self.assertTrue(all(tx in stage.answers for tx in late[1:]))
+
+    def test_short_goals_go_first_in_line(self):
+        hosts = fleet(1, outcome=None)
+        stage = Stage(hosts)
+        stage.proxy.strain = 2.0
+        stage.wait(30_000)
+        held = stage.arrive()
+        patient, hasty = stage.arrive(patience=20_000), stage.arrive(patience=3_000)
+        stage.end(held, 0, 0, i.COMMITTED)
+        self.assertEqual(hosts[0].got, [held, hasty])
+        stage.end(hasty, 0, 0, i.COMMITTED)
+        self.assertEqual(hosts[0].got, [held, hasty, patient])
+
+    def test_while_busy_a_key_waits_for_its_two_hosts(self):
+        """Keys strewn over hosts that don't know them made a crowd feed on itself."""
+        stage = Stage(fleet(6))
+        for _ in range(200):
+            stage.arrive(key=9)
+        homes = set(stage.sends())
+        stage.proxy.strain = 2.0
+        for host in stage.hosts.values():
+            host.outcome = None
+        for _ in range(12):
+            stage.arrive(key=9)
+        self.assertEqual(set(stage.sends()), homes)
+
+    def test_own_zone_is_leant_to_by_the_price_of_crossing(self):
+        def near(price):
+            stage = Stage([FakeHost(n, zone="ab"[n % 2]) for n in range(8)], cross_price=price)
+            for key in range(300):
+                stage.arrive(key=key)
+            return sum(host % 2 == 0 for host in stage.sends())
+        self.assertLess(near(0.0), 200)
+        self.assertGreater(near(0.1), 250)
+
+    def test_idle_cores_reported_keep_the_fleet_from_counting_as_busy(self):
+        stage = Stage(fleet(2))
+        stage.proxy.strain = 2.0
+        self.assertTrue(stage.proxy.busy())
+        stage.hosts[0].outcome = stage.hosts[1].outcome = None
+        stage.arrive(key=1)
+        stage.tell(i.HopEnded(0, 0, stage.sends()[0], i.COMMITTED, 100, True, {"busy": 0.2}))
+        self.assertFalse(stage.proxy.busy())
+
+    def test_back_from_a_ban_a_host_gets_nothing_that_could_not_be_repeated(self):
+        bad, good = hosts = fleet(2)
+        bad.outcome = i.UNREACHABLE
+        stage = Stage(hosts)
+        for key in range(10):
+            stage.arrive(key=key)
+        bad.outcome = i.COMMITTED
+        stage.wait(101_000)
+        before = len(bad.got)
+        for key in range(10):
+            stage.arrive(NON_IDEMPOTENT, key=key)
+        self.assertEqual(len(bad.got), before)
+        for key in range(10):
+            stage.arrive(key=key)
+        self.assertGreater(len(bad.got), before)
