--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -414,11 +414,14 @@
 
     def slow(self, server, tx, event):
         """A hop called back or timed out was at least this slow."""
-        self.weigh(server, tx, event, max(server.strain, event.elapsed / self.quiet[tx.kind]))
+        if event.elapsed / self.quiet[tx.kind] > server.strain:
+            self.weigh(server, tx, event, event.elapsed / self.quiet[tx.kind])
 
     def weigh(self, server, tx, event, strain):
         strain = min(strain, 10.0)
-        server.strain += (strain - server.strain) * (0.5 if server.throttles else 0.1)
+        # One good answer after a rest is believed, or hosts rest on for tens of seconds after a surge.
+        rested = server.throttles and strain <= CROWDED
+        server.strain += (strain - server.strain) * (1.0 if rested else 0.1)
         self.strain += (strain - self.strain) * 0.02
         if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
             self.back_off(server, tx, event)
