--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -323,7 +323,8 @@
         return max(1.0, share if loose else min(own, share))
 
     def busy(self):
-        return self.strain > BUSY and not any(s.spare_until > self.now for s in self.ready)
+        spare = sum(s.spare_until > self.now for s in self.ready)
+        return self.strain > BUSY and spare * 2 <= len(self.ready)
 
     def full(self):
         """Guards against many proxies that each hold but one hop at every host, and so crowd them all."""
