--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -319,12 +319,13 @@
         """Little's law: our hops at a host when its answers take ROOMY times their time in quiet."""
         share = FAIR * (self.out + 1) * server.line.weight * self.warmth(server) / self.weight
         own = ROOMY * self.quiet_out(server.sent)
-        loose = self.strain <= BUSY or server.spare_until > self.now
+        loose = self.strain <= BUSY and not self.first_line or server.spare_until > self.now
         return max(1.0, share if loose else min(own, share))
 
     def busy(self):
-        spare = sum(s.spare_until > self.now for s in self.ready)
-        return self.strain > BUSY and spare * 2 <= len(self.ready)
+        """Answers are slow, or some wait: when they quicken the whole line must not go out at once."""
+        return self.strain > BUSY and not any(s.spare_until > self.now for s in self.ready) or bool(
+            self.first_line)
 
     def full(self):
         """Guards against many proxies that each hold but one hop at every host, and so crowd them all."""
@@ -415,14 +416,11 @@
 
     def slow(self, server, tx, event):
         """A hop called back or timed out was at least this slow."""
-        if event.elapsed / self.quiet[tx.kind] > server.strain:
-            self.weigh(server, tx, event, event.elapsed / self.quiet[tx.kind])
+        self.weigh(server, tx, event, max(server.strain, event.elapsed / self.quiet[tx.kind]))
 
     def weigh(self, server, tx, event, strain):
         strain = min(strain, 10.0)
-        # One good answer after a rest is believed, or hosts rest on for tens of seconds after a surge.
-        rested = server.throttles and strain <= CROWDED
-        server.strain += (strain - server.strain) * (1.0 if rested else 0.1)
+        server.strain += (strain - server.strain) * (0.5 if server.throttles else 0.1)
         self.strain += (strain - self.strain) * 0.02
         if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
             self.back_off(server, tx, event)
