--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -316,11 +316,8 @@
         return self.now - max(server.heard, sent_at) >= late_after
 
     def budget(self, server):
-        """Little's law: our hops at a host when its answers take ROOMY times their time in quiet."""
-        share = FAIR * (self.out + 1) * server.line.weight * self.warmth(server) / self.weight
-        own = ROOMY * self.quiet_out(server.sent)
-        loose = self.strain <= BUSY and not self.first_line or server.spare_until > self.now
-        return max(1.0, share if loose else min(own, share))
+        """A host holds little more than its fair share of our hops."""
+        return max(1.0, FAIR * (self.out + 1) * server.line.weight * self.warmth(server) / self.weight)
 
     def busy(self):
         """Answers are slow, or some wait: when they quicken the whole line must not go out at once."""
