--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -78,7 +78,7 @@
         """A new process: what was learned of an earlier one is void."""
         self.line, self.fresh_from, self.proven = line, line.started, True
         self.banned_until = self.shy_until = self.spare_until = self.throttles = self.timeouts = 0
-        self.strain, self.erring, self.erred_key, self.held = 1.0, 0.0, None, 0.0
+        self.strain, self.erring, self.erred_key = 1.0, 0.0, None
 
 
 class Tx:
@@ -160,8 +160,6 @@
             tx.ran = sent_at, server.line
         if event.load and event.load.get("busy", 1.0) < SPARE:
             server.spare_until = self.now + SPARE_FOR
-        if event.load and "held" in event.load:
-            server.held = event.load["held"]
         at_fault = event.outcome in KEYED_FAILURES and self.key_at_fault(tx, server)
         if effect and not at_fault:
             getattr(self, effect)(server, tx, event)
@@ -308,7 +306,7 @@
         return min(best, key=lambda s: len(s.out), default=None)
 
     def doubtful(self, server, tx):
-        if server.shy_until > self.now or server.held > 1.5 * self.mean_held() + 1:
+        if server.shy_until > self.now:
             return True
         if server.throttles or not server.proven:       # back from a ban or rest: one hop at a time, and
             return bool(server.out) or tx.profile.kind == i.NON_IDEMPOTENT      # only what may be repeated
@@ -317,9 +315,6 @@
         sent_at, late_after = next(iter(server.out.values()))   # by its own measure, not by this one's
         return self.now - max(server.heard, sent_at) >= late_after
 
-    def mean_held(self):
-        return sum(s.held for s in self.ready) / len(self.ready)
-
     def budget(self, server):
         """Little's law: our hops at a host when its answers take ROOMY times their time in quiet."""
         share = FAIR * (self.out + 1) * server.line.weight * self.warmth(server) / self.weight
@@ -375,7 +370,7 @@
         known = [s for s in self.ready if s.banned_until <= self.now]
         near, far = ([s.strain for s in known if self.near(s) == own] for own in (True, False))
         before = self.lean
-        if near and far and sum(near) / len(near) > BUSY * sum(far) / len(far):
+        if near and far and sum(near) / len(near) > BUSY * max(1.0, sum(far) / len(far)):
             self.lean = max(1.0, self.lean / 1.5)
         elif self.strain < CROWDED:
             self.lean = min(1.0 + 100 * self.terms.cross_price, self.lean * 1.5)
