--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -370,7 +370,7 @@
         known = [s for s in self.ready if s.banned_until <= self.now]
         near, far = ([s.strain for s in known if self.near(s) == own] for own in (True, False))
         before = self.lean
-        if near and far and sum(near) / len(near) > BUSY * max(1.0, sum(far) / len(far)):
+        if near and far and sum(near) / len(near) > BUSY * sum(far) / len(far):
             self.lean = max(1.0, self.lean / 1.5)
         elif self.strain < CROWDED:
             self.lean = min(1.0 + 100 * self.terms.cross_price, self.lean * 1.5)
