--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -78,7 +78,7 @@
         """A new process: what was learned of an earlier one is void."""
         self.line, self.fresh_from, self.proven = line, line.started, True
         self.banned_until = self.shy_until = self.spare_until = self.throttles = self.timeouts = 0
-        self.strain, self.erring, self.erred_key = 1.0, 0.0, None
+        self.strain, self.erring, self.erred_key, self.proof = 1.0, 0.0, None, 1.0
 
 
 class Tx:
@@ -158,8 +158,11 @@
             server.heard = self.now
         if ran and (tx.ran is None or sent_at < tx.ran[0]):
             tx.ran = sent_at, server.line
-        if event.load and event.load.get("busy", 1.0) < SPARE:
-            server.spare_until = self.now + SPARE_FOR
+        busy = (event.load or {}).get("busy")
+        if busy is not None:        # a fresh host that says it is idle has warmed further than it must have
+            proof = server.proof * (1.05 if busy < SPARE else 0.95)
+            server.proof = max(1.0, min(self.terms.fall_multiple, proof))
+            server.spare_until = self.now + SPARE_FOR if busy < SPARE else server.spare_until
         at_fault = event.outcome in KEYED_FAILURES and self.key_at_fault(tx, server)
         if effect and not at_fault:
             getattr(self, effect)(server, tx, event)
@@ -262,7 +265,7 @@
                 return False
             if profile.group == i.CELL and line.cell != ran.cell:
                 return False
-        return self.warmth(server) == 1.0 or server.sent.count(self.now) < self.slice(server)
+        return server.fresh_from is None or server.sent.count(self.now) < self.slice(server)
 
     def send(self, tx, server):
         if not self.allowed(tx, server):
@@ -386,7 +389,7 @@
         age = max(0, self.now - server.fresh_from) / self.terms.cold_time
         if age >= 1.0:
             server.fresh_from = None
-        return min(1.0, self.terms.cold_share + (1.0 - self.terms.cold_share) * age)
+        return min(1.0, (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * server.proof)
 
     def slice(self, server):
         """Hops that a fresh host may get in a fall window: its sure share of what a warm one gets from us."""
