--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -201,12 +201,12 @@
         if server is not None and self.send(tx, server):
             return "sent"
         mean, deviation = self.usual[tx.kind]
-        tx.give_up = (self.now + tx.goal - int(mean + deviation)) // 2      # kept: the estimate moves
+        tx.give_up = tx.goal - int(mean + deviation)        # kept: the estimate behind it moves
         ahead = bisect(self.first_line, (tx.give_up, tx.id))
         if tx.tried:
             ahead = len(self.first_line) + bisect(self.further_line, (tx.give_up, tx.id))
         hope = not tx.tried or any(self.allowed(tx, s) for s in self.servers.values())
-        return "held" if hope and 2 * ahead * self.pace < tx.give_up - self.now else "hopeless"
+        return "held" if hope and 8 * ahead * self.pace < tx.give_up - self.now else "hopeless"
 
     def line_up(self, tx):
         """The shortest patience first: a short goal is lost behind long ones that could have waited."""
