--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -206,9 +206,7 @@
         if tx.tried:
             ahead = len(self.first_line) + bisect(self.further_line, (tx.give_up, tx.id))
         hope = not tx.tried or any(self.allowed(tx, s) for s in self.servers.values())
-        # Gaps between commits are long where demand is low, so no longer than hops out at their usual speed.
-        pace = min(self.pace, self.quiet_mix * max(1.0, self.strain) / max(1, self.out))
-        return "held" if hope and 8 * ahead * pace < tx.give_up - self.now else "hopeless"
+        return "held" if hope and 4 * ahead * self.pace < tx.give_up - self.now else "hopeless"
 
     def line_up(self, tx):
         """The shortest patience first: a short goal is lost behind long ones that could have waited."""
