--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -87,6 +87,7 @@
         self.hard_limit, self.goal = now + event.patience, now + min(event.patience, profile.service_goal)
         self.state, self.tried, self.give_up = "waiting", [], self.goal     # hosts met; end of waiting
         self.out = {}               # hop -> (server, sent at)
+        self.come_back = profile.service_goal
         self.ran = None             # sent at and host line of the earliest hop that may have run
 
 
@@ -206,7 +207,9 @@
         if tx.tried:
             ahead = len(self.first_line) + bisect(self.further_line, (tx.give_up, tx.id))
         hope = not tx.tried or any(self.allowed(tx, s) for s in self.servers.values())
-        return "held" if hope and 4 * ahead * self.pace < tx.give_up - self.now else "hopeless"
+        turn, left = ahead * self.pace, tx.give_up - self.now
+        tx.come_back = int(turn) if turn < left else tx.profile.service_goal    # back when its turn would be
+        return "held" if hope and 4 * turn < left else "hopeless"
 
     def line_up(self, tx):
         """The shortest patience first: a short goal is lost behind long ones that could have waited."""
@@ -245,7 +248,7 @@
         """The gate that every answer of ours passes: an early rollback only where a retry is harmless."""
         harmless = tx.ran is None or tx.profile.kind == i.IDEMPOTENT or (
             tx.profile.kind == i.JOURNALLED and tx.profile.group == i.EVERYWHERE)
-        come_back = min(self.terms.come_back_max, tx.profile.service_goal)
+        come_back = min(self.terms.come_back_max, tx.come_back)
         self.effects.append(i.RollBack(tx.id, come_back) if harmless else i.Abandon(tx.id))
 
     # ---- the gate that every send passes
