--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -30,6 +30,7 @@
 FAIR = 1.25             # nor more than this multiple of its share of all our hops
 CROWDED = 3.0           # answers this many times slower than in quiet times tell of a crowd
 REACH = 2               # while busy, a key waits for one of its first so many hosts before it goes elsewhere
+PROMPT = 8              # who would wait longer than this part of the time left is rolled back at once
 LOOK_AHEAD = 16         # waiting transactions tried when something has ended
 BUSY = 1.25             # above this the fleet, or a zone against the others, is busy
 SPARE, SPARE_FOR = 0.7, 2_000   # a host that reports its cores less busy has room for this long
@@ -40,7 +41,6 @@
 
 # state, input -> next state, effect. An effect may return the next input. What is not here changes nothing.
 LIFE = {
-    ("waiting", "arrived"): ("waiting", "place"),
     ("waiting", "room"): ("waiting", "place"),
     ("waiting", "sent"): ("out", None),
     ("waiting", "held"): ("waiting", "line_up"),
@@ -62,8 +62,7 @@
     i.RESET: ("ban", True), i.CANCELLED: ("slow", True), i.REFUSED: ("back_off", False),
     i.UNREACHABLE: ("ban", False), i.UNSENT: (None, False),
 }
-SPOKEN = {i.COMMITTED, i.ERROR, i.REFUSED}
-KEYED_FAILURES = {i.ERROR, i.TIMED_OUT, i.RESET}
+SPOKEN, KEYED_FAILURES = {i.COMMITTED, i.ERROR, i.REFUSED}, {i.ERROR, i.TIMED_OUT, i.RESET}
 
 
 class Server:
@@ -130,8 +129,8 @@
     # ---- events
 
     def on_arrived(self, event):
-        tx = self.txs[event.tx] = Tx(event, self.now, self.terms.profiles[event.profile])
-        self.step(tx, "arrived")
+        self.txs[event.tx] = Tx(event, self.now, self.terms.profiles[event.profile])
+        self.tell(event.tx, "room")
 
     def on_timer(self, event):
         if event.mark == 0:
@@ -198,6 +197,7 @@
     # ---- effects in the life of a transaction
 
     def place(self, tx):
+        """Send; or hold in line if a turn comes soon; else give up, and tell the client when to come back."""
         server = None if self.full() else self.pick(tx)
         if server is not None and self.send(tx, server):
             return "sent"
@@ -209,7 +209,7 @@
         hope = not tx.tried or any(self.allowed(tx, s) for s in self.servers.values())
         turn, left = ahead * self.pace, tx.give_up - self.now
         tx.come_back = int(turn) if turn < left else tx.profile.service_goal    # back when its turn would be
-        return "held" if hope and 8 * turn < left else "hopeless"
+        return "held" if hope and PROMPT * turn < left else "hopeless"
 
     def line_up(self, tx):
         """The shortest patience first: a short goal is lost behind long ones that could have waited."""
@@ -322,7 +322,7 @@
         return self.now - max(server.heard, sent_at) >= late_after
 
     def budget(self, server):
-        """Little's law: our hops at a host when its answers take ROOMY times their time in quiet."""
+        """Little's law: our hops at a host whose answers take ROOMY times their time in quiet."""
         share = FAIR * (self.out + 1) * server.line.weight * self.warmth(server) / self.weight
         own = ROOMY * self.quiet_out(server.sent)
         loose = self.strain <= BUSY and not self.first_line or server.spare_until > self.now
@@ -354,8 +354,9 @@
         if found is None:
             if len(self.rankings) >= KEYS_KEPT:
                 self.rankings.popitem(last=False)
-            found = self.rankings[key] = sorted(self.ready, key=lambda s: claim(
-                key, s.line.hash, s.line.weight * self.warmth(s) * (self.lean if self.near(s) else 1.0)))
+            claims = {s.id: claim(key, s.line.hash, s.line.weight * self.warmth(s) * (
+                self.lean if s.line.zone == self.terms.zone else 1.0)) for s in self.ready}
+            found = self.rankings[key] = sorted(self.ready, key=lambda s: claims[s.id])
         return found
 
     def reset_rankings(self):
@@ -365,23 +366,19 @@
         cold = any(s.fresh_from is not None for s in self.ready)
         self.ranked_until = self.now + self.terms.cold_time // COLD_STEPS if cold else float("inf")
 
-    def near(self, server):
-        return server.line.zone == self.terms.zone
-
     def tilt(self):
         """Own-zone hosts claim more keys while crossing costs and they are no busier than the others."""
         if self.now < self.lean_next:
             return
         self.lean_next = self.now + LEAN_EVERY
         known = [s for s in self.ready if s.banned_until <= self.now]
-        near, far = ([s.strain for s in known if self.near(s) == own] for own in (True, False))
-        before = self.lean
+        near = [s.strain for s in known if s.line.zone == self.terms.zone]
+        far = [s.strain for s in known if s.line.zone != self.terms.zone]
         if near and far and sum(near) / len(near) > BUSY * sum(far) / len(far):
             self.lean = max(1.0, self.lean / 1.5)
         elif self.strain < CROWDED:
             self.lean = min(1.0 + 100 * self.terms.cross_price, self.lean * 1.5)
-        if self.lean != before:
-            self.reset_rankings()
+        self.reset_rankings()
 
     # ---- cold hosts
 
