--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -30,8 +30,7 @@
 FAIR = 1.25             # nor more than this multiple of its share of all our hops
 CROWDED = 3.0           # answers this many times slower than in quiet times tell of a crowd
 REACH = 2               # while busy, a key waits for one of its first so many hosts before it goes elsewhere
-PROMPT = 8              # who would wait longer than this part of the time left is rolled back at once, if
-                        # clients are seen to come back; else it may take all the time left
+PROMPT = 8              # who would wait longer than this part of the time left is rolled back at once
 LOOK_AHEAD = 16         # waiting transactions tried when something has ended
 BUSY = 1.25             # above this the fleet, or a zone against the others, is busy
 SPARE, SPARE_FOR = 0.7, 2_000   # a host that reports its cores less busy has room for this long
@@ -106,7 +105,6 @@
         self.pace, self.last_commit = 0.0, now                  # time between our commits
         self.out, self.sent, self.warm_commits = 0, Window(agreement.fall_time), Window(agreement.fall_time)
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
-        self.rolled_back = self.came_back = 0   # transactions rolled back, and those that clients tried again
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
         self.reset_rankings()
@@ -128,8 +126,9 @@
         if tx.state == "done" and not tx.out:
             self.txs.pop(tx.id, None)
 
+    # ---- events
+
     def on_arrived(self, event):
-        self.came_back += event.repeat
         self.txs[event.tx] = Tx(event, self.now, self.terms.profiles[event.profile])
         self.tell(event.tx, "room")
 
@@ -163,8 +162,7 @@
         if busy is not None:        # a fresh host that says it is idle has warmed further than it must have
             proof = server.proof * (1.05 if busy < SPARE else 0.95)
             server.proof = max(1.0, min(self.terms.fall_multiple, proof))
-            if busy < SPARE:
-                server.spare_until = self.now + SPARE_FOR
+            server.spare_until = self.now + SPARE_FOR if busy < SPARE else server.spare_until
         at_fault = event.outcome in KEYED_FAILURES and self.key_at_fault(tx, server)
         if effect and not at_fault:
             getattr(self, effect)(server, tx, event)
@@ -211,8 +209,7 @@
         hope = not tx.tried or any(self.allowed(tx, s) for s in self.servers.values())
         turn, left = ahead * self.pace, tx.give_up - self.now
         tx.come_back = int(turn) if turn < left else tx.profile.service_goal    # back when its turn would be
-        returning = not self.terms.repeats_marked or 4 * self.came_back + 4 > self.rolled_back
-        return "held" if hope and (PROMPT if returning else 1) * turn < left else "hopeless"
+        return "held" if hope and PROMPT * turn < left else "hopeless"
 
     def line_up(self, tx):
         """The shortest patience first: a short goal is lost behind long ones that could have waited."""
@@ -252,7 +249,6 @@
         harmless = tx.ran is None or tx.profile.kind == i.IDEMPOTENT or (
             tx.profile.kind == i.JOURNALLED and tx.profile.group == i.EVERYWHERE)
         come_back = min(self.terms.come_back_max, tx.come_back)
-        self.rolled_back += harmless
         self.effects.append(i.RollBack(tx.id, come_back) if harmless else i.Abandon(tx.id))
 
     # ---- the gate that every send passes
@@ -290,6 +286,8 @@
             self.effects.append(i.SetTimer(self.late_after(tx), tx.id + 2))
         return True
 
+    # ---- the pick
+
     def pick(self, tx, instead=False):
         best, banned, unbanned, reach = [], [], False, len(self.ready)
         if tx.key is not None and self.terms.warm_keys and self.busy() and self.now < tx.give_up:
@@ -382,6 +380,8 @@
             self.lean = min(1.0 + 100 * self.terms.cross_price, self.lean * 1.5)
         self.reset_rankings()
 
+    # ---- cold hosts
+
     def warmth(self, server):
         """The share of its capacity that a host has for sure."""
         if server.fresh_from is None:
@@ -399,6 +399,8 @@
         share = self.warmth(server) * min(1.0, self.terms.fall_multiple / COLD_KEYS)
         return max(1.0, self.usual_rate * server.line.weight * share)
 
+    # ---- health: what an outcome does to its host
+
     def sound(self, server, tx, event):
         server.timeouts, server.proven = 0, True
         server.erring *= 0.8
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -43,7 +43,6 @@
     second_copies: bool
     cancelling: bool
     probes: bool
-    repeats_marked: bool            # clients mark what they try again
     come_back_max: int              # longest come-back time that clients are told; 0: none
 
 
@@ -75,7 +74,6 @@
     profile: int                    # index in Agreement.profiles
     key: int | None
     patience: int
-    repeat: bool = False            # the client has tried before; never set where clients don't mark it
 
 
 class HopEnded(NamedTuple):
--- a/basalthook/simwire/codec.py
+++ b/basalthook/simwire/codec.py
@@ -37,7 +37,6 @@
         fall_time=up(rules["fall_ns"]), max_hops=allowed["max_hops"],
         second_copies=bool(allowed.get("second_copies")), cancelling=bool(allowed.get("cancelling")),
         probes=bool(allowed.get("probes")),
-        repeats_marked=bool((setup.get("client_habits") or {}).get("marks_retry")),
         come_back_max=allowed.get("max_retry_after_ns", 0) // TENTH if allowed.get("retry_after") else 0)
 
 
@@ -91,7 +90,7 @@
             self.words[tx] = [f["corr"], 0, False]
             key = f.get("path_key")
             return i.TxArrived(tx, self.profiles[f["tier_class"]], number(key) if key else None,
-                               f["patience_left_ns"] // TENTH, bool(f.get("marks", 0) & 2))
+                               f["patience_left_ns"] // TENTH)
         if name == "VERDICT":
             tx, closed = self.numbers.get(f["corr"]), bool(f.get("terminal"))
             if tx is None:
