--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -367,11 +367,15 @@
         self.ranked_until = self.now + self.terms.cold_time // COLD_STEPS if cold else float("inf")
 
     def tilt(self):
-        """Own-zone hosts claim more keys while crossing costs and they are no busier than the others."""
+        """What changes slowly: the lean to the own zone, and what a warm host usually commits for us."""
         if self.now < self.lean_next:
             return
         self.lean_next = self.now + LEAN_EVERY
         known = [s for s in self.ready if s.banned_until <= self.now]
+        warm = [s.line.weight for s in known if s.fresh_from is None]
+        rate = self.warm_commits.count(self.now) / sum(warm) if warm else 0.0
+        if rate > self.usual_rate or len(warm) * 2 >= len(self.ready) and not self.busy():
+            self.usual_rate += (rate - self.usual_rate) * 0.3   # in a crowd they commit less than they could
         near = [s.strain for s in known if s.line.zone == self.terms.zone]
         far = [s.strain for s in known if s.line.zone != self.terms.zone]
         if near and far and sum(near) / len(near) > BUSY * sum(far) / len(far):
@@ -393,9 +397,6 @@
 
     def slice(self, server):
         """Hops that a fresh host may get in a fall window: its sure share of what a warm one gets from us."""
-        warm = [s.line.weight for s in self.ready if s.fresh_from is None and s.banned_until <= self.now]
-        if len(warm) * 2 >= len(self.servers):      # else few are left to tell; the last figure stands
-            self.usual_rate = self.warm_commits.count(self.now) / sum(warm)
         share = self.warmth(server) * min(1.0, self.terms.fall_multiple / COLD_KEYS)
         return max(1.0, self.usual_rate * server.line.weight * share)
 
