--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -22,7 +22,7 @@
     group: str                      # repeat group and window: journalled only
     repeat_window: int
     service_goal: int
-    revenue: float
+    revenue: float                  # above 0
 
 
 class Agreement(NamedTuple):
--- a/basalthook/simwire/codec.py
+++ b/basalthook/simwire/codec.py
@@ -26,7 +26,7 @@
     rules, allowed = setup["rules"], setup["allowed"]
     profiles = tuple(
         i.Profile(KINDS[p["effect"]], GROUPS[p.get("group") or "all"], p.get("repeat_window_ns", 0) // TENTH,
-                  p["service_goal_ns"] // TENTH, p.get("revenue", 1.0))
+                  p["service_goal_ns"] // TENTH, max(p.get("revenue", 1.0), 0.001))
         for p in setup["profiles"])
     return i.Agreement(
         profiles=profiles, position=setup["position"], proxies=setup["balancers"], zone=setup.get("zone", ""),
