--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -294,3 +294,48 @@
         for key in range(10):
             stage.arrive(key=key)
         self.assertGreater(len(bad.got), before)
+
+    def test_no_turn_soon_is_told_at_once_and_when_to_come_back(self):
+        """Long lines served everyone at the last moment; a stay of a whole goal made every retry late."""
+        stage = Stage(fleet(1, outcome=None))
+        stage.proxy.strain, stage.proxy.pace = 2.0, 600
+        stage.wait(30_000)
+        for _ in range(6):
+            stage.arrive()
+        self.assertIn(i.RollBack, stage.answers.values())
+        first = next(e for e in stage.record if isinstance(e, i.RollBack))
+        self.assertLess(0, first.come_back)
+        self.assertLess(first.come_back, 3_000)
+
+    def test_a_fresh_host_that_reports_idle_cores_gets_a_wider_slice(self):
+        stage = Stage(fleet(2) + [FakeHost(2, started=990_000, outcome=None)], second_copies=True)
+        fresh, tx = stage.proxy.servers[2], 0
+        narrow = stage.proxy.warmth(fresh)
+        while not fresh.out:
+            tx = stage.arrive(key=tx)
+        (tx, hop), = fresh.out
+        stage.tell(i.HopEnded(tx, hop, 2, i.COMMITTED, 100, True, {"busy": 0.1}))
+        self.assertGreater(stage.proxy.warmth(fresh), narrow)
+
+    def test_silence_is_measured_by_the_hop_that_is_out(self):
+        """A host busy with one long upload is not silent because a short read would be done by now."""
+        stage = Stage(fleet(1, outcome=None))
+        stage.proxy.usual[IDEMPOTENT], stage.proxy.usual[UPLOAD] = (100, 10), (2_500, 500)
+        stage.arrive(UPLOAD)
+        stage.now += 1_000
+        stage.arrive(IDEMPOTENT)
+        self.assertEqual(len(stage.sends()), 2)
+
+    def test_slices_stand_on_what_warm_hosts_commit_when_not_busy(self):
+        """Measured in a crowd, slices shrank and fresh hosts idled while warm ones were overrun."""
+        stage = Stage(fleet(3), elapsed=30)
+        for key in range(400):
+            stage.arrive(key=key)
+            stage.now += 100
+        usual = stage.proxy.usual_rate
+        self.assertGreater(usual, 0)
+        stage.proxy.strain = 3.0
+        stage.wait(60_000)
+        stage.proxy.strain = 3.0
+        stage.arrive(key=1)
+        self.assertEqual(stage.proxy.usual_rate, usual)
