--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -211,7 +211,7 @@
         tx.come_back = int(turn) if turn < left else tx.profile.service_goal    # back when its turn would be
         costs = [q / p.revenue for q, p in zip(self.quiet, self.terms.profiles, strict=True)]
         dear = costs[tx.kind] * len(costs) / sum(costs)     # time at hosts for its revenue, against the rest
-        return "held" if hope and PROMPT * dear * turn < left else "hopeless"
+        return "held" if hope and PROMPT * dear ** 2 * turn < left else "hopeless"
 
     def line_up(self, tx):
         """The shortest patience first: a short goal is lost behind long ones that could have waited."""
