--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -211,7 +211,7 @@
         tx.come_back = int(turn) if turn < left else tx.profile.service_goal    # back when its turn would be
         costs = [q / p.revenue for q, p in zip(self.quiet, self.terms.profiles, strict=True)]
         dear = costs[tx.kind] * len(costs) / sum(costs)     # time at hosts for its revenue, against the rest
-        return "held" if hope and PROMPT * dear * turn < left else "hopeless"
+        return "held" if hope and PROMPT * dear ** 2 * turn < left else "hopeless"
 
     def line_up(self, tx):
         """The shortest patience first: a short goal is lost behind long ones that could have waited."""
@@ -426,8 +426,7 @@
 
     def weigh(self, server, tx, event, strain):
         strain = min(strain, 10.0)
-        rested = server.throttles and strain <= CROWDED     # one good answer after a rest is believed
-        server.strain += (strain - server.strain) * (1.0 if rested else 0.1)
+        server.strain += (strain - server.strain) * (0.5 if server.throttles else 0.1)
         self.strain += (strain - self.strain) * 0.02
         if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
             self.back_off(server, tx, event)
