--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -22,8 +22,7 @@
 from . import interface as i
 from .measure import Window, claim
 
-# The design's starting figures
-COOLDOWN, BACKOFF, TIMEOUT_RUN, SPREAD, SPREAD_WINDOW = 100_000, 500, 3, 2, 100_000
+COOLDOWN, BACKOFF, TIMEOUT_RUN, SPREAD, SPREAD_WINDOW = 100_000, 500, 3, 2, 100_000    # the design's
 BACKOFF_MOST = COOLDOWN // 4    # backoffs double up to this
 KEYS_KEPT = 2_000       # rankings and failing keys held at once
 ROOMY = 1.5             # a host gets no more of our hops than make its answers this many times slower
@@ -50,11 +49,11 @@
     ("out", "fell"): ("waiting", "place"),
     ("out", "at fault"): ("done", "answer"),
     ("out", "late"): ("out", "second_look"),
-    ("out", "won"): ("done", "call_back"),
-    ("out", "gone"): ("done", "call_back"),
+    ("out", "won"): ("done", "settle"),
+    ("out", "gone"): ("done", "settle"),
     ("out", "began"): ("streaming", None),
-    ("streaming", "won"): ("done", "call_back"),
-    ("streaming", "gone"): ("done", "call_back"),
+    ("streaming", "won"): ("done", "settle"),
+    ("streaming", "gone"): ("done", "settle"),
 }
 # outcome -> what it does to the host, and whether the transaction may have run
 SORTED = {
@@ -107,6 +106,7 @@
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
+        self.scarce_until = now     # when connections are no longer hard to get
         self.reset_rankings()
 
     def begin(self):
@@ -194,8 +194,6 @@
         wait = self.terms.ask_within / 8 * 2 ** self.list_failures
         self.effects.append(i.SetTimer(int(wait * (0.5 + self.chance.random() / 2)), 0))
 
-    # ---- effects in the life of a transaction
-
     def place(self, tx):
         """Send; or hold in line if a turn comes soon; else give up, and tell the client when to come back."""
         server = None if self.full() else self.pick(tx)
@@ -211,7 +209,7 @@
         tx.come_back = int(turn) if turn < left else tx.profile.service_goal    # back when its turn would be
         costs = [q / p.revenue for q, p in zip(self.quiet, self.terms.profiles, strict=True)]
         dear = costs[tx.kind] * len(costs) / sum(costs)     # time at hosts for its revenue, against the rest
-        return "held" if hope and PROMPT * dear ** 2 * turn < left else "hopeless"
+        return "held" if hope and PROMPT * dear * turn < left else "hopeless"
 
     def line_up(self, tx):
         """The shortest patience first: a short goal is lost behind long ones that could have waited."""
@@ -234,12 +232,14 @@
 
     def second_look(self, tx):
         """Still out after the usual time: a copy where two are allowed, else cancel and send elsewhere."""
-        if tx.profile.kind == i.NON_IDEMPOTENT or len(tx.out) > 1:
-            return
-        other = self.pick(tx, instead=True)
-        if other is not None and self.terms.second_copies:
-            self.send(tx, other)
-        elif other is not None and self.terms.cancelling:
+        once = tx.profile.kind == i.NON_IDEMPOTENT or len(tx.out) > 1
+        other = None if once else self.pick(tx, instead=True)
+        if other is not None and not (self.terms.second_copies and self.send(tx, other)):
+            self.call_back(tx)
+
+    def settle(self, tx):
+        """A hop called back may take its connection with it: none is while new ones are hard to get."""
+        if self.now >= self.scarce_until:
             self.call_back(tx)
 
     def call_back(self, tx):
@@ -253,8 +253,6 @@
         come_back = min(self.terms.come_back_max, tx.come_back)
         self.effects.append(i.RollBack(tx.id, come_back) if harmless else i.Abandon(tx.id))
 
-    # ---- the gate that every send passes
-
     def allowed(self, tx, server, instead=False):
         """The rules: may this transaction go to this host now, or instead of where it is out?"""
         profile, line = tx.profile, server.line
@@ -416,16 +414,15 @@
         gap = self.level[tx.kind] - quiet
         self.quiet[tx.kind] += gap * (0.02 if gap < 0 else 0.00005)
         self.usual[tx.kind] = mean + error * 0.05, deviation + (abs(error) - deviation) * 0.05
-        self.weigh(server, tx, event, event.elapsed / quiet)
+        self.weigh(server, tx, event, min(10.0, event.elapsed / quiet))
         if server.fresh_from is None:
             self.warm_commits.add(self.now)
 
     def slow(self, server, tx, event):
-        """A hop called back or timed out was at least this slow."""
-        self.weigh(server, tx, event, max(server.strain, event.elapsed / self.quiet[tx.kind]))
+        """A hop that got no answer was at least as slow as this."""
+        self.weigh(server, tx, event, max(server.strain, min(10.0, event.elapsed / self.quiet[tx.kind])))
 
     def weigh(self, server, tx, event, strain):
-        strain = min(strain, 10.0)
         server.strain += (strain - server.strain) * (0.5 if server.throttles else 0.1)
         self.strain += (strain - self.strain) * 0.02
         if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
@@ -449,6 +446,8 @@
     def ban(self, server, tx, event):
         server.banned_until, server.timeouts, server.erring = self.now + COOLDOWN, 0, 0.0
         server.proven = False
+        if event.outcome == i.UNREACHABLE:
+            self.scarce_until = server.banned_until
         self.effects.append(i.SetTimer(COOLDOWN, 1))
 
     def back_off(self, server, tx, event):
