--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -34,7 +34,7 @@
 BUSY = 1.25             # above this the fleet, or a zone against the others, is busy
 SPARE, SPARE_FOR = 0.7, 2_000   # a host that reports its cores less busy has room for this long
 ERRING = 0.3            # share of errors on several keys that makes them the host's own fault
-LEAN_EVERY = 10_000     # the lean to the own zone changes by half at most this often
+LEAN_EVERY = 10_000     # how often what changes slowly is looked at
 COLD_STEPS = 16         # steps in which the slice of a fresh host widens
 COLD_KEYS = 4           # a fresh host knows no key: a hop may cost it several times what a warm one pays
 
@@ -322,7 +322,7 @@
         return self.now - max(server.heard, sent_at) >= late_after
 
     def budget(self, server):
-        """Little's law: our hops at a host whose answers take ROOMY times their time in quiet."""
+        """Little's law: our hops at a host whose answers take ROOMY times as long as in quiet."""
         share = FAIR * (self.out + 1) * server.line.weight * self.warmth(server) / self.weight
         own = ROOMY * self.quiet_out(server.sent)
         loose = self.strain <= BUSY and not self.first_line or server.spare_until > self.now
@@ -473,5 +473,5 @@
     EVENTS = {
         i.HostsListed: on_listed, i.ListFailed: on_list_failed, i.TxArrived: on_arrived, i.HopEnded: on_ended,
         i.StreamBegan: lambda self, event: self.tell(event.tx, "began"), i.TimerDue: on_timer,
-        i.TxGone: lambda self, event: self.tell(event.tx, "gone"), i.ProbeEnded: lambda self, event: None,
+        i.TxGone: lambda self, event: self.tell(event.tx, "gone"),
     }
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -42,7 +42,6 @@
     max_hops: int
     second_copies: bool
     cancelling: bool
-    probes: bool
     come_back_max: int              # longest come-back time that clients are told; 0: none
 
 
@@ -83,7 +82,7 @@
     outcome: str
     elapsed: int
     closed: bool                    # the transaction has its final answer
-    load: dict[str, float] | None   # the host's own figures, where it reports any: held, busy, errors
+    load: dict[str, float] | None   # the host's own figures, where it reports any: "busy", share of its cores
 
 
 class StreamBegan(NamedTuple):
@@ -99,13 +98,6 @@
     mark: int
 
 
-class ProbeEnded(NamedTuple):
-    host: int
-    outcome: str
-    elapsed: int
-    load: dict[str, float] | None
-
-
 # Effects
 
 class SendHop(NamedTuple):
@@ -132,10 +124,6 @@
     pass
 
 
-class Probe(NamedTuple):
-    host: int
-
-
 class SetTimer(NamedTuple):
     delay: int
     mark: int
--- a/basalthook/simwire/codec.py
+++ b/basalthook/simwire/codec.py
@@ -10,7 +10,7 @@
 GROUPS = {"all": i.EVERYWHERE, "zone": i.ZONE, "cell": i.CELL}
 OUTCOMES = {"success": i.COMMITTED, "failure": i.ERROR, "overloaded": i.REFUSED, "timed_out": i.TIMED_OUT,
             "unreachable": i.UNREACHABLE, "broken": i.RESET, "withdrawn": i.CANCELLED, "void": i.UNSENT}
-LOAD = {"active": "held", "cpu": "busy", "err_rps": "errors"}
+LOAD = {"cpu": "busy"}
 
 
 def number(word: str) -> int:
@@ -36,7 +36,6 @@
         cold_share=rules["cold_from"], cold_time=up(rules["cold_ns"]), fall_multiple=rules["overload_factor"],
         fall_time=up(rules["fall_ns"]), max_hops=allowed["max_hops"],
         second_copies=bool(allowed.get("second_copies")), cancelling=bool(allowed.get("cancelling")),
-        probes=bool(allowed.get("probes")),
         come_back_max=allowed.get("max_retry_after_ns", 0) // TENTH if allowed.get("retry_after") else 0)
 
 
@@ -109,16 +108,13 @@
         if name == "UNDER_WAY":
             tx = self.numbers.get(f["corr"])
             return None if tx is None else i.StreamBegan(tx, f.get("hop", 0))
-        if name == "PONG":
-            return i.ProbeEnded(self.host(f["host"]), OUTCOMES[f["code"]], f.get("lag_ns", 0) // TENTH,
-                                self.load(f.get("gauge")))
         if name == "VIEW":
             if f["scope"] == "unavailable":
                 return i.ListFailed()
             return i.HostsListed(self.listed(lists[f["slot"]]), complete=f["scope"] != "update",
                                  answered=f["scope"] != "restored")
-        if name == "INBOX":
-            return None                      # proxies share nothing
+        if name in ("INBOX", "PONG"):
+            return None                      # proxies share nothing, and nothing is probed
         raise ValueError(f"unknown event {name}")
 
     def action(self, effect: tuple) -> dict:
@@ -140,8 +136,6 @@
             return {"ABORT": {"corr": word}}
         if kind is i.CancelHop:
             return {"REVOKE": {"corr": self.words[effect.tx][0], "hop": effect.hop}}
-        if kind is i.Probe:
-            return {"POLL": {"host": self.addresses[effect.host]}}
         return {"OBSERVE": {"on": True}}
 
 
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -25,7 +25,7 @@
         agreed = dict(profiles=PROFILES, position=0, proxies=4, zone="a", cross_price=0.0, warm_keys=True,
                       list_on_request=True, ask_within=100_000, cold_share=0.2, cold_time=200_000,
                       fall_multiple=2.5, fall_time=30_000, max_hops=4, second_copies=False,
-                      cancelling=False, probes=False, come_back_max=20_000)
+                      cancelling=False, come_back_max=20_000)
         agreed.update(terms)
         self.now, self.next, self.elapsed = 1_000_000, 0, elapsed
         self.hosts = {h.line.host: h for h in hosts}
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -198,8 +198,7 @@
         stage.arrive()
         stage.record.clear()
         for event in (i.TxGone(0), i.TxGone(77), i.StreamBegan(77, 0), i.TimerDue(2), i.TimerDue(900),
-                      i.HopEnded(77, 0, 5, i.COMMITTED, 10, True, None),
-                      i.ProbeEnded(5, i.COMMITTED, 10, None)):
+                      i.HopEnded(77, 0, 5, i.COMMITTED, 10, True, None)):
             stage.tell(event)
         self.assertEqual(stage.record, [])
         self.assertEqual(stage.arrive(IDEMPOTENT), 1)
