--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -75,8 +75,7 @@
     def renew(self, line):
         """A new process: what was learned of an earlier one is void."""
         self.line, self.fresh_from, self.proven = line, line.started, True
-        self.banned_until = self.shy_until = self.spare_until = self.faults = 0
-        self.throttles = self.timeouts = 0
+        self.banned_until = self.shy_until = self.spare_until = self.throttles = self.timeouts = 0
         self.strain, self.erring, self.erred_key, self.proof = 1.0, 0.0, None, 1.0
 
 
@@ -404,7 +403,7 @@
     # ---- health: what an outcome does to its host
 
     def sound(self, server, tx, event):
-        server.timeouts, server.faults, server.proven = 0, 0, True
+        server.timeouts, server.proven = 0, True
         server.erring *= 0.8
         self.failing.pop(tx.key, None)
         self.pace += (self.now - self.last_commit - self.pace) * 0.1
@@ -420,6 +419,7 @@
             self.warm_commits.add(self.now)
 
     def slow(self, server, tx, event):
+        """A hop that got no answer was at least as slow as this."""
         self.weigh(server, tx, event, max(server.strain, min(10.0, event.elapsed / self.quiet[tx.kind])))
 
     def weigh(self, server, tx, event, strain):
@@ -444,12 +444,11 @@
             self.ban(server, tx, event)
 
     def ban(self, server, tx, event):
-        wait = COOLDOWN >> max(0, 3 - server.faults)    # shorter after the first faults: most hosts are sound
-        server.banned_until, server.timeouts, server.erring = self.now + wait, 0, 0.0
-        server.proven, server.faults = False, server.faults + 1
+        server.banned_until, server.timeouts, server.erring = self.now + COOLDOWN, 0, 0.0
+        server.proven = False
         if event.outcome == i.UNREACHABLE:
-            self.scarce_until = self.now + COOLDOWN
-        self.effects.append(i.SetTimer(wait, 1))
+            self.scarce_until = server.banned_until
+        self.effects.append(i.SetTimer(COOLDOWN, 1))
 
     def back_off(self, server, tx, event):
         wait = min(BACKOFF_MOST, BACKOFF * 2 ** server.throttles)
