--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -457,7 +457,7 @@
 
     def late_after(self, tx):
         mean, deviation = self.usual[tx.kind]
-        return int(min(mean + 4 * deviation, tx.profile.service_goal / 3))
+        return int(min(mean + 4 * deviation, max(mean, tx.profile.service_goal - mean - deviation)))
 
     def key_at_fault(self, tx, server):
         """Failures of one key at several hosts are the transaction's own."""
