--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -419,7 +419,6 @@
             self.warm_commits.add(self.now)
 
     def slow(self, server, tx, event):
-        """A hop that got no answer was at least as slow as this."""
         self.weigh(server, tx, event, max(server.strain, min(10.0, event.elapsed / self.quiet[tx.kind])))
 
     def weigh(self, server, tx, event, strain):
@@ -457,8 +456,8 @@
 
     def late_after(self, tx):
         mean, deviation = self.usual[tx.kind]
-        goal = tx.profile.service_goal
-        latest = max(mean, goal - mean - deviation) if self.busy() else goal / 2
+        goal = tx.profile.service_goal      # a copy costs less than a hop moved, which loses its work
+        latest = goal / 2 if self.terms.second_copies else max(mean, goal - mean - deviation)
         return int(min(mean + 4 * deviation, latest))
 
     def key_at_fault(self, tx, server):
