--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -102,6 +102,7 @@
         self.level = list(self.quiet)       # the same, as of late
         self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
         self.pace, self.last_commit = 0.0, now                  # time between our commits
+        self.last_answer = now
         self.out, self.sent, self.warm_commits = 0, Window(agreement.fall_time), Window(agreement.fall_time)
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
@@ -423,7 +424,9 @@
 
     def weigh(self, server, tx, event, strain):
         server.strain += (strain - server.strain) * (0.5 if server.throttles else 0.1)
-        self.strain += (strain - self.strain) * 0.02
+        part = (self.now - self.last_answer) / self.terms.fall_time     # guards against few answers a second
+        self.strain += (strain - self.strain) * max(0.02, min(0.2, part))
+        self.last_answer = self.now
         if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
             self.back_off(server, tx, event)
         else:
