--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -206,7 +206,7 @@
         if tx.tried:
             ahead = len(self.first_line) + bisect(self.further_line, (tx.give_up, tx.id))
         hope = not tx.tried or any(self.allowed(tx, s) for s in self.servers.values())
-        turn, left = ahead * min(self.pace, mean / max(1, self.out)), tx.give_up - self.now
+        turn, left = ahead * self.pace, tx.give_up - self.now
         tx.come_back = int(turn) if turn < left else tx.profile.service_goal    # back when its turn would be
         costs = [q / p.revenue for q, p in zip(self.quiet, self.terms.profiles, strict=True)]
         dear = costs[tx.kind] * len(costs) / sum(costs)     # time at hosts for its revenue, against the rest
