--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -107,7 +107,6 @@
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
-        self.owed = set()           # (tx, hop) late at hosts that said nothing since; emptied as hops end
         self.scarce_until = now     # when connections are no longer hard to get
         self.reset_rankings()
 
@@ -154,8 +153,7 @@
             return
         server, sent_at = tx.out.pop(event.hop)
         del server.out[tx.id, event.hop]
-        self.out -= (tx.id, event.hop) not in self.owed
-        self.owed.discard((tx.id, event.hop))
+        self.out -= 1
         effect, ran = SORTED[event.outcome]
         if event.outcome in SPOKEN:
             server.heard = self.now
@@ -235,9 +233,6 @@
 
     def second_look(self, tx):
         """Still out after the usual time: a copy where two are allowed, else cancel and send elsewhere."""
-        owed = {(tx.id, hop) for hop, (server, at) in tx.out.items() if server.heard <= at} - self.owed
-        self.out -= len(owed)
-        self.owed |= owed
         once = tx.profile.kind == i.NON_IDEMPOTENT or len(tx.out) > 1
         other = None if once else self.pick(tx, instead=True)
         if other is not None and not (self.terms.second_copies and self.send(tx, other)):
