--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -107,7 +107,6 @@
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
-        self.owed = set()           # (tx, hop) late at hosts that said nothing since; emptied as hops end
         self.scarce_until = now     # when connections are no longer hard to get
         self.reset_rankings()
 
@@ -155,7 +154,6 @@
         server, sent_at = tx.out.pop(event.hop)
         del server.out[tx.id, event.hop]
         self.out -= 1
-        self.owed.discard((tx.id, event.hop))
         effect, ran = SORTED[event.outcome]
         if event.outcome in SPOKEN:
             server.heard = self.now
@@ -235,7 +233,6 @@
 
     def second_look(self, tx):
         """Still out after the usual time: a copy where two are allowed, else cancel and send elsewhere."""
-        self.owed |= {(tx.id, hop) for hop, (server, at) in tx.out.items() if server.heard <= at}
         once = tx.profile.kind == i.NON_IDEMPOTENT or len(tx.out) > 1
         other = None if once else self.pick(tx, instead=True)
         if other is not None and not (self.terms.second_copies and self.send(tx, other)):
@@ -341,7 +338,7 @@
         """Guards against many proxies that each hold but one hop at every host, and so crowd them all."""
         usual = self.quiet_out(self.sent)
         share = min(1.0, len(self.ready) / self.terms.proxies)
-        return self.out - bool(self.owed) >= max(1.0, ROOMY * usual + share * (1 + 2 * usual ** 0.5)) and self.busy()
+        return self.out >= max(1.0, ROOMY * usual + share * (1 + 2 * usual ** 0.5)) and self.busy()
 
     def quiet_out(self, sent):
         """Hops that would be out, at the rate of these sends, if all were answered as in quiet times."""
