--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -309,8 +309,7 @@
         if not best and not unbanned and not instead:       # none unbanned: all ready ones count
             best = [s for s in banned if len(s.out) < self.budget(s)][:2]
         if len(best) == 2 and len(best[0].out) == len(best[1].out):
-            thin = self.terms.warm_keys and self.quiet_out(self.sent) < 1.0
-            return best[0] if thin or self.busy() else self.chance.choice(best)
+            return best[0] if self.busy() else self.chance.choice(best)
         return min(best, key=lambda s: len(s.out), default=None)
 
     def doubtful(self, server, tx):
