--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -70,6 +70,7 @@
     def __init__(self, line, span):
         self.id, self.heard, self.sent = line.host, 0, Window(span)
         self.out = {}               # (tx, hop) -> sent at, late after; emptied as hops end
+        self.used = None            # when a hop last went out on a connection that may still be open
         self.renew(line)
 
     def renew(self, line):
@@ -279,6 +280,7 @@
         tx.out[hop] = (server, now)
         server.out[tx.id, hop] = now, self.late_after(tx)
         server.sent.add(now)
+        server.used = now
         self.sent.add(now)
         self.out += 1
         self.quiet_mix += (self.quiet[tx.kind] - self.quiet_mix) * 0.05
@@ -377,6 +379,7 @@
         rate = self.warm_commits.count(self.now) / sum(warm) if warm else 0.0
         if rate > self.usual_rate or len(warm) * 2 >= len(self.ready) and not self.busy():
             self.usual_rate += (rate - self.usual_rate) * 0.3   # in a crowd they commit less than they could
+        self.close_idle()
         near = [s.strain for s in known if s.line.zone == self.terms.zone]
         far = [s.strain for s in known if s.line.zone != self.terms.zone]
         if near and far and sum(near) / len(near) > BUSY * sum(far) / len(far):
@@ -385,6 +388,15 @@
             self.lean = min(1.0 + 100 * self.terms.cross_price, self.lean * 1.5)
         self.reset_rankings()
 
+    def close_idle(self):
+        """Guards against tables of open connections filled by many proxies that each need theirs seldom."""
+        rate = self.sent.count(self.now) * self.terms.proxies / self.terms.fall_time    # as if all had ours
+        for server in self.servers.values() if self.terms.open_price and rate else ():
+            worth = 100 * len(self.ready) * self.terms.handshake_price / self.terms.open_price / rate
+            if server.used and not server.out and self.now - server.used > worth:
+                server.used = None
+                self.effects.append(i.CloseIdle(server.id))
+
     # ---- cold hosts
 
     def warmth(self, server):
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -32,6 +32,8 @@
     proxies: int
     zone: str
     cross_price: float              # points lost where every transaction crosses zones once, of 1
+    handshake_price: float          # the same where every transaction opens a connection
+    open_price: float               # the same where each host holds a hundred open connections; 0: free
     warm_keys: bool                 # a host that met a key lately does less work for it
     list_on_request: bool           # the host list comes only to those who ask
     ask_within: int
@@ -120,6 +122,10 @@
     hop: int
 
 
+class CloseIdle(NamedTuple):
+    host: int                       # close the connections to it that carry no hop
+
+
 class WatchList(NamedTuple):
     pass
 
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -22,7 +22,8 @@
 
 class Stage:
     def __init__(self, hosts, seed=1, elapsed=300, **terms):
-        agreed = dict(profiles=PROFILES, position=0, proxies=4, zone="a", cross_price=0.0, warm_keys=True,
+        agreed = dict(profiles=PROFILES, position=0, proxies=4, zone="a", cross_price=0.0,
+                      handshake_price=0.0, open_price=0.0, warm_keys=True,
                       list_on_request=True, ask_within=100_000, cold_share=0.2, cold_time=200_000,
                       fall_multiple=2.5, fall_time=30_000, max_hops=4, second_copies=False,
                       cancelling=False, come_back_max=20_000)
