--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -132,8 +132,7 @@
 
     def on_arrived(self, event):
         self.txs[event.tx] = Tx(event, self.now, self.terms.profiles[event.profile])
-        crowd = self.chance.random() * self.strain > ROOMY    # guards against more than the fleet can do
-        self.tell(event.tx, "hopeless" if crowd else "room")
+        self.tell(event.tx, "room")
 
     def on_timer(self, event):
         if event.mark == 0:
@@ -340,7 +339,8 @@
     def full(self):
         """Guards against many proxies that each hold but one hop at every host, and so crowd them all."""
         usual = self.quiet_out(self.sent)
-        return self.out >= 1.0 + ROOMY * usual + 2 * usual ** 0.5 and self.busy()
+        share = min(1.0, len(self.ready) / self.terms.proxies)
+        return self.out >= max(1.0, ROOMY * usual + share * (1 + 2 * usual ** 0.5)) and self.busy()
 
     def quiet_out(self, sent):
         """Hops that would be out, at the rate of these sends, if all were answered as in quiet times."""
