--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -106,7 +106,7 @@
         self.last_answer = now
         self.out, self.sent, self.warm_commits = 0, Window(agreement.fall_time), Window(agreement.fall_time)
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
-        self.lean, self.lean_next = 1.0, now
+        self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
         self.scarce_until = now     # when connections are no longer hard to get
         self.reset_rankings()
@@ -385,7 +385,7 @@
         if near and far and sum(near) / len(near) > BUSY * sum(far) / len(far):
             self.lean = max(1.0, self.lean / 1.5)
         elif self.strain < CROWDED:
-            self.lean = min(1.0 + 0 * self.terms.cross_price, self.lean * 1.5)
+            self.lean = min(1.0 + 100 * self.terms.cross_price, self.lean * 1.5)
         self.reset_rankings()
 
     def close_idle(self):
