--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -12,7 +12,7 @@
  2. Budget: a host, or the fleet, that holds its budget of our hops gets no more; transactions wait in line.
  3. Rest: a host whose answers tell of a crowd is left alone for a while, like a throttled one.
  4. Doubt: a host that is silent, or fails several keys, or comes back from a ban, is passed by or tried out.
- 5. Second look: a late hop that may be repeated gets a copy, or is cancelled and sent elsewhere.
+ 5. Second look: a late hop that may be repeated gets a copy, where two at once are allowed.
  6. Cold slice: a fresh host gets the share of keys, and of our usual traffic, that it can surely carry.
 """
 from bisect import bisect, insort
@@ -233,11 +233,11 @@
                     self.step(tx, "room")
 
     def second_look(self, tx):
-        """Still out after the usual time: a copy where two are allowed, else cancel and send elsewhere."""
-        once = tx.profile.kind == i.NON_IDEMPOTENT or len(tx.out) > 1
-        other = None if once else self.pick(tx, instead=True)
-        if other is not None and not (self.terms.second_copies and self.send(tx, other)):
-            self.call_back(tx)
+        """Still out after the usual time: a copy. Moving the hop instead would lose its work in every crowd."""
+        if self.terms.second_copies and tx.profile.kind != i.NON_IDEMPOTENT and len(tx.out) == 1:
+            other = self.pick(tx)
+            if other is not None:
+                self.send(tx, other)
 
     def settle(self, tx):
         """A hop called back may take its connection with it: none is while new ones are hard to get."""
@@ -255,12 +255,12 @@
         come_back = min(self.terms.come_back_max, tx.come_back)
         self.effects.append(i.RollBack(tx.id, come_back) if harmless else i.Abandon(tx.id))
 
-    def allowed(self, tx, server, instead=False):
-        """The rules: may this transaction go to this host now, or instead of where it is out?"""
+    def allowed(self, tx, server):
+        """The rules: may this transaction go to this host now?"""
         profile, line = tx.profile, server.line
         if not line.ready or self.now >= tx.hard_limit or len(tx.tried) >= self.terms.max_hops:
             return False
-        if tx.state == "done" or tx.out and not (self.terms.second_copies or instead):
+        if tx.state == "done" or tx.out and not self.terms.second_copies:
             return False
         if profile.kind != i.IDEMPOTENT and (tx.out or tx.ran):
             since, ran = min([(at, s.line) for s, at in tx.out.values()] + ([tx.ran] if tx.ran else []))
@@ -291,14 +291,14 @@
 
     # ---- the pick
 
-    def pick(self, tx, instead=False):
+    def pick(self, tx):
         best, banned, unbanned, reach = [], [], False, len(self.ready)
         if tx.key is not None and self.terms.warm_keys and self.busy() and self.now < tx.give_up:
             reach = REACH       # guards against keys strewn over hosts that don't know them and work more
         for server in self.ranking(tx.key):
             ban = server.banned_until > self.now
             unbanned |= not ban
-            if server.id in tx.tried or not self.allowed(tx, server, instead):
+            if server.id in tx.tried or not self.allowed(tx, server):
                 continue
             if ban:
                 banned.append(server)
@@ -308,7 +308,7 @@
                     best.append(server)
             if len(best) == 2 or not reach:
                 break
-        if not best and not unbanned and not instead:       # none unbanned: all ready ones count
+        if not best and not unbanned and not tx.out:       # none unbanned: all ready ones count
             best = [s for s in banned if len(s.out) < self.budget(s)][:2]
         if len(best) == 2 and len(best[0].out) == len(best[1].out):
             return best[0] if self.busy() else self.chance.choice(best)
@@ -471,9 +471,7 @@
 
     def late_after(self, tx):
         mean, deviation = self.usual[tx.kind]
-        goal = tx.profile.service_goal      # a copy costs less than a hop moved, which loses its work
-        latest = goal / 2 if self.terms.second_copies else max(mean, goal - mean - deviation)
-        return int(min(mean + 4 * deviation, latest))
+        return int(min(mean + 4 * deviation, tx.profile.service_goal / 2))
 
     def key_at_fault(self, tx, server):
         """Failures of one key at several hosts are the transaction's own."""
