--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -233,7 +233,7 @@
                     self.step(tx, "room")
 
     def second_look(self, tx):
-        """Still out after the usual time: a copy. Moving the hop instead would lose its work in every crowd."""
+        """Still out after the usual time: a copy. Moving the hop would lose its work in every crowd."""
         if self.terms.second_copies and tx.profile.kind != i.NON_IDEMPOTENT and len(tx.out) == 1:
             other = self.pick(tx)
             if other is not None:
@@ -339,8 +339,7 @@
     def full(self):
         """Guards against many proxies that each hold but one hop at every host, and so crowd them all."""
         usual = self.quiet_out(self.sent)
-        share = min(1.0, len(self.ready) / self.terms.proxies)
-        return self.out >= max(1.0, ROOMY * usual + share * (1 + 2 * usual ** 0.5)) and self.busy()
+        return self.out >= 1.0 + ROOMY * usual + 2 * usual ** 0.5 and self.busy()
 
     def quiet_out(self, sent):
         """Hops that would be out, at the rate of these sends, if all were answered as in quiet times."""
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -139,7 +139,7 @@
         self.assertLessEqual(len(cold.got), 50 * 0.2 * 2.5)     # a warm host's traffic, share, multiple
 
     def test_one_hop_at_a_time_where_copies_are_not_allowed(self):
-        """Late hops were cancelled and sent elsewhere, where all their work began again: a crowd fed on it."""
+        """Late hops were cancelled and sent elsewhere, all their work began again: a crowd fed on it."""
         stage = Stage(fleet(4, outcome=None), cancelling=True)
         stage.arrive()
         stage.wait(19_000)
