--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -339,7 +339,8 @@
     def full(self):
         """Guards against many proxies that each hold but one hop at every host, and so crowd them all."""
         usual = self.quiet_out(self.sent)
-        return self.out >= 1.0 + ROOMY * usual + 2 * usual ** 0.5 and self.busy()
+        spare = max(0.0, min(1.0, (CROWDED - self.strain) / (CROWDED - BUSY)))
+        return self.out >= max(1.0, ROOMY * usual + spare * (1 + 2 * usual ** 0.5)) and self.busy()
 
     def quiet_out(self, sent):
         """Hops that would be out, at the rate of these sends, if all were answered as in quiet times."""
