--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -436,9 +436,10 @@
 
     def weigh(self, server, tx, event, strain):
         server.strain += (strain - server.strain) * (0.5 if server.throttles else 0.1)
-        part = (self.now - self.last_answer) / self.terms.fall_time     # guards against few answers a second
-        self.strain += (strain - self.strain) * max(0.02, min(0.2, part))
-        self.last_answer = self.now
+        if event.outcome == i.COMMITTED:    # what hosts in trouble owe us tells nothing of the others
+            part = (self.now - self.last_answer) / self.terms.fall_time     # guards against few answers a second
+            self.strain += (strain - self.strain) * max(0.02, min(0.2, part))
+            self.last_answer = self.now
         if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
             self.back_off(server, tx, event)
         else:
