--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -104,7 +104,8 @@
         self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
         self.pace, self.last_commit = 0.0, now                  # time between our commits
         self.last_answer = now
-        self.out, self.sent, self.warm_commits = 0, Window(agreement.fall_time), Window(agreement.fall_time)
+        self.flying = {}            # hops out: (tx, hop) -> (server, sent at, late at); emptied as hops end
+        self.sent, self.warm_commits = Window(agreement.fall_time), Window(agreement.fall_time)
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
@@ -154,7 +155,7 @@
             return
         server, sent_at = tx.out.pop(event.hop)
         del server.out[tx.id, event.hop]
-        self.out -= 1
+        del self.flying[tx.id, event.hop]
         effect, ran = SORTED[event.outcome]
         if event.outcome in SPOKEN:
             server.heard = self.now
@@ -282,7 +283,7 @@
         server.sent.add(now)
         server.used = now
         self.sent.add(now)
-        self.out += 1
+        self.flying[tx.id, hop] = server, now, now + self.late_after(tx)
         self.quiet_mix += (self.quiet[tx.kind] - self.quiet_mix) * 0.05
         self.effects.append(i.SendHop(tx.id, server.id, tx.hard_limit - now))
         if now + self.late_after(tx) < tx.hard_limit:
@@ -326,7 +327,7 @@
 
     def budget(self, server):
         """Little's law: our hops at a host whose answers take ROOMY times as long as in quiet."""
-        share = FAIR * (self.out + 1) * server.line.weight * self.warmth(server) / self.weight
+        share = FAIR * (len(self.flying) + 1) * server.line.weight * self.warmth(server) / self.weight
         own = ROOMY * self.quiet_out(server.sent)
         loose = self.strain <= BUSY and not self.first_line or server.spare_until > self.now
         return max(1.0, share if loose else min(own, share))
@@ -340,7 +341,12 @@
         """Guards against many proxies that each hold but one hop at every host, and so crowd them all."""
         usual = self.quiet_out(self.sent)
         spare = max(0.0, min(1.0, (CROWDED - self.strain) / (CROWDED - BUSY)))
-        return self.out >= max(1.0, ROOMY * usual + spare * (1 + 2 * usual ** 0.5)) and self.busy()
+        most = max(1.0, ROOMY * usual + spare * (1 + 2 * usual ** 0.5))
+        if len(self.flying) < most or not self.busy():
+            return False
+        # guards against one hop at a silent host filling the budget until its hard limit
+        owed = sum(self.now >= late_at and s.heard <= at for s, at, late_at in self.flying.values())
+        return len(self.flying) - spare * owed >= most
 
     def quiet_out(self, sent):
         """Hops that would be out, at the rate of these sends, if all were answered as in quiet times."""
