--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -7,13 +7,13 @@
 apart from whether another hop is permitted; a key picks the less used by us of its two candidate hosts.
 
 Beside the design stand these mechanisms (docs/design.md says when each acts):
- 1. Ranking: a key's candidates lead a ranking by weight, which leans to the own zone and, when busy, to the
-    first candidate, whose keys are warm.
+ 1. Ranking: hosts by a key's claims; it leans to the own zone and, when busy, to the first candidate.
  2. Budget: a host, or the fleet, that holds its budget of our hops gets no more; transactions wait in line.
- 3. Rest: a host whose answers tell of a crowd is left alone for a while, like a throttled one.
- 4. Doubt: a host that is silent, or fails several keys, or comes back from a ban, is passed by or tried out.
- 5. Second look: a late hop that may be repeated gets a copy, where two at once are allowed.
- 6. Cold slice: a fresh host gets the share of keys, and of our usual traffic, that it can surely carry.
+ 3. Doubt: a host whose answers tell of a crowd rests like a throttled one; a silent one is passed by, one
+    that fails several keys is banned, one back from a ban or rest is tried out.
+ 4. Second look: a late hop that may be repeated gets a copy, where two at once are allowed.
+ 5. Cold slice: a fresh host gets the share of keys, and of our usual traffic, that it can surely carry.
+ 6. Idle connections are closed once keeping them costs more than a new one.
 """
 from bisect import bisect, insort
 from collections import OrderedDict
@@ -103,7 +103,6 @@
         self.level = list(self.quiet)       # the same, as of late
         self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
         self.pace, self.last_commit = 0.0, now                  # time between our commits
-        self.last_answer = now
         self.flying = {}            # hops out: (tx, hop) -> (server, sent at, late at); emptied as hops end
         self.sent, self.warm_commits = Window(agreement.fall_time), Window(agreement.fall_time)
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
@@ -157,8 +156,7 @@
         del server.out[tx.id, event.hop]
         del self.flying[tx.id, event.hop]
         effect, ran = SORTED[event.outcome]
-        if event.outcome in SPOKEN:
-            server.heard = self.now
+        server.heard = self.now if event.outcome in SPOKEN else server.heard
         if ran and (tx.ran is None or sent_at < tx.ran[0]):
             tx.ran = sent_at, server.line
         busy = (event.load or {}).get("busy")
@@ -176,13 +174,12 @@
     def on_listed(self, event):
         if event.answered:
             self.watching, self.asked, self.list_failures = True, False, 0
-        named = {line.host for line in event.hosts}
+        named, span = {line.host for line in event.hosts}, self.terms.fall_time
         for server in self.servers.values():
             if event.complete and server.id not in named:
                 server.line = server.line._replace(ready=False)
         for line in event.hosts:
-            server = self.servers.setdefault(line.host, None) or Server(line, self.terms.fall_time)
-            self.servers[line.host] = server
+            server = self.servers.get(line.host) or self.servers.setdefault(line.host, Server(line, span))
             if line.started is not None and line.started != server.line.started:
                 server.renew(line)
             server.line = line
@@ -194,8 +191,8 @@
         """It may also mean that the watch broke, so ask again, ever later, never all at once."""
         self.watching, self.asked = not self.terms.list_on_request, False
         self.list_failures = min(self.list_failures + 1, 3)
-        wait = self.terms.ask_within / 8 * 2 ** self.list_failures
-        self.effects.append(i.SetTimer(int(wait * (0.5 + self.chance.random() / 2)), 0))
+        wait = self.terms.ask_within / 8 * 2 ** self.list_failures * (0.5 + self.chance.random() / 2)
+        self.effects.append(i.SetTimer(int(wait), 0))
 
     def place(self, tx):
         """Send; or hold in line if a turn comes soon; else give up, and tell the client when to come back."""
@@ -210,9 +207,7 @@
         hope = not tx.tried or any(self.allowed(tx, s) for s in self.servers.values())
         turn, left = ahead * self.pace, tx.give_up - self.now
         tx.come_back = int(turn) if turn < left else tx.profile.service_goal    # back when its turn would be
-        costs = [q / p.revenue for q, p in zip(self.quiet, self.terms.profiles, strict=True)]
-        dear = costs[tx.kind] * len(costs) / sum(costs)     # time at hosts for its revenue, against the rest
-        return "held" if hope and PROMPT * dear * turn < left else "hopeless"
+        return "held" if hope and PROMPT * turn < left else "hopeless"
 
     def line_up(self, tx):
         """The shortest patience first: a short goal is lost behind long ones that could have waited."""
@@ -235,18 +230,13 @@
 
     def second_look(self, tx):
         """Still out after the usual time: a copy. Moving the hop would lose its work in every crowd."""
-        if self.terms.second_copies and tx.profile.kind != i.NON_IDEMPOTENT and len(tx.out) == 1:
-            other = self.pick(tx)
-            if other is not None:
-                self.send(tx, other)
+        other = self.pick(tx) if len(tx.out) == 1 else None
+        if other is not None:
+            self.send(tx, other)
 
     def settle(self, tx):
         """A hop called back may take its connection with it: none is while new ones are hard to get."""
-        if self.now >= self.scarce_until:
-            self.call_back(tx)
-
-    def call_back(self, tx):
-        if self.terms.cancelling:
+        if self.terms.cancelling and self.now >= self.scarce_until:
             self.effects += [i.CancelHop(tx.id, hop) for hop in tx.out]
 
     def answer(self, tx):
@@ -267,9 +257,7 @@
             since, ran = min([(at, s.line) for s, at in tx.out.values()] + ([tx.ran] if tx.ran else []))
             if profile.kind == i.NON_IDEMPOTENT or self.now >= since + profile.repeat_window:
                 return False
-            if profile.group == i.ZONE and line.zone != ran.zone:
-                return False
-            if profile.group == i.CELL and line.cell != ran.cell:
+            if {i.ZONE: line.zone != ran.zone, i.CELL: line.cell != ran.cell}.get(profile.group):
                 return False
         return server.fresh_from is None or server.sent.count(self.now) < self.slice(server)
 
@@ -286,7 +274,7 @@
         self.flying[tx.id, hop] = server, now, now + self.late_after(tx)
         self.quiet_mix += (self.quiet[tx.kind] - self.quiet_mix) * 0.05
         self.effects.append(i.SendHop(tx.id, server.id, tx.hard_limit - now))
-        if now + self.late_after(tx) < tx.hard_limit:
+        if self.terms.second_copies and tx.profile.kind != i.NON_IDEMPOTENT:
             self.effects.append(i.SetTimer(self.late_after(tx), tx.id + 2))
         return True
 
@@ -338,15 +326,12 @@
             self.first_line)
 
     def full(self):
-        """Guards against many proxies that each hold but one hop at every host, and so crowd them all."""
+        """Guards against many proxies with a hop or two each; one owed by a silent host does not count."""
         usual = self.quiet_out(self.sent)
         spare = max(0.0, min(1.0, (CROWDED - self.strain) / (CROWDED - BUSY)))
-        most = max(1.0, ROOMY * usual + spare * (1 + 2 * usual ** 0.5))
-        if len(self.flying) < most or not self.busy():
-            return False
-        # guards against one hop at a silent host filling the budget until its hard limit
         owed = sum(self.now >= late_at and s.heard <= at for s, at, late_at in self.flying.values())
-        return len(self.flying) - spare * owed >= most
+        most = max(1.0, ROOMY * usual + spare * (1 + 2 * usual ** 0.5))
+        return len(self.flying) - spare * owed >= most and self.busy()
 
     def quiet_out(self, sent):
         """Hops that would be out, at the rate of these sends, if all were answered as in quiet times."""
@@ -382,27 +367,22 @@
         self.lean_next = self.now + LEAN_EVERY
         known = [s for s in self.ready if s.banned_until <= self.now]
         warm = [s.line.weight for s in known if s.fresh_from is None]
-        rate = self.warm_commits.count(self.now) / sum(warm) if warm else 0.0
+        rate = self.warm_commits.count(self.now) / (sum(warm) or 1.0)
         if rate > self.usual_rate or len(warm) * 2 >= len(self.ready) and not self.busy():
             self.usual_rate += (rate - self.usual_rate) * 0.3   # in a crowd they commit less than they could
-        self.close_idle()
+        sends = max(1, self.sent.count(self.now)) * self.terms.proxies      # of all, as if each sent as we do
+        keep = self.terms.open_worth * len(self.ready) * self.terms.fall_time / sends
+        for server in self.servers.values():
+            if self.terms.open_worth and server.used and not server.out and self.now > server.used + keep:
+                server.used = None      # guards against tables of open connections filled by many proxies
+                self.effects.append(i.CloseIdle(server.id))
         near = [s.strain for s in known if s.line.zone == self.terms.zone]
         far = [s.strain for s in known if s.line.zone != self.terms.zone]
-        if near and far and sum(near) / len(near) > BUSY * sum(far) / len(far):
-            self.lean = max(1.0, self.lean / 1.5)
-        elif self.strain < CROWDED:
-            self.lean = min(1.0 + 100 * self.terms.cross_price, self.lean * 1.5)
+        slower = near and far and sum(near) / len(near) > BUSY * sum(far) / len(far)
+        most = 1.0 + 100 * self.terms.cross_price if self.strain < CROWDED else self.lean
+        self.lean = max(1.0, self.lean / 1.5) if slower else min(most, self.lean * 1.5)
         self.reset_rankings()
 
-    def close_idle(self):
-        """Guards against tables of open connections filled by many proxies that each need theirs seldom."""
-        rate = self.sent.count(self.now) * self.terms.proxies / self.terms.fall_time    # as if all had ours
-        for server in self.servers.values() if self.terms.open_price and rate else ():
-            worth = 100 * len(self.ready) * self.terms.handshake_price / self.terms.open_price / rate
-            if server.used and not server.out and self.now - server.used > worth:
-                server.used = None
-                self.effects.append(i.CloseIdle(server.id))
-
     # ---- cold hosts
 
     def warmth(self, server):
@@ -425,15 +405,18 @@
         server.timeouts, server.proven = 0, True
         server.erring *= 0.8
         self.failing.pop(tx.key, None)
-        self.pace += (self.now - self.last_commit - self.pace) * 0.1
-        self.last_commit = self.now
+        since, self.last_commit = self.now - self.last_commit, self.now
+        self.pace += (since - self.pace) * 0.1
         mean, deviation = self.usual[tx.kind]
         quiet, error = self.quiet[tx.kind], event.elapsed - mean
         self.level[tx.kind] += (event.elapsed - self.level[tx.kind]) * 0.01     # steady: few are very heavy
         gap = self.level[tx.kind] - quiet
         self.quiet[tx.kind] += gap * (0.02 if gap < 0 else 0.00005)
         self.usual[tx.kind] = mean + error * 0.05, deviation + (abs(error) - deviation) * 0.05
-        self.weigh(server, tx, event, min(10.0, event.elapsed / quiet))
+        strain = min(10.0, event.elapsed / quiet)
+        # by time, where answers are few; of commits only: what silent hosts owe is no crowd at the others
+        self.strain += (strain - self.strain) * max(0.02, min(0.2, since / self.terms.fall_time))
+        self.weigh(server, tx, event, strain)
         if server.fresh_from is None:
             self.warm_commits.add(self.now)
 
@@ -442,10 +425,6 @@
 
     def weigh(self, server, tx, event, strain):
         server.strain += (strain - server.strain) * (0.5 if server.throttles else 0.1)
-        if event.outcome == i.COMMITTED:    # what hosts in trouble owe us tells nothing of the others
-            part = (self.now - self.last_answer) / self.terms.fall_time     # guards against few answers a second
-            self.strain += (strain - self.strain) * max(0.02, min(0.2, part))
-            self.last_answer = self.now
         if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
             self.back_off(server, tx, event)
         else:
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -22,7 +22,6 @@
     group: str                      # repeat group and window: journalled only
     repeat_window: int
     service_goal: int
-    revenue: float                  # above 0
 
 
 class Agreement(NamedTuple):
@@ -32,8 +31,8 @@
     proxies: int
     zone: str
     cross_price: float              # points lost where every transaction crosses zones once, of 1
-    handshake_price: float          # the same where every transaction opens a connection
-    open_price: float               # the same where each host holds a hundred open connections; 0: free
+    open_worth: float               # open connections a host that cost what a new one for every transaction
+                                    # costs; 0: open ones are free
     warm_keys: bool                 # a host that met a key lately does less work for it
     list_on_request: bool           # the host list comes only to those who ask
     ask_within: int
--- a/basalthook/simwire/codec.py
+++ b/basalthook/simwire/codec.py
@@ -26,13 +26,13 @@
     rules, allowed, prices = setup["rules"], setup["allowed"], setup.get("prices", {})
     profiles = tuple(
         i.Profile(KINDS[p["effect"]], GROUPS[p.get("group") or "all"], p.get("repeat_window_ns", 0) // TENTH,
-                  p["service_goal_ns"] // TENTH, max(p.get("revenue", 1.0), 0.001))
+                  p["service_goal_ns"] // TENTH)
         for p in setup["profiles"])
     return i.Agreement(
         profiles=profiles, position=setup["position"], proxies=setup["balancers"], zone=setup.get("zone", ""),
         warm_keys=bool((setup.get("family_info") or {}).get("warm_keys")),
-        cross_price=prices.get("cross_zone", 0.0), handshake_price=prices.get("handshake", 0.0),
-        open_price=prices.get("connection", 0.0),
+        cross_price=prices.get("cross_zone", 0.0),
+        open_worth=100 * prices.get("handshake", 0.0) / (prices.get("connection") or float("inf")),
         list_on_request=setup["discovery"] == "on_request", ask_within=rules["ask_within_ns"] // TENTH,
         cold_share=rules["cold_from"], cold_time=up(rules["cold_ns"]), fall_multiple=rules["overload_factor"],
         fall_time=up(rules["fall_ns"]), max_hops=allowed["max_hops"],
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -4,11 +4,11 @@
 
 IDEMPOTENT, SCAN_CELL, NON_IDEMPOTENT, PUSH_ZONE, UPLOAD = range(5)
 PROFILES = (
-    i.Profile(i.IDEMPOTENT, i.EVERYWHERE, 50_000, 6_000, 1.0),
-    i.Profile(i.JOURNALLED, i.CELL, 6_000, 6_000, 2.0),
-    i.Profile(i.NON_IDEMPOTENT, i.EVERYWHERE, 50_000, 6_000, 5.0),
-    i.Profile(i.JOURNALLED, i.ZONE, 6_000, 6_000, 5.0),
-    i.Profile(i.JOURNALLED, i.EVERYWHERE, 6_000, 6_000, 5.0),
+    i.Profile(i.IDEMPOTENT, i.EVERYWHERE, 50_000, 6_000),
+    i.Profile(i.JOURNALLED, i.CELL, 6_000, 6_000),
+    i.Profile(i.NON_IDEMPOTENT, i.EVERYWHERE, 50_000, 6_000),
+    i.Profile(i.JOURNALLED, i.ZONE, 6_000, 6_000),
+    i.Profile(i.JOURNALLED, i.EVERYWHERE, 6_000, 6_000),
 )
 
 
@@ -22,10 +22,9 @@
 
 class Stage:
     def __init__(self, hosts, seed=1, elapsed=300, **terms):
-        agreed = dict(profiles=PROFILES, position=0, proxies=4, zone="a", cross_price=0.0,
-                      handshake_price=0.0, open_price=0.0, warm_keys=True,
-                      list_on_request=True, ask_within=100_000, cold_share=0.2, cold_time=200_000,
-                      fall_multiple=2.5, fall_time=30_000, max_hops=4, second_copies=False,
+        agreed = dict(profiles=PROFILES, position=0, proxies=4, zone="a", cross_price=0.0, open_worth=0.0,
+                      warm_keys=True, list_on_request=True, ask_within=100_000, cold_share=0.2,
+                      cold_time=200_000, fall_multiple=2.5, fall_time=30_000, max_hops=4, second_copies=False,
                       cancelling=False, come_back_max=20_000)
         agreed.update(terms)
         self.now, self.next, self.elapsed = 1_000_000, 0, elapsed
