--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -102,7 +102,7 @@
         self.quiet = [p.service_goal / 8 for p in agreement.profiles]   # latency with little waiting
         self.level = list(self.quiet)       # the same, as of late
         self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
-        self.pace, self.last_commit = 0.0, now                  # time between our commits
+        self.pace, self.last_commit, self.cores = 0.0, now, 1.0     # time between commits; cores reported busy
         self.flying = {}            # hops out: (tx, hop) -> (server, sent at, late at); emptied as hops end
         self.sent, self.warm_commits = Window(agreement.fall_time), Window(agreement.fall_time)
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
@@ -162,6 +162,7 @@
         busy = (event.load or {}).get("busy")
         if busy is not None:        # a fresh host that says it is idle has warmed further than it must have
             proof = server.proof * (1.05 if busy < SPARE else 0.95)
+            self.cores += (busy - self.cores) * 0.05
             server.proof = max(1.0, min(self.terms.fall_multiple, proof))
             server.spare_until = self.now + SPARE_FOR if busy < SPARE else server.spare_until
         at_fault = event.outcome in KEYED_FAILURES and self.key_at_fault(tx, server)
@@ -322,8 +323,7 @@
 
     def busy(self):
         """Answers are slow, or some wait: when they quicken the whole line must not go out at once."""
-        return self.strain > BUSY and not any(s.spare_until > self.now for s in self.ready) or bool(
-            self.first_line)
+        return self.strain > BUSY and self.cores > SPARE or bool(self.first_line)
 
     def full(self):
         """Guards against many proxies with a hop or two each; one owed by a silent host does not count."""
