--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -9,8 +9,7 @@
 Beside the design stand these mechanisms (docs/design.md says when each acts):
  1. Ranking: hosts by a key's claims; it leans to the own zone and, when busy, to the first candidate.
  2. Budget: a host, or the fleet, that holds its budget of our hops gets no more; transactions wait in line.
- 3. Doubt: a host whose answers tell of a crowd rests like a throttled one; a silent one is passed by, one
-    that fails several keys is banned, one back from a ban or rest is tried out.
+ 3. Doubt: crowded hosts rest, silent ones are passed by, failing ones banned, returning ones tried out.
  4. Second look: a late hop that may be repeated gets a copy, where two at once are allowed.
  5. Cold slice: a fresh host gets the share of keys, and of our usual traffic, that it can surely carry.
  6. Idle connections are closed once keeping them costs more than a new one.
@@ -69,7 +68,7 @@
 
     def __init__(self, line, span):
         self.id, self.heard, self.sent = line.host, 0, Window(span)
-        self.out = {}               # (tx, hop) -> sent at, late after; emptied as hops end
+        self.out = {}               # the same of this host's hops; emptied as they end
         self.used = None            # when a hop last went out on a connection that may still be open
         self.renew(line)
 
@@ -103,7 +102,7 @@
         self.level = list(self.quiet)       # the same, as of late
         self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
         self.pace, self.last_commit, self.cores = 0.0, now, 1.0     # time between commits; cores said busy
-        self.flying = {}            # hops out: (tx, hop) -> (server, sent at, late at); emptied as hops end
+        self.flying = {}            # hops out: (tx, hop) -> server, sent at, late after; emptied as they end
         self.sent, self.warm_commits = Window(agreement.fall_time), Window(agreement.fall_time)
         self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
@@ -268,11 +267,10 @@
         hop, now = len(tx.tried), self.now
         tx.tried.append(server.id)
         tx.out[hop] = (server, now)
-        server.out[tx.id, hop] = now, self.late_after(tx)
+        server.out[tx.id, hop] = self.flying[tx.id, hop] = server, now, self.late_after(tx)
         server.sent.add(now)
         server.used = now
         self.sent.add(now)
-        self.flying[tx.id, hop] = server, now, now + self.late_after(tx)
         self.quiet_mix += (self.quiet[tx.kind] - self.quiet_mix) * 0.05
         self.effects.append(i.SendHop(tx.id, server.id, tx.hard_limit - now))
         if self.terms.second_copies and tx.profile.kind != i.NON_IDEMPOTENT:
@@ -311,7 +309,7 @@
             return bool(server.out) or tx.profile.kind == i.NON_IDEMPOTENT      # only what may be repeated
         if not server.out:
             return False        # else guards against hosts that went silent or stand still
-        sent_at, late_after = next(iter(server.out.values()))   # by its own measure, not by this one's
+        _, sent_at, late_after = next(iter(server.out.values()))   # by its own measure, not by this one's
         return self.now - max(server.heard, sent_at) >= late_after
 
     def budget(self, server):
@@ -329,7 +327,7 @@
         """Guards against many proxies with a hop or two each; one owed by a silent host does not count."""
         usual = self.quiet_out(self.sent)
         spare = max(0.0, min(1.0, (CROWDED - self.strain) / (CROWDED - BUSY)))
-        owed = sum(self.now >= late_at and s.heard <= at for s, at, late_at in self.flying.values())
+        owed = sum(self.now - at >= late and s.heard <= at for s, at, late in self.flying.values())
         most = max(1.0, ROOMY * usual + spare * (1 + 2 * usual ** 0.5))
         return len(self.flying) - spare * owed >= most and self.busy()
 
@@ -424,7 +422,9 @@
         self.weigh(server, tx, event, max(server.strain, min(10.0, event.elapsed / self.quiet[tx.kind])))
 
     def weigh(self, server, tx, event, strain):
-        server.strain += (strain - server.strain) * (0.5 if server.throttles else 0.1)
+        # a proxy among more than there are hosts meets each seldom: what was given up on must tell at once
+        lost = event.outcome != i.COMMITTED and self.terms.proxies > len(self.ready)
+        server.strain += (strain - server.strain) * (0.5 if server.throttles or lost else 0.1)
         if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
             self.back_off(server, tx, event)
         else:
