--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -83,9 +83,8 @@
     def __init__(self, event, now, profile):
         self.id, self.key, self.kind, self.profile = event.tx, event.key, event.profile, profile
         self.hard_limit, self.goal = now + event.patience, now + min(event.patience, profile.service_goal)
-        self.state, self.tried, self.give_up = "waiting", [], self.goal     # hosts met; end of waiting
+        self.state, self.tried, self.give_up, self.come_back = "waiting", [], self.goal, profile.service_goal
         self.out = {}               # hop -> (server, sent at)
-        self.come_back = profile.service_goal
         self.ran = None             # sent at and host line of the earliest hop that may have run
 
 
@@ -433,7 +432,8 @@
     def timed_out(self, server, tx, event):
         self.slow(server, tx, event)
         server.timeouts += 1
-        if server.timeouts >= TIMEOUT_RUN:
+        # fewer where proxies outnumber hosts: a proxy that meets a host seldom sees no run in time
+        if server.timeouts * self.terms.proxies >= TIMEOUT_RUN * min(len(self.ready), self.terms.proxies):
             self.ban(server, tx, event)
 
     def erred(self, server, tx, event):
