--- a/tests/fake.py
+++ b/tests/fake.py
@@ -73,5 +73,18 @@
             self.tell(i.TimerDue(due[0][1]))
         self.now = max(self.now, until)
 
+    def many(self, count, profile=IDEMPOTENT, key=None):
+        """So many arrive, each with a key of its own or all with this one."""
+        for n in range(count):
+            self.arrive(profile, key=n if key is None else key)
+
+    def turn(self, outcome):
+        for host in self.hosts.values():
+            host.outcome = outcome
+
+    def crowd(self, strain):
+        self.wait(30_000)
+        self.proxy.strain = strain
+
     def sends(self):
         return [e.host for e in self.record if isinstance(e, i.SendHop)]
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -17,8 +17,7 @@
         sent = len(stage.sends())
         stage.arrive(key=5)
         self.assertEqual(len(stage.sends()), sent)          # all backed off: it waits
-        for host in hosts:
-            host.outcome = i.COMMITTED
+        stage.turn(i.COMMITTED)
         stage.wait(5_000)
         self.assertEqual(stage.answers[1], i.COMMITTED)     # a ban would have lasted longer
 
@@ -28,8 +27,7 @@
         stage.arrive(key=5)
         self.assertEqual(stage.answers[0], i.RollBack)
         self.assertEqual(len(stage.sends()), 2)
-        for host in hosts:
-            host.outcome = i.COMMITTED
+        stage.turn(i.COMMITTED)
         for n in range(20):
             stage.arrive(key=100 + n)
         self.assertEqual(len(set(stage.sends()[2:])), 4)    # and no host was banned for it
@@ -38,8 +36,7 @@
         bad, *others = hosts = fleet(3)
         stage = Stage(hosts)
         for bad.outcome, wait in ((i.UNREACHABLE, 110_000), (i.COMMITTED, 0)):
-            for n in range(20):
-                stage.arrive(key=n)
+            stage.many(20)
             if wait:
                 self.assertEqual(len(bad.got), 1)
             stage.wait(wait)
@@ -59,8 +56,7 @@
 
     def test_a_key_stays_with_its_two_candidates(self):
         stage = Stage(fleet(6))
-        for _ in range(30):
-            stage.arrive(key=9)
+        stage.many(30, key=9)
         self.assertEqual(len(set(stage.sends())), 2)
 
     def test_equal_seeds_act_alike(self):
@@ -129,15 +125,12 @@
     def test_a_cold_host_is_not_pushed_over_though_all_others_are_banned(self):
         hosts = fleet(4)
         stage = Stage(hosts, elapsed=30)
-        for n in range(200):
-            stage.arrive(key=n)
+        stage.many(200)
         cold = FakeHost(9, started=stage.now)
         stage.hosts[9] = cold
         stage.tell(i.HostsListed((cold.line,), False, True))
-        for host in hosts:
-            host.outcome = i.UNREACHABLE
-        for n in range(200):
-            stage.arrive(key=n)
+        stage.turn(i.UNREACHABLE)
+        stage.many(200)
         self.assertLessEqual(len(cold.got), 50 * 0.2 * 2.5)     # a warm host's traffic, share, multiple
 
     def test_one_hop_at_a_time_where_copies_are_not_allowed(self):
@@ -160,8 +153,7 @@
             stage.arrive(key=1)
         stage.now += 6_000
         before = list(hosts[0].got)
-        for _ in range(20):
-            stage.arrive(NON_IDEMPOTENT, key=1)
+        stage.many(20, NON_IDEMPOTENT, key=1)
         self.assertEqual(hosts[0].got, before)
 
     def test_a_late_hop_gets_a_copy_and_the_loser_is_called_back(self):
@@ -171,23 +163,19 @@
         self.assertEqual(len(set(stage.sends())), 2)
         stage.end(0, 1, stage.sends()[1], i.COMMITTED)
         self.assertIn(i.CancelHop(0, 0), stage.record)
+        stage.arrive(NON_IDEMPOTENT)
+        stage.wait(19_000)
+        self.assertEqual(len(stage.sends()), 3)             # never for what must not run twice
 
     def test_no_copy_is_called_back_while_connections_are_hard_to_get(self):
         """Hosts took no new connections but served the open ones, which hops called back closed."""
-        hosts = fleet(3, outcome=None)
-        stage = Stage(hosts, second_copies=True, cancelling=True)
+        stage = Stage(fleet(3, outcome=None), second_copies=True, cancelling=True)
         stage.arrive()
         stage.end(0, 0, stage.sends()[0], i.UNREACHABLE)
         stage.wait(6_000)
         stage.end(0, 2, stage.sends()[2], i.COMMITTED)
         self.assertEqual([e for e in stage.record if isinstance(e, i.CancelHop)], [])
 
-    def test_a_late_hop_that_must_not_run_twice_gets_no_copy(self):
-        stage = Stage(fleet(3, outcome=None), second_copies=True, cancelling=True)
-        stage.arrive(NON_IDEMPOTENT)
-        stage.wait(19_000)
-        self.assertEqual(len(stage.sends()), 1)
-
     def test_list_is_asked_again_after_a_failure_never_twice_at_once(self):
         stage = Stage(fleet(1))
         stage.tell(i.ListFailed())
@@ -210,8 +198,7 @@
         bad, *_ = hosts = fleet(4)
         bad.outcome = i.ERROR
         stage = Stage(hosts)
-        for key in range(60):
-            stage.arrive(key=key)
+        stage.many(60)
         self.assertLessEqual(len(bad.got), 3)
 
     def test_a_host_whose_hops_are_all_called_back_rests(self):
@@ -230,10 +217,8 @@
     def test_one_hop_at_a_silent_host_does_not_stop_a_proxy_of_little_traffic(self):
         """One of 290 proxies: one hop out, at a silent host, had all else refused until its hard limit."""
         stage = Stage(fleet(6, outcome=None), proxies=290)
-        stage.wait(30_000)
-        stage.proxy.strain = 1.3
-        for key in range(2):
-            stage.arrive(NON_IDEMPOTENT, key=key)
+        stage.crowd(1.3)
+        stage.many(2, NON_IDEMPOTENT)
         stage.wait(3_500)
         for strain, sent in ((3.0, 2), (1.3, 3)):           # not so in a crowd, where all hops are late
             stage.proxy.strain = strain
@@ -258,8 +243,7 @@
     def test_what_waits_still_ends_when_estimates_move(self):
         """The end of waiting was worked out anew at its timer, which could find it still to come."""
         stage = Stage(fleet(1, outcome=None))
-        stage.proxy.strain = 2.0
-        stage.wait(30_000)
+        stage.crowd(2.0)
         stage.arrive()
         waiting = stage.arrive()
         stage.proxy.usual[IDEMPOTENT] = (1, 1)
@@ -269,8 +253,7 @@
     def test_short_goals_go_first_in_line(self):
         hosts = fleet(1, outcome=None)
         stage = Stage(hosts)
-        stage.proxy.strain = 2.0
-        stage.wait(30_000)
+        stage.crowd(2.0)
         held = stage.arrive()
         patient, hasty = stage.arrive(patience=20_000), stage.arrive(patience=3_000)
         stage.end(held, 0, 0, i.COMMITTED)
@@ -281,21 +264,17 @@
     def test_while_busy_a_key_waits_for_its_two_hosts(self):
         """Keys strewn over hosts that don't know them made a crowd feed on itself."""
         stage = Stage(fleet(6))
-        for _ in range(200):
-            stage.arrive(key=9)
+        stage.many(200, key=9)
         homes = set(stage.sends())
         stage.proxy.strain = 2.0
-        for host in stage.hosts.values():
-            host.outcome = None
-        for _ in range(12):
-            stage.arrive(key=9)
+        stage.turn(None)
+        stage.many(12, key=9)
         self.assertEqual(set(stage.sends()), homes)
 
     def test_own_zone_is_leant_to_by_the_price_of_crossing(self):
         def near(price):
             stage = Stage([FakeHost(n, zone="ab"[n % 2]) for n in range(8)], cross_price=price)
-            for key in range(300):
-                stage.arrive(key=key)
+            stage.many(300)
             return sum(host % 2 == 0 for host in stage.sends())
         self.assertLess(near(0.0), 200)
         self.assertGreater(near(0.1), 250)
@@ -316,23 +295,20 @@
         bad, good = hosts = fleet(2)
         bad.outcome = i.UNREACHABLE
         stage = Stage(hosts)
-        for key in range(10):
-            stage.arrive(key=key)
+        stage.many(10)
         bad.outcome = i.COMMITTED
         stage.wait(101_000)
         before = len(bad.got)
-        for key in range(10):
-            stage.arrive(NON_IDEMPOTENT, key=key)
+        stage.many(10, NON_IDEMPOTENT)
         self.assertEqual(len(bad.got), before)
-        for key in range(10):
-            stage.arrive(key=key)
+        stage.many(10)
         self.assertGreater(len(bad.got), before)
 
     def test_no_turn_soon_is_told_at_once_and_when_to_come_back(self):
         """Long lines served everyone at the last moment; a stay of a whole goal made every retry late."""
         stage = Stage(fleet(1, outcome=None))
-        stage.proxy.strain, stage.proxy.pace = 2.0, 600
-        stage.wait(30_000)
+        stage.crowd(2.0)
+        stage.proxy.pace = 600
         for _ in range(6):
             stage.arrive()
         self.assertIn(i.RollBack, stage.answers.values())
