--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -377,24 +377,24 @@
         far = [s.strain for s in known if s.line.zone != self.terms.zone]
         slower = near and far and sum(near) / len(near) > BUSY * sum(far) / len(far)
         most = 1.0 + 100 * self.terms.cross_price if self.strain < CROWDED else self.lean
-        self.lean = max(1.0, self.lean / 1.5) if slower else min(most, self.lean * 1.5)
-        self.reset_rankings()
+        lean, self.lean = self.lean, max(1.0, self.lean / 1.5) if slower else min(most, self.lean * 1.5)
+        if lean != self.lean:
+            self.reset_rankings()
 
     # ---- cold hosts
 
     def warmth(self, server):
-        """The share of its capacity that a host has for sure."""
+        """The share that a host can carry for sure, a fresh one without knowing a key."""
         if server.fresh_from is None:
             return 1.0
         age = max(0, self.now - server.fresh_from) / self.terms.cold_time
-        if age >= 1.0:
-            server.fresh_from = None
-        return min(1.0, (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * server.proof)
+        server.fresh_from = None if age >= 1.0 else server.fresh_from
+        share = (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * server.proof
+        return min(1.0, share * min(1.0, self.terms.fall_multiple / COLD_KEYS))
 
     def slice(self, server):
-        """Hops that a fresh host may get in a fall window: its sure share of what a warm one gets from us."""
-        share = self.warmth(server) * min(1.0, self.terms.fall_multiple / COLD_KEYS)
-        return max(1.0, self.usual_rate * server.line.weight * share)
+        """Hops that a fresh host may get in a fall window: its share of what a warm one gets from us."""
+        return max(1.0, self.usual_rate * server.line.weight * self.warmth(server))
 
     # ---- health: what an outcome does to its host
 
