--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -15,7 +15,7 @@
  6. Idle connections are closed once keeping them costs more than a new one.
 """
 from bisect import bisect, insort
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from random import Random
 
 from . import interface as i
@@ -67,9 +67,8 @@
     """What this proxy knows of one host; dropped when it has left the list and no hop is out."""
 
     def __init__(self, line, span):
-        self.id, self.heard, self.sent = line.host, 0, Window(span)
+        self.id, self.heard, self.sent, self.used = line.host, 0, Window(span), None
         self.out = {}               # the same of this host's hops; emptied as they end
-        self.used = None            # when a hop last went out on a connection that may still be open
         self.renew(line)
 
     def renew(self, line):
@@ -84,8 +83,7 @@
         self.id, self.key, self.kind, self.profile = event.tx, event.key, event.profile, profile
         self.hard_limit, self.goal = now + event.patience, now + min(event.patience, profile.service_goal)
         self.state, self.tried, self.give_up, self.come_back = "waiting", [], self.goal, profile.service_goal
-        self.out = {}               # hop -> (server, sent at)
-        self.ran = None             # sent at and host line of the earliest hop that may have run
+        self.out, self.ran = {}, None   # hop -> (server, sent at); the same, as a line, of what may have run
 
 
 class Proxy:
@@ -103,7 +101,7 @@
         self.pace, self.last_commit, self.cores = 0.0, now, 1.0     # time between commits; cores said busy
         self.flying = {}            # hops out: (tx, hop) -> server, sent at, late after; emptied as they end
         self.sent, self.warm_commits = Window(agreement.fall_time), Window(agreement.fall_time)
-        self.usual_rate = 0.0       # what a warm host of weight 1 commits for us in a fall window
+        self.usual_rate, self.lately = 0.0, deque(maxlen=64)    # commits of a warm host a fall window; keys
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
         self.scarce_until = now     # when connections are no longer hard to get
@@ -129,7 +127,9 @@
     # ---- events
 
     def on_arrived(self, event):
-        self.txs[event.tx] = Tx(event, self.now, self.terms.profiles[event.profile])
+        tx = self.txs[event.tx] = Tx(event, self.now, self.terms.profiles[event.profile])
+        tx.luck = self.chance.random() if event.key in self.lately else 0.0     # a key met often needs luck
+        self.lately.append(event.key)
         self.tell(event.tx, "room")
 
     def on_timer(self, event):
@@ -258,7 +258,10 @@
                 return False
             if {i.ZONE: line.zone != ran.zone, i.CELL: line.cell != ran.cell}.get(profile.group):
                 return False
-        return server.fresh_from is None or server.sent.count(self.now) < self.slice(server)
+        # a fresh host's share; luck guards against one hop each of hundreds of proxies with one hot key
+        most = self.usual_rate * line.weight * self.warmth(server)
+        return server.fresh_from is None or tx.luck <= COLD_KEYS * most and (
+            server.sent.count(self.now) < max(1.0, most))
 
     def send(self, tx, server):
         if not self.allowed(tx, server):
@@ -392,10 +395,6 @@
         share = (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * server.proof
         return min(1.0, share * min(1.0, self.terms.fall_multiple / COLD_KEYS))
 
-    def slice(self, server):
-        """Hops that a fresh host may get in a fall window: its share of what a warm one gets from us."""
-        return max(1.0, self.usual_rate * server.line.weight * self.warmth(server))
-
     # ---- health: what an outcome does to its host
 
     def sound(self, server, tx, event):
@@ -444,8 +443,8 @@
             self.ban(server, tx, event)
 
     def ban(self, server, tx, event):
-        server.banned_until, server.timeouts, server.erring = self.now + COOLDOWN, 0, 0.0
-        server.proven = False
+        server.banned_until, server.timeouts = self.now + COOLDOWN, 0
+        server.erring, server.proven = 0.0, False
         if event.outcome == i.UNREACHABLE:
             self.scarce_until = server.banned_until
         self.effects.append(i.SetTimer(COOLDOWN, 1))
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -144,6 +144,21 @@
         self.assertEqual(len(stage.sends()), 2)
 
 
+    def test_one_hot_key_at_hundreds_of_proxies_does_not_push_over_a_cold_host(self):
+        """277 proxies each gave a fresh host one hop in a fall window, all of the same key: it fell."""
+        took = 0
+        for seed in range(100):
+            cold = FakeHost(1, started=990_000)
+            stage = Stage([FakeHost(0), cold], seed=seed, proxies=277)
+            stage.proxy.usual_rate = 0.1
+            stage.arrive(key=5)
+            del cold.got[:]
+            stage.now += 40_000
+            stage.hosts[0].outcome = i.UNREACHABLE
+            stage.arrive(key=5)
+            took += len(cold.got)
+        self.assertLess(took, 30)
+
 class Departures(unittest.TestCase):
     def test_a_silent_host_is_passed_by(self):
         hosts = fleet(2)
