--- /dev/null
+++ b/basalthook/program/__init__.py
@@ -0,0 +1,1 @@
+"""The program: commands, the start-up file, the log, signals."""
--- /dev/null
+++ b/basalthook/program/startup.py
@@ -0,0 +1,64 @@
+"""What this proxy is told at start: the start-up file, or else single variables, decoded once."""
+import os
+import resource
+from typing import NamedTuple
+
+import orjson
+
+from .. import terms
+from ..policy import interface as i
+from ..protocol import catalogue
+
+
+class StartUp(NamedTuple):
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    agreed: i.Agreement
+    profiles: dict[str, int]
+    connect_seconds: float
+    idle_seconds: float
+    longest_patience: float             # seconds: the longest hard limit of a profile
+    known: catalogue.Listing
+
+
+class BadStart(Exception):
+    """Says in one line what is wrong."""
+
+
+def read(path: str, environ=os.environ) -> StartUp:
+    try:
+        with open(path, "rb") as file:
+            told = orjson.loads(file.read())
+    except OSError as fault:
+        raise BadStart(f"cannot read {path}: {fault.strerror}") from None
+    except orjson.JSONDecodeError as fault:
+        raise BadStart(f"{path} is no JSON: {fault}") from None
+    try:
+        return decode(told, environ)
+    except KeyError as fault:
+        raise BadStart(f"{path}: {fault.args[0]!r} is missing or not known") from None
+    except (ValueError, TypeError, AttributeError) as fault:
+        raise BadStart(f"{path}: {fault}") from None
+
+
+def decode(told: dict, environ) -> StartUp:
+    setup, allowed = told["settings"], told["settings"]["allowed"]
+    listed = told.get("known") or {"version": 0, "full": True, "servers": []}
+    known = catalogue.listing(listed)
+    if known is None:
+        raise ValueError("'known' is no list of hosts")
+    ours = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    seed = told.get("seed", 0)
+    return StartUp(
+        name=str(told.get("name") or environ.get("RELAY_NAME") or "proxy"),
+        listen=catalogue.address(told.get("listen") or environ["RELAY_LISTEN"]),
+        discovery=catalogue.address(told.get("discovery") or environ["RELAY_DISCOVERY"]),
+        seed=int(seed, 16) if isinstance(seed, str) else int(seed),
+        sockets=min(ours, int(told.get("limits", {}).get("sockets") or ours)),
+        agreed=terms.agreement(setup), profiles=terms.profiles(setup),
+        connect_seconds=allowed["connect_timeout_ns"] / 1e9,
+        idle_seconds=allowed.get("keepalive_ns", 0) / 1e9,
+        longest_patience=max(p["hard_limit_ns"] for p in setup["profiles"]) / 1e9, known=known)
--- /dev/null
+++ b/basalthook/protocol/application.py
@@ -0,0 +1,74 @@
+"""What the application beside this proxy asks, and what it is answered."""
+import re
+from typing import NamedTuple
+
+from . import http1
+from .http1 import Malformed, Message
+
+HEALTH = "/_health"
+SECONDS = re.compile(r"\d{1,9}(\.\d{1,12})?")
+TIMEOUT_MOST = 3600.0
+KEY_COOKIE = "k"
+# Fields that speak of one connection only; lengths are written anew on each.
+OF_ONE_CONNECTION = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
+                     "upgrade", "content-length", "expect"}
+PER_HOP = OF_ONE_CONNECTION | {"request-timeout"}
+
+
+class Asked(NamedTuple):
+    """A transaction as the application sent it."""
+    profile: int
+    key: str | None
+    timeout: float                  # seconds
+    message: Message
+
+
+def end_to_end(message: Message, dropped: set[str]) -> list[tuple[str, str]]:
+    named = {o.strip().lower() for n, v in message.fields if n == "connection" for o in v.split(",")}
+    return [(n, v) for n, v in message.fields if n not in dropped and n not in named]
+
+
+def asked(message: Message, profiles: dict[str, int]) -> Asked | Malformed:
+    if message.method not in ("GET", "POST"):
+        return Malformed(405, "method not allowed")
+    name = message.field("request-class") or message.target.split("?", 1)[0].split("/")[1:2]
+    profile = profiles.get(name if isinstance(name, str) else "".join(name))
+    if profile is None:
+        return Malformed(404, "unknown class")
+    timeout = message.field("request-timeout") or ""
+    if not SECONDS.fullmatch(timeout) or not 0 < float(timeout) <= TIMEOUT_MOST:
+        return Malformed(400, "no usable Request-Timeout")
+    if not message.field("request-id"):
+        return Malformed(400, "no Request-Id")
+    return Asked(profile, key(message), float(timeout), message)
+
+
+def key(message: Message) -> str | None:
+    """What the transaction is about."""
+    for name, value in message.fields:
+        if name == "cookie":
+            for crumb in value.split(";"):
+                mark, _, word = crumb.strip().partition("=")
+                if mark == KEY_COOKIE and word:
+                    return word
+    return None
+
+
+def committed(message: Message, keep: bool) -> bytes:
+    """A host's answer, its body unchanged."""
+    return http1.response(200, end_to_end(message, OF_ONE_CONNECTION), message.body, keep)
+
+
+def rolled_back(come_back: float, keep: bool) -> bytes:
+    """Trying again is harmless; after so many seconds, if there are any."""
+    after = [("Retry-After", f"{come_back:.3f}")] if come_back else []
+    return http1.response(503, after, b"", keep)
+
+
+def abandoned(late: bool, keep: bool) -> bytes:
+    """Nothing is assured."""
+    return http1.response(504 if late else 502, [], b"", keep)
+
+
+def told(status: int, text: str, keep: bool) -> bytes:
+    return http1.response(status, [("Content-Type", "text/plain")], text.encode() + b"\n", keep)
--- /dev/null
+++ b/basalthook/protocol/catalogue.py
@@ -0,0 +1,65 @@
+"""Discovery's messages: the call for the host list, and the lists that come back."""
+import ipaddress
+from typing import NamedTuple
+
+import orjson
+
+from . import http1
+
+PATH = "/catalog/members"
+BODY_MOST = 4 * 1024 * 1024
+READY = {"up": True, "draining": False, "removed": False}
+
+
+class Line(NamedTuple):
+    id: str
+    address: tuple[str, int]
+    zone: str
+    cell: int
+    ready: bool
+    removed: bool
+    weight: float
+    started_ns: int
+
+
+class Listing(NamedTuple):
+    version: int
+    complete: bool
+    lines: tuple[Line, ...]
+
+
+def call(host: str, version: int, wait_ms: int) -> bytes:
+    """A watch for what is newer than this version."""
+    return http1.request("GET", f"{PATH}?index={version}&wait={wait_ms}", [("Host", host)])
+
+
+def address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    host = str(ipaddress.ip_address(host.strip("[]")))
+    if not 0 < int(port) < 65536:
+        raise ValueError(f"no port: {text}")
+    return host, int(port)
+
+
+def line(entry: dict) -> Line:
+    return Line(str(entry["id"]), address(entry["addr"]), str(entry.get("zone") or ""),
+                int(entry.get("cell") or 0), READY[entry["state"]], entry["state"] == "removed",
+                float(entry.get("weight") or 1.0), int(entry.get("started_ms") or 0) * 1_000_000)
+
+
+def listing(found: dict) -> Listing | None:
+    """None for what is no whole, sound list: a part of one would be followed as if it were all."""
+    try:
+        lines = tuple(line(entry) for entry in found["servers"])
+        if not all(entry.id and entry.weight > 0 for entry in lines):
+            return None
+        return Listing(int(found["version"]), bool(found["full"]), lines)
+    except (ValueError, TypeError, KeyError, AttributeError, OverflowError):
+        return None
+
+
+def read(body: bytes) -> Listing | None:
+    try:
+        return listing(orjson.loads(body))
+    except orjson.JSONDecodeError:
+        return None
--- /dev/null
+++ b/basalthook/protocol/http1.py
@@ -0,0 +1,226 @@
+"""An incremental HTTP/1.1 parser and a writer. Bytes in, messages out; no I/O.
+
+Strict where leniency would let two readers see two different messages: line ends, lengths, transfer codings.
+"""
+import re
+from typing import NamedTuple
+
+HEAD_MOST = 16 * 1024
+BODY_MOST = 64 * 1024
+LINE_MOST = 256             # of a chunk's size line
+TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+REQUEST_LINE = re.compile(rb"(" + TOKEN + rb") ([\x21-\x7e]+) HTTP/(\d)\.(\d)")
+STATUS_LINE = re.compile(rb"HTTP/(\d)\.(\d) (\d{3})(?: [\t\x20-\x7e\x80-\xff]*)?")
+FIELD = re.compile(rb"(" + TOKEN + rb"):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*")
+LENGTH = re.compile(r"[0-9]{1,18}")
+CHUNK = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
+NO_BODY = {204, 304}
+
+
+class Message(NamedTuple):
+    """A whole message; its fields as they came, names in lower case."""
+    method: str                     # requests
+    target: str
+    status: int                     # responses
+    fields: tuple[tuple[str, str], ...]
+    body: bytes
+    keep: bool                      # the connection can be used again
+    delimited: bool                 # its own framing told where it ends, not the connection's end
+
+    def field(self, name: str) -> str | None:
+        """The first of this name."""
+        return next((value for n, value in self.fields if n == name), None)
+
+
+class Malformed(NamedTuple):
+    status: int                     # what a server answers to it
+    reason: str
+
+
+class Parser:
+    """Feed it bytes; `found` is then a whole `Message`, `Malformed`, or None while more is needed.
+
+    Bytes past the end of a message stay in `rest`; `again` starts on the next message.
+    """
+
+    def __init__(self, responses: bool, body_most: int = BODY_MOST) -> None:
+        self.responses, self.body_most = responses, body_most
+        self.rest = bytearray()
+        self.again()
+
+    def again(self) -> None:
+        self.found: Message | Malformed | None = None
+        self.started = bool(self.rest)
+        self.body, self.need, self.seen = bytearray(), 0, 0
+        self.head: tuple | None = None
+        self.state = self._head
+
+    def feed(self, data) -> None:
+        self.rest += data
+        self.started = self.started or bool(self.rest)
+        while self.found is None and self.state():
+            pass
+
+    def end(self) -> None:
+        """The connection has ended."""
+        if self.found is None and self.head is not None and self.state == self._to_the_end:
+            self._finish(keep=False, delimited=False)
+
+    @property
+    def awaits_body(self) -> bool:
+        """The head is there and asks to be told before the body is sent."""
+        return self.found is None and self.head is not None and not self.body and not self.rest and any(
+            n == "expect" and v.lower() == "100-continue" for n, v in self.head[3])
+
+    # ---- the states: each takes what it can from `rest` and says whether another look is worth while
+
+    def _head(self) -> bool:
+        while not self.seen and self.rest[:2] == b"\r\n":
+            del self.rest[:2]           # an empty line before a message is passed over
+        at = self.rest.find(b"\r\n\r\n", max(0, self.seen - 3))
+        if at < 0 or at + 4 > HEAD_MOST:
+            self.seen = len(self.rest)
+            return self._bad(431, "head too long") if self.seen > HEAD_MOST or at >= 0 else False
+        lines = bytes(self.rest[:at]).split(b"\r\n")
+        del self.rest[:at + 4]
+        line = (STATUS_LINE if self.responses else REQUEST_LINE).fullmatch(lines[0])
+        if line is None:
+            return self._bad(400, "no start line")
+        fields = []
+        for raw in lines[1:]:
+            field = FIELD.fullmatch(raw)
+            if field is None:
+                return self._bad(400, "bad field line")
+            fields.append((field[1].decode().lower(), field[2].decode("latin-1")))
+        return self._start(line, tuple(fields))
+
+    def _start(self, line, fields: tuple) -> bool:
+        if self.responses:
+            version, method, target, status = (line[1], line[2]), "", "", int(line[3])
+        else:
+            version, method, target, status = (line[3], line[4]), line[1].decode(), line[2].decode(), 0
+        if version[0] != b"1":
+            return self._bad(505, "not HTTP/1")
+        named = {n for n, _ in fields}
+        lengths = {part.strip() for n, v in fields if n == "content-length" for part in v.split(",")}
+        codings = [v.strip().lower() for n, v in fields if n == "transfer-encoding"]
+        hosts = sum(n == "host" for n, _ in fields)
+        if not self.responses and (hosts > 1 or not hosts and version[1] != b"0"):
+            return self._bad(400, "not one Host field")
+        if codings and (lengths or version[1] == b"0"):
+            return self._bad(400, "length and transfer coding")
+        if codings and codings != ["chunked"]:
+            return self._bad(501, "unknown transfer coding")
+        if lengths and (len(lengths) > 1 or not LENGTH.fullmatch(next(iter(lengths)))):
+            return self._bad(400, "bad Content-Length")
+        options = {o.strip().lower() for n, v in fields if n == "connection" for o in v.split(",")}
+        keep = "close" not in options and (version[1] != b"0" or "keep-alive" in options)
+        if self.responses and 100 <= status < 200 and status != 101:
+            return True                 # an interim answer; the next head follows
+        self.head = method, target, status, fields, keep
+        if self.responses and (status in NO_BODY or status == 101):
+            return self._finish(keep=status != 101)
+        if codings:
+            self.state = self._chunk_size
+        elif "content-length" in named:
+            self.need = int(next(iter(lengths)))
+            if self.need > self.body_most:
+                return self._bad(413, "body too long")
+            self.state = self._sized
+        elif self.responses:
+            self.state = self._to_the_end
+        else:
+            return self._finish()
+        return True
+
+    def _sized(self) -> bool:
+        if len(self.rest) < self.need:
+            return False
+        self._take(self.need)
+        return self._finish()
+
+    def _to_the_end(self) -> bool:
+        if len(self.body) + len(self.rest) > self.body_most:
+            return self._bad(413, "body too long")
+        self._take(len(self.rest))
+        return False
+
+    def _chunk_size(self) -> bool:
+        line = self._line()
+        if line is None:
+            return self.found is not None
+        size = CHUNK.fullmatch(line)
+        if size is None:
+            return self._bad(400, "bad chunk size")
+        self.need = int(size[1], 16)
+        if len(self.body) + self.need > self.body_most:
+            return self._bad(413, "body too long")
+        self.state, self.seen = (self._chunk, 0) if self.need else (self._trailer, 0)
+        return True
+
+    def _chunk(self) -> bool:
+        if len(self.rest) < self.need + 2:
+            return False
+        self._take(self.need)
+        if self.rest[:2] != b"\r\n":
+            return self._bad(400, "chunk longer than its size")
+        del self.rest[:2]
+        self.state = self._chunk_size
+        return True
+
+    def _trailer(self) -> bool:
+        line = self._line()
+        if line is None:
+            return self.found is not None
+        self.seen += len(line) + 2      # trailers are passed over, as many as a head may be long
+        if self.seen > HEAD_MOST:
+            return self._bad(431, "trailers too long")
+        if line and FIELD.fullmatch(line) is None:
+            return self._bad(400, "bad trailer")
+        return True if line else self._finish()
+
+    # ---- pieces of them
+
+    def _line(self) -> bytes | None:
+        at = self.rest.find(b"\r\n", 0, LINE_MOST)
+        if at < 0:
+            if len(self.rest) >= LINE_MOST:
+                self._bad(400, "line too long")
+            return None
+        line = bytes(self.rest[:at])
+        del self.rest[:at + 2]
+        return line
+
+    def _take(self, count: int) -> None:
+        self.body += self.rest[:count]
+        del self.rest[:count]
+
+    def _bad(self, status: int, reason: str) -> bool:
+        self.found = Malformed(status, reason)
+        return False
+
+    def _finish(self, keep: bool = True, delimited: bool = True) -> bool:
+        method, target, status, fields, wanted = self.head
+        self.found = Message(method, target, status, fields, bytes(self.body), keep and wanted, delimited)
+        return False
+
+
+def head(line: str, fields) -> bytes:
+    return "\r\n".join([line, *(f"{n}: {v}" for n, v in fields), "", ""]).encode("latin-1")
+
+
+def request(method: str, target: str, fields, body: bytes = b"") -> bytes:
+    sized = [("Content-Length", str(len(body)))] if body or method not in ("GET", "HEAD") else []
+    return head(f"{method} {target} HTTP/1.1", [*fields, *sized]) + body
+
+
+PHRASES = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+           413: "Content Too Large", 431: "Request Header Fields Too Large", 501: "Not Implemented",
+           502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
+           505: "HTTP Version Not Supported"}
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+def response(status: int, fields, body: bytes, keep: bool) -> bytes:
+    framing = [("Content-Length", str(len(body)))] + ([] if keep else [("Connection", "close")])
+    return head(f"HTTP/1.1 {status} {PHRASES.get(status, 'Status')}", [*fields, *framing]) + body
--- /dev/null
+++ b/basalthook/routing/clients.py
@@ -0,0 +1,131 @@
+"""The application's connections: a transaction read whole, handed to the owner, answered once."""
+import asyncio
+
+from ..protocol import application, http1
+from ..protocol.application import Asked
+from ..protocol.http1 import Malformed, Message, Parser
+from ..transport.buffers import BufferPool
+from ..transport.connection import Connection
+from ..transport.descriptors import Descriptors
+from ..transport.hostpool import HostPool
+from .clock import TICKS, Clock
+from .owner import Answer, Arrived, Gone, Order, Owner
+
+STALLED = 10.0      # seconds that a message may take to come in once it has begun
+LINGER = 1.0        # seconds that a refused peer gets to read why
+OVERDUE = 200       # tenths of a millisecond past the hard limit: nothing should wait that long
+
+
+class Clients:
+    def __init__(self, owner: Owner, clock: Clock, profiles: dict[str, int], buffers: BufferPool,
+                 descriptors: Descriptors, pool: HostPool, say) -> None:
+        self.owner, self.clock, self.profiles, self.say = owner, clock, profiles, say
+        self.buffers, self.descriptors, self.pool = buffers, descriptors, pool
+        self.ready = False
+        self.open: dict[Connection, bool] = {}      # -> whether it idles; emptied as they end
+        self.tasks: set[asyncio.Task] = set()
+
+    def take(self, sock) -> None:
+        """A connection that the machine has accepted may carry something already: it is always taken."""
+        if self.descriptors.full():
+            self.pool.give_up_oldest()
+        connection = Connection(sock, self.buffers, self.descriptors)
+        self.open[connection] = True
+        task = asyncio.get_running_loop().create_task(self.serve(connection))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def serve(self, connection: Connection) -> None:
+        try:
+            parser = Parser(responses=False)
+            while await self.one(connection, parser):
+                parser.again()
+        except Exception as fault:      # exceptions stop at the connection
+            self.say("fault", where="client", error=repr(fault))
+        finally:
+            connection.close()
+            self.open.pop(connection, None)
+
+    async def one(self, connection: Connection, parser: Parser) -> bool:
+        """Read and answer one message; whether another may follow on this connection."""
+        self.open[connection] = True
+        stalled = None
+        while parser.found is None:
+            if await connection.read(parser.feed) is not None:
+                return False
+            if self.open[connection] and parser.started:
+                self.open[connection] = False
+                stalled = asyncio.get_running_loop().call_later(STALLED, self.stalled, connection, parser)
+            if parser.awaits_body:
+                await connection.write(http1.CONTINUE)
+        if stalled is not None:
+            stalled.cancel()
+        found = parser.found
+        if isinstance(found, Message) and parser.rest:
+            found = Malformed(400, "bytes after the message")
+        if isinstance(found, Message):
+            if found.target == application.HEALTH:
+                return await self.write(connection, *self.health(found))
+            found = application.asked(found, self.profiles)
+        if isinstance(found, Malformed):
+            return await self.turn_away(connection, found)
+        return await self.carry(connection, found)
+
+    def health(self, message: Message) -> tuple[bytes, bool]:
+        return application.told(200 if self.ready else 503, "ready" if self.ready else "not ready",
+                                message.keep), message.keep
+
+    async def carry(self, connection: Connection, asked: Asked) -> bool:
+        order = Order(asked, self.clock.now() + int(asked.timeout * TICKS))
+        await self.owner.post(Arrived(order))
+        keep, watched = asked.message.keep, {order.answer, connection.reading()}
+        left = (order.hard_limit - self.clock.now() + OVERDUE) / TICKS
+        await asyncio.wait(watched, timeout=left, return_when=asyncio.FIRST_COMPLETED)
+        if not order.answer.done() and connection.reading().done():
+            keep = False
+            if await connection.read(lambda _: None) is not None:
+                await self.owner.post(Gone(order))
+                return False
+            left = (order.hard_limit - self.clock.now() + OVERDUE) / TICKS      # it wrote out of turn
+            await asyncio.wait({order.answer}, timeout=left)
+        if not order.answer.done():
+            self.say("fault", where="owner", error="no answer in time")
+            await self.owner.post(Gone(order))
+            return await self.write(connection, application.abandoned(True, False), False)
+        answer = order.answer.result()
+        keep = keep and self.ready
+        if answer.kind != "committed":
+            self.say("answer", tx=asked.message.field("request-id"), kind=answer.kind, hops=len(order.hops),
+                     left_ms=(order.hard_limit - self.clock.now()) / 10, come_back_ms=answer.come_back / 10)
+        return await self.write(connection, self.worded(answer, order, keep), keep)
+
+    def worded(self, answer: Answer, order: Order, keep: bool) -> bytes:
+        if answer.kind == "committed":
+            return application.committed(answer.message, keep)
+        if answer.kind == "rolled back":
+            return application.rolled_back(answer.come_back / TICKS, keep)
+        return application.abandoned(self.clock.now() >= order.hard_limit, keep)
+
+    async def write(self, connection: Connection, data: bytes, keep: bool) -> bool:
+        try:
+            await connection.write(data)
+        except OSError:         # the peer went; there is nobody to tell
+            return False
+        return keep
+
+    async def turn_away(self, connection: Connection, why: Malformed) -> bool:
+        """Bad input: say so, and give the peer time to read it before the connection ends."""
+        self.say("bad input", status=why.status, reason=why.reason)
+        if await self.write(connection, application.told(why.status, why.reason, False), True):
+            connection.end_sending()
+            late = asyncio.get_running_loop().call_later(LINGER, connection.close)
+            while await connection.read(lambda _: None) is None:
+                pass
+            late.cancel()
+        return False
+
+    def stalled(self, connection: Connection, parser: Parser) -> None:
+        """Guards against peers that stop half-way and hold a connection for ever."""
+        if parser.found is None:
+            connection.write(application.told(408, "stopped half-way", False))
+            connection.close()
--- /dev/null
+++ b/basalthook/routing/hops.py
@@ -0,0 +1,124 @@
+"""One hop: a message to a host and its answer, or how far it had come. From that alone follows what ran."""
+import asyncio
+
+from ..policy import interface as i
+from ..protocol import hosts
+from ..protocol.http1 import Malformed, Message, Parser
+from ..transport.connection import Connection, Fault, Stage
+from ..transport.hostpool import HostPool
+from .clock import TICKS, Clock
+from .owner import HopOver, Order, Owner
+from .roster import Place, Roster
+
+
+class Hop:
+    def __init__(self, order: Order, index: int, host: int, place: Place, limit: int) -> None:
+        self.order, self.index, self.host, self.place, self.limit = order, index, host, place, limit
+        self.connection: Connection | None = None
+        self.stage, self.stopped, self.reused = Stage.CONNECTING, None, False
+
+    def stop(self, outcome: str) -> None:
+        """Give it up: the connection is closed, whatever state it is in, and never used again."""
+        if self.stopped is None:
+            self.stopped = outcome
+            if self.connection is not None:
+                self.connection.close()
+
+    def holds(self, connection: Connection) -> None:
+        self.connection = connection
+
+
+class Hops:
+    def __init__(self, pool: HostPool, clock: Clock, roster: Roster, owner: Owner, say) -> None:
+        self.pool, self.clock, self.roster, self.owner, self.say = pool, clock, roster, owner, say
+        self.tasks: set[asyncio.Task] = set()   # emptied as they end
+
+    def begin(self, order: Order, index: int, host: int, place: Place, limit: int, refused: bool) -> Hop:
+        hop = Hop(order, index, host, place, limit)
+        if refused:
+            hop.stopped = i.UNSENT
+        task = asyncio.get_running_loop().create_task(self.run(hop))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return hop
+
+    async def run(self, hop: Hop) -> None:
+        begun, late, message, reason = self.clock.now(), None, None, ""
+        try:
+            if hop.stopped is None:
+                late = asyncio.get_running_loop().call_later(hop.limit / TICKS, hop.stop, i.TIMED_OUT)
+                found = await self.exchange(hop, begun)
+                if isinstance(found, Message):
+                    message = found
+                elif found is not None:
+                    reason = found.reason
+        except Exception as fault:      # exceptions stop here; how far the hop had come still counts
+            self.say("fault", where="hop", error=repr(fault))
+            reason = repr(fault)
+        if late is not None:
+            late.cancel()
+        if message is None and hop.connection is not None:
+            hop.connection.close()
+        outcome = self.outcome(hop, message, reason)
+        elapsed = self.clock.now() - begun
+        if outcome != i.COMMITTED:
+            self.say("hop", tx=hop.order.asked.message.field("request-id"), hop=hop.index, host=hop.place.id,
+                     outcome=outcome, stage=hop.stage.name.lower(), reused=hop.reused, ms=elapsed / 10,
+                     reason=reason, status=message.status if message else None)
+        await self.owner.post(HopOver(hop.order, hop.index, hop.host, outcome, elapsed,
+                                      message if outcome == i.COMMITTED else None))
+
+    async def exchange(self, hop: Hop, begun: int) -> Message | Fault | Malformed | None:
+        connection = self.pool.kept_one(hop.place.address)
+        if connection is None:
+            connection = await self.pool.fresh(hop.place.address, hop.holds)
+            if isinstance(connection, Fault):
+                return connection
+        else:
+            hop.reused, hop.connection = True, connection
+        if hop.stopped is not None:
+            return None
+        if hop.order.closed or not self.roster.ready(hop.host):
+            # guards against sending what was answered, or to a host that left, while the connection came up
+            hop.stopped, hop.connection = i.UNSENT, None
+            self.pool.keep(connection, hop.place.address)
+            return None
+        left = hop.limit - (self.clock.now() - begun)
+        hop.stage = Stage.WRITING
+        answer, reading = Parser(responses=True), connection.reading()
+        writing = connection.write(hosts.hop(hop.order.asked.message, max(1, left) / TICKS))
+        if not writing.done():
+            await asyncio.wait({writing, reading}, return_when=asyncio.FIRST_COMPLETED)
+        writing.add_done_callback(lambda done: self.wrote(hop, done))
+        self.wrote(hop, writing)
+        while answer.found is None:
+            fault = await connection.read(answer.feed)
+            if answer.started and hop.stage == Stage.WRITTEN:
+                hop.stage = Stage.ANSWERING
+            if fault is not None:
+                answer.end()
+                if answer.found is None:
+                    return fault._replace(stage=hop.stage)
+        found = answer.found
+        if not writing.done() or not found.keep or answer.rest if isinstance(found, Message) else True:
+            connection.close()
+        else:
+            self.pool.keep(connection, hop.place.address)
+        return found
+
+    @staticmethod
+    def wrote(hop: Hop, writing: asyncio.Future) -> None:
+        if writing.done() and not writing.cancelled() and writing.exception() is None and (
+                hop.stage == Stage.WRITING):
+            hop.stage = Stage.WRITTEN
+
+    @staticmethod
+    def outcome(hop: Hop, message: Message | None, reason: str) -> str:
+        written = hop.stage >= Stage.WRITTEN
+        if message is not None:
+            return hosts.outcome(message, written)
+        if hop.stopped is not None:
+            return hop.stopped if written else i.UNSENT
+        if reason == "no descriptor free":
+            return i.UNSENT
+        return i.RESET if written else i.UNREACHABLE
--- /dev/null
+++ b/basalthook/routing/roster.py
@@ -0,0 +1,59 @@
+"""The hosts this proxy was told of: numbers for the decisions, addresses for the sockets."""
+from typing import NamedTuple
+
+from .. import terms
+from ..policy import interface as i
+from ..protocol.catalogue import Line, Listing
+
+
+class Place(NamedTuple):
+    id: str
+    address: tuple[str, int]
+    ready: bool
+
+
+class Roster:
+    def __init__(self) -> None:
+        self.places: dict[int, Place] = {}      # emptied of hosts that are gone with no hop out
+        self.numbers: dict[str, int] = {}
+        self.out: dict[int, int] = {}           # hops out, by host; emptied as they end
+        self.next = 0
+
+    def told(self, listing: Listing, answered: bool) -> i.HostsListed:
+        """Take a list in and turn it into the decisions' event."""
+        event = i.HostsListed(tuple(self._line(line) for line in listing.lines), listing.complete, answered)
+        named = {line.host for line in event.hosts}
+        removed = {self.numbers[line.id] for line in listing.lines if line.removed}
+        if listing.complete:
+            removed |= self.places.keys() - named
+        for number in removed:
+            self.places[number] = self.places[number]._replace(ready=False)
+            self._forget(number)
+        return event
+
+    def hop_out(self, number: int) -> Place:
+        self.out[number] = self.out.get(number, 0) + 1
+        return self.places[number]
+
+    def hop_over(self, number: int) -> None:
+        self.out[number] -= 1
+        if not self.out[number]:
+            del self.out[number]
+            if not self.places[number].ready:
+                self._forget(number)
+
+    def ready(self, number: int) -> bool:
+        return number in self.places and self.places[number].ready
+
+    def _line(self, line: Line) -> i.Host:
+        number = self.numbers.get(line.id)
+        if number is None:
+            number = self.numbers[line.id] = self.next
+            self.next += 1
+        self.places[number] = Place(line.id, line.address, line.ready)
+        return terms.host(number, line.id, line.zone, line.cell, line.ready, line.weight, line.started_ns)
+
+    def _forget(self, number: int) -> None:
+        """A host that comes back later is a new one to the decisions as well, which have dropped it."""
+        if number not in self.out and not self.places[number].ready:
+            del self.numbers[self.places.pop(number).id]
--- /dev/null
+++ b/basalthook/routing/watch.py
@@ -0,0 +1,80 @@
+"""Discovery's watch: one connection, one call after the other, every answer to the owner in order."""
+import asyncio
+import socket
+
+from ..protocol import catalogue
+from ..protocol.http1 import Message, Parser
+from ..transport.buffers import BufferPool
+from ..transport.connection import Connection, Fault, Stage
+from ..transport.descriptors import Descriptors
+from .owner import Listed, ListLost, Owner
+
+ANSWER_MOST = 5.0       # seconds past the time asked for; discovery may vanish without a word
+
+
+class Watch:
+    def __init__(self, address: tuple[str, int], wait: float, version: int, owner: Owner, buffers: BufferPool,
+                 descriptors: Descriptors, say) -> None:
+        self.address, self.wait, self.version = address, wait, version
+        self.owner, self.buffers, self.descriptors, self.say = owner, buffers, descriptors, say
+        self.task: asyncio.Task | None = None
+        self.told = False       # whether this watch has been answered yet
+
+    def begin(self) -> None:
+        if self.task is None or self.task.done():
+            self.task = asyncio.get_running_loop().create_task(self.run())
+
+    async def run(self) -> None:
+        """Until something fails: the decisions say when to ask again."""
+        reason, self.told = "", False
+        while not reason:       # a connection that ends between two calls is no failure
+            connection = Connection(socket.socket(), self.buffers, self.descriptors)
+            try:
+                reason = await self.follow(connection)
+            except Exception as fault:
+                reason = repr(fault)
+            connection.close()
+        self.say("list lost", reason=reason)
+        self.task = None
+        await self.owner.post(ListLost())
+
+    async def follow(self, connection: Connection) -> str:
+        """What went wrong; nothing, if discovery has closed the connection after an answer."""
+        late = asyncio.get_running_loop().call_later(ANSWER_MOST, connection.close)
+        fault = await connection.connect(self.address)
+        late.cancel()
+        if fault is not None:
+            return fault.reason
+        while True:
+            late = asyncio.get_running_loop().call_later(self.wait + ANSWER_MOST, connection.close)
+            found = await self.call(connection)
+            late.cancel()
+            if isinstance(found, Fault):
+                return found.reason
+            listing = catalogue.read(found.body) if found.status == 200 else None
+            if listing is None:
+                return f"status {found.status}, no sound list"
+            self.version = listing.version
+            if not self.told or listing.lines or listing.complete:
+                self.say("list", version=listing.version, complete=listing.complete, lines=len(listing.lines))
+                await self.owner.post(Listed(listing, answered=True))
+            self.told = True
+            if not found.keep:
+                return ""
+
+    async def call(self, connection: Connection) -> Message | Fault:
+        answer = Parser(responses=True, body_most=catalogue.BODY_MOST)
+        call = catalogue.call(f"{self.address[0]}:{self.address[1]}", self.version, int(self.wait * 1000))
+        try:
+            await connection.write(call)
+        except OSError as fault:
+            return Fault(Stage.WRITING, str(fault))
+        while answer.found is None:
+            fault = await connection.read(answer.feed)
+            if fault is not None:
+                answer.end()
+                if answer.found is None:
+                    return fault
+        if not isinstance(answer.found, Message) or not answer.found.delimited:
+            return Fault(Stage.ANSWERING, "no HTTP answer")
+        return answer.found
--- a/basalthook/simwire/codec.py
+++ b/basalthook/simwire/codec.py
@@ -1,56 +1,21 @@
 """Words, units and ids of the bench's wire, turned into the events and effects of the decisions."""
-from hashlib import blake2b
-
+from .. import terms
 from ..policy import interface as i
 from ..policy.decide import Proxy
+from ..terms import TENTH
 
-TENTH = 100_000  # nanoseconds
-
-KINDS = {"repeatable": i.IDEMPOTENT, "by_key": i.JOURNALLED, "once": i.NON_IDEMPOTENT}
-GROUPS = {"all": i.EVERYWHERE, "zone": i.ZONE, "cell": i.CELL}
 OUTCOMES = {"success": i.COMMITTED, "failure": i.ERROR, "overloaded": i.REFUSED, "timed_out": i.TIMED_OUT,
             "unreachable": i.UNREACHABLE, "broken": i.RESET, "withdrawn": i.CANCELLED, "void": i.UNSENT}
-LOAD = {"cpu": "busy"}
-
-
-def number(word: str) -> int:
-    """The same whole number for a word in every process."""
-    return int.from_bytes(blake2b(word.encode(), digest_size=6).digest(), "big")
-
-
-def up(ns: int) -> int:
-    return -(-ns // TENTH)
-
-
-def agreement(setup: dict) -> i.Agreement:
-    rules, allowed, prices = setup["rules"], setup["allowed"], setup.get("prices", {})
-    profiles = tuple(
-        i.Profile(KINDS[p["effect"]], GROUPS[p.get("group") or "all"], p.get("repeat_window_ns", 0) // TENTH,
-                  p["service_goal_ns"] // TENTH)
-        for p in setup["profiles"])
-    return i.Agreement(
-        profiles=profiles, position=setup["position"], proxies=setup["balancers"], zone=setup.get("zone", ""),
-        warm_keys=bool((setup.get("family_info") or {}).get("warm_keys")),
-        cross_price=prices.get("cross_zone", 0.0),
-        open_worth=100 * prices.get("handshake", 0.0) / (prices.get("connection") or float("inf")),
-        list_on_request=setup["discovery"] == "on_request", ask_within=rules["ask_within_ns"] // TENTH,
-        cold_share=rules["cold_from"], cold_time=up(rules["cold_ns"]), fall_multiple=rules["overload_factor"],
-        fall_time=up(rules["fall_ns"]), max_hops=allowed["max_hops"],
-        second_copies=bool(allowed.get("second_copies")), cancelling=bool(allowed.get("cancelling")),
-        come_back_max=allowed.get("max_retry_after_ns", 0) // TENTH if allowed.get("retry_after") else 0)
 
 
 class Seat:
     """One instance: its decisions, and its ids against the small numbers that stand for them."""
 
     def __init__(self, seed: int, setup: dict, now: int) -> None:
-        agreed = agreement(setup)
-        self.proxy = Proxy(agreed, seed, now)
-        self.profiles = {p["name"]: n for n, p in enumerate(setup["profiles"])}
-        self.fields = [LOAD.get(f) for f in setup.get("load_report", {}).get("fields", ())]
+        self.proxy = Proxy(terms.agreement(setup), seed, now)
+        self.profiles, self.fields = terms.profiles(setup), terms.load_fields(setup)
         self.hosts: dict[str, int] = {}      # grows with hosts ever listed, emptied at restart
         self.addresses: list[str] = []
-        self.cells: dict[str, int] = {}
         self.numbers: dict[str, int] = {}    # open transactions; emptied when one is closed and no hop is out
         self.words: dict[int, list] = {}     # number -> [word, hops out, closed]
         self.next = 0
@@ -67,9 +32,8 @@
 
     def listed(self, records: list) -> tuple:
         return tuple(
-            i.Host(self.host(r["host"]), number(r["host"]), r.get("area", ""), r.get("block", 0),
-                   r["status"] == "in_service", r.get("capacity_hint") or 1.0,
-                   up(r["came_up_ns"]) if r.get("came_up_ns") else None)
+            terms.host(self.host(r["host"]), r["host"], r.get("area", ""), r.get("block", 0),
+                       r["status"] == "in_service", r.get("capacity_hint"), r.get("came_up_ns"))
             for r in records)
 
     def close(self, tx: int, hops: int = 0, closed: bool = False) -> None:
@@ -89,7 +53,7 @@
             self.next += 1
             self.words[tx] = [f["corr"], 0, False]
             key = f.get("path_key")
-            return i.TxArrived(tx, self.profiles[f["tier_class"]], number(key) if key else None,
+            return i.TxArrived(tx, self.profiles[f["tier_class"]], terms.number(key) if key else None,
                                f["patience_left_ns"] // TENTH)
         if name == "VERDICT":
             tx, closed = self.numbers.get(f["corr"]), bool(f.get("terminal"))
--- /dev/null
+++ b/basalthook/terms.py
@@ -0,0 +1,53 @@
+"""Start-up settings, list lines and ids in the module's words, the same for every protocol that drives it."""
+from hashlib import blake2b
+
+from .policy import interface as i
+
+TENTH = 100_000  # nanoseconds
+
+KINDS = {"repeatable": i.IDEMPOTENT, "by_key": i.JOURNALLED, "once": i.NON_IDEMPOTENT}
+GROUPS = {"all": i.EVERYWHERE, "zone": i.ZONE, "cell": i.CELL}
+LOAD = {"cpu": "busy"}
+
+
+def number(word: str) -> int:
+    """The same whole number for a word in every process."""
+    return int.from_bytes(blake2b(word.encode(), digest_size=6).digest(), "big")
+
+
+def up(ns: int) -> int:
+    return -(-ns // TENTH)
+
+
+def agreement(setup: dict) -> i.Agreement:
+    rules, allowed, prices = setup["rules"], setup["allowed"], setup.get("prices", {})
+    profiles = tuple(
+        i.Profile(KINDS[p["effect"]], GROUPS[p.get("group") or "all"], p.get("repeat_window_ns", 0) // TENTH,
+                  p["service_goal_ns"] // TENTH)
+        for p in setup["profiles"])
+    return i.Agreement(
+        profiles=profiles, position=setup["position"], proxies=setup["balancers"], zone=setup.get("zone", ""),
+        warm_keys=bool((setup.get("family_info") or {}).get("warm_keys")),
+        cross_price=prices.get("cross_zone", 0.0),
+        open_worth=100 * prices.get("handshake", 0.0) / (prices.get("connection") or float("inf")),
+        list_on_request=setup["discovery"] == "on_request", ask_within=rules["ask_within_ns"] // TENTH,
+        cold_share=rules["cold_from"], cold_time=up(rules["cold_ns"]), fall_multiple=rules["overload_factor"],
+        fall_time=up(rules["fall_ns"]), max_hops=allowed["max_hops"],
+        second_copies=bool(allowed.get("second_copies")), cancelling=bool(allowed.get("cancelling")),
+        come_back_max=allowed.get("max_retry_after_ns", 0) // TENTH if allowed.get("retry_after") else 0)
+
+
+def profiles(setup: dict) -> dict[str, int]:
+    """The numbers that stand for the profiles' names."""
+    return {p["name"]: n for n, p in enumerate(setup["profiles"])}
+
+
+def load_fields(setup: dict) -> list[str | None]:
+    """What the figures of a host's report are called here, in their order; None for those not read."""
+    return [LOAD.get(f) for f in setup.get("load_report", {}).get("fields", ())]
+
+
+def host(index: int, word: str, zone: str, cell: int, ready: bool, weight: float, started_ns: int) -> i.Host:
+    """A line of the host list. `word` is what every proxy calls the host."""
+    started = up(started_ns) if started_ns else None
+    return i.Host(index, number(word), zone, cell, ready, weight or 1.0, started)
--- /dev/null
+++ b/basalthook/transport/__init__.py
@@ -0,0 +1,1 @@
+"""TCP: listener, connections, the pool of connections to hosts, buffers. Knows bytes and stages, not HTTP."""
--- /dev/null
+++ b/basalthook/transport/connection.py
@@ -0,0 +1,116 @@
+"""One TCP connection: reads into pooled buffers, writes, and values that say how far it had come."""
+import asyncio
+import socket
+from enum import IntEnum
+from typing import NamedTuple
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from .buffers import BufferPool
+from .descriptors import Descriptors
+
+
+class Stage(IntEnum):
+    """How far an exchange had come; the peer can have begun on it only from WRITTEN on."""
+    CONNECTING = 0
+    WRITING = 1
+    WRITTEN = 2
+    ANSWERING = 3
+
+
+class Fault(NamedTuple):
+    stage: Stage
+    reason: str
+
+
+class Connection:
+    """`pending` is the one standing read. It goes on while the connection idles, so that an end is seen."""
+
+    def __init__(self, sock: socket.socket, buffers: BufferPool, descriptors: Descriptors) -> None:
+        descriptors.take()
+        self.buffers, self.descriptors = buffers, descriptors
+        self.buffer: bytearray | None = None
+        self.pending: asyncio.Future | None = None
+        self.closed = self.awaited = False
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.stream = IOStream(sock, max_buffer_size=256 * 1024, read_chunk_size=buffers.size)
+        self.stream.set_close_callback(self.close)
+
+    async def connect(self, address: tuple[str, int]) -> Fault | None:
+        try:
+            await self.stream.connect(address)
+        except (OSError, StreamClosedError) as fault:
+            self.close()
+            return Fault(Stage.CONNECTING, str(self.stream.error or fault))
+        return None
+
+    def reading(self) -> asyncio.Future:
+        """The standing read; begun if there is none."""
+        if self.pending is None:
+            self.buffer = self.buffers.take()
+            try:
+                self.pending = self.stream.read_into(self.buffer, partial=True)
+            except StreamClosedError as fault:
+                self.pending = asyncio.get_running_loop().create_future()
+                self.pending.set_exception(fault)
+        return self.pending
+
+    async def read(self, feed) -> Fault | None:
+        """Wait for bytes and hand them to `feed`, which must not keep what it is given."""
+        pending, self.awaited = self.reading(), True
+        try:
+            count = await pending
+            with memoryview(self.buffer) as whole, whole[:count] as part:
+                feed(part)
+            return None
+        except StreamClosedError as fault:
+            self.close()
+            return Fault(Stage.WRITTEN, str(fault.real_error or "closed by the peer"))
+        finally:
+            self.awaited = False
+            self._release()
+
+    def write(self, data: bytes) -> asyncio.Future:
+        """Done once the last byte is with the kernel; failed if the connection ended before."""
+        try:
+            return self.stream.write(data)
+        except StreamClosedError as fault:
+            failed = asyncio.get_running_loop().create_future()
+            failed.set_exception(fault)
+            return failed
+
+    def quiet(self) -> bool:
+        """Guards against using a kept connection that the peer has ended or written to unasked."""
+        if self.closed or self.stream.closed() or self.pending is not None and self.pending.done():
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK)
+            return False
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.descriptors.give()
+        self.stream.close()
+        if not self.awaited:
+            if self.pending is not None and self.pending.done():
+                self.pending.exception()    # seen: an idle connection's end has nobody else to look at it
+            self._release()
+
+    def _release(self) -> None:
+        """Only once nothing is read into the buffer any more, and what was read has been handed on."""
+        self.pending = None
+        if self.buffer is not None:
+            self.buffers.give(self.buffer)
+            self.buffer = None
+
+    def end_sending(self) -> None:
+        try:
+            self.stream.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
--- /dev/null
+++ b/basalthook/transport/hostpool.py
@@ -0,0 +1,92 @@
+"""Connections to hosts: kept ones are used again, given up before the host would, and never when in doubt."""
+import asyncio
+import socket
+import time
+from collections import OrderedDict
+
+from .buffers import BufferPool
+from .connection import Connection, Fault, Stage
+from .descriptors import Descriptors
+
+MARGIN = 0.8    # of the time after which a host closes an idle connection: what is older is not used
+
+
+class HostPool:
+    def __init__(self, buffers: BufferPool, descriptors: Descriptors, idle: float, connect: float) -> None:
+        self.buffers, self.descriptors = buffers, descriptors
+        self.idle, self.patience = idle * MARGIN, connect
+        self.kept: OrderedDict[Connection, tuple] = OrderedDict()   # oldest first -> address, until
+        self.by_host: dict[tuple, list[Connection]] = {}            # emptied as they are used, end or expire
+        self.sweeping = None
+
+    def kept_one(self, address: tuple) -> Connection | None:
+        """The one used last, if it is surely still good."""
+        now = time.monotonic()
+        while stack := self.by_host.get(address):
+            connection = stack[-1]
+            until = self.kept[connection][1]
+            self._drop(connection)
+            if until > now and connection.quiet():
+                return connection
+            connection.close()
+        return None
+
+    async def fresh(self, address: tuple, opened) -> Connection | Fault:
+        """A new one; `opened` is told of it before it is up, so that whoever waits can close it."""
+        if self.descriptors.full() and not self.give_up_oldest():
+            return Fault(Stage.CONNECTING, "no descriptor free")
+        connection = Connection(socket.socket(), self.buffers, self.descriptors)
+        opened(connection)
+        late = asyncio.get_running_loop().call_later(self.patience, connection.close)
+        fault = await connection.connect(address)
+        late.cancel()
+        return fault or connection
+
+    def keep(self, connection: Connection, address: tuple) -> None:
+        if connection.closed or not self.idle:
+            return connection.close()
+        self.kept[connection] = address, time.monotonic() + self.idle
+        self.by_host.setdefault(address, []).append(connection)
+        connection.reading().add_done_callback(lambda _: self._stirred(connection))
+        if self.sweeping is None:
+            self.sweeping = asyncio.get_running_loop().call_later(self.idle, self._sweep)
+
+    def close_idle(self, address: tuple) -> None:
+        for connection in list(self.by_host.get(address, ())):
+            self._drop(connection)
+            connection.close()
+
+    def give_up_oldest(self) -> bool:
+        if not self.kept:
+            return False
+        connection = next(iter(self.kept))
+        self._drop(connection)
+        connection.close()
+        return True
+
+    def close(self) -> None:
+        while self.give_up_oldest():
+            pass
+        if self.sweeping is not None:
+            self.sweeping.cancel()
+
+    def _drop(self, connection: Connection) -> None:
+        address, _ = self.kept.pop(connection)
+        stack = self.by_host[address]
+        stack.remove(connection)
+        if not stack:
+            del self.by_host[address]
+
+    def _stirred(self, connection: Connection) -> None:
+        """Ended, or written to unasked, while idle."""
+        if connection in self.kept:
+            self._drop(connection)
+            connection.close()
+
+    def _sweep(self) -> None:
+        now, self.sweeping = time.monotonic(), None
+        while self.kept and next(iter(self.kept.values()))[1] <= now:
+            self.give_up_oldest()
+        if self.kept:
+            wait = next(iter(self.kept.values()))[1] - now
+            self.sweeping = asyncio.get_running_loop().call_later(wait, self._sweep)
