SIGTERM in order, descriptors in parts, waits bounded

A hop now lets go of its connection when the pool takes it, so that stopping a hop already over can't close it under another.

--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -18,6 +18,8 @@
 
 BUFFER = 16 * 1024
 BUFFERS_KEPT = 128
+ACCEPT_ON = 0.6         # seconds after SIGTERM: new connections still come for up to 0.4 s
+READ_ON = 0.1           # seconds for what the last of them carry
 
 
 class Service:
@@ -35,20 +37,38 @@
         self.clients = Clients(self.owner, clock, told.profiles, buffers, descriptors, self.pool, log.say)
 
     async def run(self) -> None:
-        loop = asyncio.get_running_loop()
+        """From start to SIGTERM, or SIGINT; a second one changes nothing."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.ending.set)
+            asyncio.get_running_loop().add_signal_handler(number, self.ending.set)
+        listener = self.begin()
+        gc.collect()
+        gc.freeze()             # what is here stays: the collector need not look at it again
+        await self.ending.wait()
+        await self.end(listener)
+
+    def begin(self) -> Listener:
+        """Ready only once the hosts are known, the owner runs and the address is ours."""
         self.owner.start(self.told.known)
-        owner = loop.create_task(self.owner.run())
-        listener = Listener(self.told.listen)
-        listener.accept_to(self.clients.take)
+        self.task = asyncio.get_running_loop().create_task(self.owner.run())
+        listener = Listener(self.told.listen, self.clients.take)
+        listener.open()
         if not self.told.agreed.list_on_request:
             self.watch.begin()
         self.clients.ready = True
-        gc.collect()
-        gc.freeze()
         self.log.say("ready", listen=list(listener.address), hosts=len(self.told.known.lines))
-        await self.ending.wait()
-        self.log.say("ending")
+        return listener
+
+    async def end(self, listener: Listener) -> None:
+        """Idle connections go at once, while whoever crosses that can come anew; then all is finished."""
+        self.log.say("ending", connections=len(self.clients.open), transactions=len(self.owner.orders))
+        self.clients.ready = False
+        self.clients.close_idle(len(self.clients.open))
+        await asyncio.sleep(ACCEPT_ON)
         listener.close()
-        owner.cancel()
+        await asyncio.sleep(READ_ON)
+        self.clients.close_idle(len(self.clients.open))
+        await self.clients.finish(self.told.longest_patience)
+        self.log.say("ended", unanswered=sum(not order.closed for order in self.owner.orders.values()))
+        self.watch.end()
+        self.pool.close()
+        self.task.cancel()
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -25,15 +25,32 @@
         self.open: dict[Connection, bool] = {}      # -> whether it idles; emptied as they end
         self.tasks: set[asyncio.Task] = set()
 
-    def take(self, sock) -> None:
-        """A connection that the machine has accepted may carry something already: it is always taken."""
-        if self.descriptors.full():
-            self.pool.give_up_oldest()
+    def take(self, sock) -> bool:
+        """A connection that the machine has accepted may carry something already: it is taken and answered.
+
+        At the limit idle connections go for it, those to hosts first. False: no room for another one.
+        """
         connection = Connection(sock, self.buffers, self.descriptors)
         self.open[connection] = True
         task = asyncio.get_running_loop().create_task(self.serve(connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        while self.descriptors.full() and (self.pool.give_up_oldest() or self.close_idle(1, connection)):
+            pass
+        return not self.descriptors.full()
+
+    def close_idle(self, most: int, spared: Connection | None = None) -> int:
+        """Close so many of those that carry nothing, the longest idle first; what has bytes to read stays."""
+        idle = [c for c, idles in self.open.items() if idles and c is not spared and c.quiet()][:most]
+        for connection in idle:
+            del self.open[connection]
+            connection.close()
+        return len(idle)
+
+    async def finish(self, seconds: float) -> None:
+        """Wait until every transaction taken has been answered."""
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=seconds)
 
     async def serve(self, connection: Connection) -> None:
         try:
@@ -48,16 +65,17 @@
 
     async def one(self, connection: Connection, parser: Parser) -> bool:
         """Read and answer one message; whether another may follow on this connection."""
-        self.open[connection] = True
+        self.open.pop(connection, None)
+        self.open[connection] = True        # those that idle longest come first
         stalled = None
         while parser.found is None:
             if await connection.read(parser.feed) is not None:
                 return False
-            if self.open[connection] and parser.started:
+            if stalled is None and parser.started:
                 self.open[connection] = False
                 stalled = asyncio.get_running_loop().call_later(STALLED, self.stalled, connection, parser)
-            if parser.awaits_body:
-                await connection.write(http1.CONTINUE)
+            if parser.awaits_body and not await self.write(connection, http1.CONTINUE, True):
+                return False
         if stalled is not None:
             stalled.cancel()
         found = parser.found
@@ -93,7 +111,7 @@
             await self.owner.post(Gone(order))
             return await self.write(connection, application.abandoned(True, False), False)
         answer = order.answer.result()
-        keep = keep and self.ready
+        keep = keep and self.ready and not self.descriptors.full()
         if answer.kind != "committed":
             self.say("answer", tx=asked.message.field("request-id"), kind=answer.kind, hops=len(order.hops),
                      left_ms=(order.hard_limit - self.clock.now()) / 10, come_back_ms=answer.come_back / 10)
@@ -108,8 +126,9 @@
 
     async def write(self, connection: Connection, data: bytes, keep: bool) -> bool:
         try:
-            await connection.write(data)
-        except OSError:         # the peer went; there is nobody to tell
+            with connection.within(STALLED):
+                await connection.write(data)
+        except OSError:         # the peer went, or does not read; there is nobody to tell
             return False
         return keep
 
@@ -118,10 +137,9 @@
         self.say("bad input", status=why.status, reason=why.reason)
         if await self.write(connection, application.told(why.status, why.reason, False), True):
             connection.end_sending()
-            late = asyncio.get_running_loop().call_later(LINGER, connection.close)
-            while await connection.read(lambda _: None) is None:
-                pass
-            late.cancel()
+            with connection.within(LINGER):
+                while await connection.read(lambda _: None) is None:
+                    pass
         return False
 
     def stalled(self, connection: Connection, parser: Parser) -> None:
--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -14,8 +14,8 @@
 class Hop:
     def __init__(self, order: Order, index: int, host: int, place: Place, limit: int) -> None:
         self.order, self.index, self.host, self.place, self.limit = order, index, host, place, limit
-        self.connection: Connection | None = None
-        self.stage, self.stopped, self.reused = Stage.CONNECTING, None, False
+        self.connection: Connection | None = None       # while it is this hop's alone
+        self.stage, self.stopped, self.reused = Stage.UNTRIED, None, False
 
     def stop(self, outcome: str) -> None:
         """Give it up: the connection is closed, whatever state it is in, and never used again."""
@@ -25,7 +25,7 @@
                 self.connection.close()
 
     def holds(self, connection: Connection) -> None:
-        self.connection = connection
+        self.stage, self.connection = Stage.CONNECTING, connection
 
 
 class Hops:
@@ -57,9 +57,9 @@
             reason = repr(fault)
         if late is not None:
             late.cancel()
-        if message is None and hop.connection is not None:
+        if hop.connection is not None:
             hop.connection.close()
-        outcome = self.outcome(hop, message, reason)
+        outcome = self.outcome(hop, message)
         elapsed = self.clock.now() - begun
         if outcome != i.COMMITTED:
             self.say("hop", tx=hop.order.asked.message.field("request-id"), hop=hop.index, host=hop.place.id,
@@ -80,8 +80,8 @@
             return None
         if hop.order.closed or not self.roster.ready(hop.host):
             # guards against sending what was answered, or to a host that left, while the connection came up
-            hop.stopped, hop.connection = i.UNSENT, None
-            self.pool.keep(connection, hop.place.address)
+            hop.stopped, hop.stage = i.UNSENT, Stage.UNTRIED
+            self.keep(hop)
             return None
         left = hop.limit - (self.clock.now() - begun)
         hop.stage = Stage.WRITING
@@ -100,12 +100,15 @@
                 if answer.found is None:
                     return fault._replace(stage=hop.stage)
         found = answer.found
-        if not writing.done() or not found.keep or answer.rest if isinstance(found, Message) else True:
-            connection.close()
-        else:
-            self.pool.keep(connection, hop.place.address)
+        if isinstance(found, Message) and found.keep and not answer.rest and hop.stage == Stage.ANSWERING:
+            self.keep(hop)
         return found
 
+    def keep(self, hop: Hop) -> None:
+        """From here on the connection is the pool's: stopping this hop must not close it under another."""
+        connection, hop.connection = hop.connection, None
+        self.pool.keep(connection, hop.place.address)
+
     @staticmethod
     def wrote(hop: Hop, writing: asyncio.Future) -> None:
         if writing.done() and not writing.cancelled() and writing.exception() is None and (
@@ -113,12 +116,12 @@
             hop.stage = Stage.WRITTEN
 
     @staticmethod
-    def outcome(hop: Hop, message: Message | None, reason: str) -> str:
+    def outcome(hop: Hop, message: Message | None) -> str:
         written = hop.stage >= Stage.WRITTEN
         if message is not None:
             return hosts.outcome(message, written)
-        if hop.stopped is not None:
-            return hop.stopped if written else i.UNSENT
-        if reason == "no descriptor free":
+        if hop.stopped is not None and written:
+            return hop.stopped
+        if hop.stopped is not None or hop.stage == Stage.UNTRIED:
             return i.UNSENT
         return i.RESET if written else i.UNREACHABLE
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -24,6 +24,10 @@
         if self.task is None or self.task.done():
             self.task = asyncio.get_running_loop().create_task(self.run())
 
+    def end(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+
     async def run(self) -> None:
         """Until something fails: the decisions say when to ask again."""
         reason, self.told = "", False
@@ -31,24 +35,23 @@
             connection = Connection(socket.socket(), self.buffers, self.descriptors)
             try:
                 reason = await self.follow(connection)
-            except Exception as fault:
+            except Exception as fault:      # exceptions stop at the connection
                 reason = repr(fault)
-            connection.close()
+            finally:
+                connection.close()
         self.say("list lost", reason=reason)
         self.task = None
         await self.owner.post(ListLost())
 
     async def follow(self, connection: Connection) -> str:
         """What went wrong; nothing, if discovery has closed the connection after an answer."""
-        late = asyncio.get_running_loop().call_later(ANSWER_MOST, connection.close)
-        fault = await connection.connect(self.address)
-        late.cancel()
+        with connection.within(ANSWER_MOST):
+            fault = await connection.connect(self.address)
         if fault is not None:
             return fault.reason
         while True:
-            late = asyncio.get_running_loop().call_later(self.wait + ANSWER_MOST, connection.close)
-            found = await self.call(connection)
-            late.cancel()
+            with connection.within(self.wait + ANSWER_MOST):
+                found = await self.call(connection)
             if isinstance(found, Fault):
                 return found.reason
             listing = catalogue.read(found.body) if found.status == 200 else None
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -1,6 +1,7 @@
 """One TCP connection: reads into pooled buffers, writes, and values that say how far it had come."""
 import asyncio
 import socket
+from contextlib import contextmanager
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -12,10 +13,11 @@
 
 class Stage(IntEnum):
     """How far an exchange had come; the peer can have begun on it only from WRITTEN on."""
-    CONNECTING = 0
-    WRITING = 1
-    WRITTEN = 2
-    ANSWERING = 3
+    UNTRIED = 0         # nothing has left this machine
+    CONNECTING = 1
+    WRITING = 2
+    WRITTEN = 3
+    ANSWERING = 4
 
 
 class Fault(NamedTuple):
@@ -44,6 +46,15 @@
             return Fault(Stage.CONNECTING, str(self.stream.error or fault))
         return None
 
+    @contextmanager
+    def within(self, seconds: float):
+        """What is waited for inside ends with the connection, if it takes longer."""
+        late = asyncio.get_running_loop().call_later(seconds, self.close)
+        try:
+            yield
+        finally:
+            late.cancel()
+
     def reading(self) -> asyncio.Future:
         """The standing read; begun if there is none."""
         if self.pending is None:
--- a/basalthook/transport/descriptors.py
+++ b/basalthook/transport/descriptors.py
@@ -1,11 +1,13 @@
 """What this process may hold open, against the limit given at start."""
 
-RESERVE = 40    # the interpreter's own, the loop's, the listener, discovery, and a start's short-lived files
+RESERVE = 16        # the interpreter's own, the loop's, the listener, and a file opened for a moment
+CLIENTS_PART = 8    # one part in so many is for clients alone: they are taken when hops find no room any more
 
 
 class Descriptors:
     def __init__(self, limit: int) -> None:
         self.most, self.held = max(2, limit - RESERVE), 0
+        self.most_for_hosts = self.most - max(1, self.most // CLIENTS_PART)
 
     def take(self) -> None:
         self.held += 1
@@ -15,3 +17,6 @@
 
     def full(self) -> bool:
         return self.held >= self.most
+
+    def full_for_hosts(self) -> bool:
+        return self.held >= self.most_for_hosts
--- a/basalthook/transport/hostpool.py
+++ b/basalthook/transport/hostpool.py
@@ -33,14 +33,16 @@
 
     async def fresh(self, address: tuple, opened) -> Connection | Fault:
         """A new one; `opened` is told of it before it is up, so that whoever waits can close it."""
-        if self.descriptors.full() and not self.give_up_oldest():
-            return Fault(Stage.CONNECTING, "no descriptor free")
-        connection = Connection(socket.socket(), self.buffers, self.descriptors)
+        if self.descriptors.full_for_hosts() and not self.give_up_oldest():
+            return Fault(Stage.UNTRIED, "no descriptor free")
+        try:
+            sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+        except OSError as fault:
+            return Fault(Stage.UNTRIED, str(fault))
+        connection = Connection(sock, self.buffers, self.descriptors)
         opened(connection)
-        late = asyncio.get_running_loop().call_later(self.patience, connection.close)
-        fault = await connection.connect(address)
-        late.cancel()
-        return fault or connection
+        with connection.within(self.patience):
+            return await connection.connect(address) or connection
 
     def keep(self, connection: Connection, address: tuple) -> None:
         if connection.closed or not self.idle:
--- a/basalthook/transport/listener.py
+++ b/basalthook/transport/listener.py
@@ -1,34 +1,44 @@
 """The listening socket."""
+import asyncio
 import socket
 
 from tornado.netutil import add_accept_handler, bind_sockets
 
 BACKLOG = 1024
+LOOK_AGAIN = 0.01       # seconds, while no descriptor is free
 
 
 class Listener:
-    def __init__(self, address: tuple[str, int]) -> None:
+    """Hands every connection to `take(socket)`, which says whether there is room for another one."""
+
+    def __init__(self, address: tuple[str, int], take) -> None:
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.socket, = bind_sockets(address[1], address[0], family, BACKLOG)    # SO_REUSEADDR is set there
-        self.address = self.socket.getsockname()
-        self.stop_accepting = None
+        self.address, self.take, self.remove = self.socket.getsockname()[:2], take, None
+
+    def open(self) -> None:
+        self.remove = add_accept_handler(self.socket, self.accepted)
 
-    def accept_to(self, take) -> None:
-        """Call `take(socket)` for each connection from now on."""
-        self.take = take
-        self.stop_accepting = add_accept_handler(self.socket, lambda sock, _: take(sock))
+    def accepted(self, sock: socket.socket, _) -> None:
+        if not self.take(sock) and self.remove is not None:
+            self.remove()           # guards against a loop that spins on a backlog that it can't empty
+            self.remove = None
+            asyncio.get_running_loop().call_later(LOOK_AGAIN, self.open_again)
+
+    def open_again(self) -> None:
+        if self.socket.fileno() >= 0 and self.remove is None:
+            self.open()
 
     def close(self) -> None:
         """What the machine has accepted is taken first: it may carry something already."""
-        if self.stop_accepting is None:
-            return
-        self.stop_accepting()
-        self.stop_accepting = None
+        if self.remove is not None:
+            self.remove()
         while True:
             try:
                 sock, _ = self.socket.accept()
             except OSError:
                 break
             sock.setblocking(False)
-            self.take(sock)
+            if not self.take(sock):
+                break
         self.socket.close()
