--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -3,7 +3,7 @@
 import gc
 import signal
 
-from ..routing.clients import Clients
+from ..routing.clients import IDLE, NEW, Clients
 from ..routing.clock import TICKS, Clock
 from ..routing.hops import Hops
 from ..routing.owner import Owner
@@ -34,7 +34,7 @@
                            buffers, descriptors, log.say)
         self.owner.begin_hop, self.owner.begin_watch = hops.begin, self.watch.begin
         self.owner.close_idle = self.pool.close_idle
-        self.clients = Clients(self.owner, clock, told.profiles, buffers, descriptors, self.pool, log.say)
+        self.clients = Clients(self.owner, clock, told.profiles, buffers, descriptors, log.say)
 
     async def run(self) -> None:
         """From start to SIGTERM, or SIGINT; a second one changes nothing."""
@@ -62,11 +62,11 @@
         """Idle connections go at once, while whoever crosses that can come anew; then all is finished."""
         self.log.say("ending", connections=len(self.clients.open), transactions=len(self.owner.orders))
         self.clients.ready = False
-        self.clients.close_idle(len(self.clients.open))
+        self.clients.close_idle()
         await asyncio.sleep(ACCEPT_ON)
         listener.close()
         await asyncio.sleep(READ_ON)
-        self.clients.close_idle(len(self.clients.open))
+        self.clients.close_idle(states=(NEW, IDLE))
         await self.clients.finish(self.told.longest_patience)
         self.log.say("ended", unanswered=sum(not order.closed for order in self.owner.orders.values()))
         self.watch.end()
--- a/basalthook/program/startup.py
+++ b/basalthook/program/startup.py
@@ -54,7 +54,7 @@
     seed = told.get("seed", 0)
     return StartUp(
         name=str(told.get("name") or environ.get("RELAY_NAME") or "proxy"),
-        listen=catalogue.address(told.get("listen") or environ["RELAY_LISTEN"]),
+        listen=catalogue.address(told.get("listen") or environ["RELAY_LISTEN"], least=0),   # 0: any port
         discovery=catalogue.address(told.get("discovery") or environ["RELAY_DISCOVERY"]),
         seed=int(seed, 16) if isinstance(seed, str) else int(seed),
         sockets=min(ours, int(told.get("limits", {}).get("sockets") or ours)),
--- a/basalthook/protocol/catalogue.py
+++ b/basalthook/protocol/catalogue.py
@@ -33,18 +33,18 @@
     return http1.request("GET", f"{PATH}?index={version}&wait={wait_ms}", [("Host", host)])
 
 
-def address(text: str) -> tuple[str, int]:
+def address(text: str, least: int = 1) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     host = str(ipaddress.ip_address(host.strip("[]")))
-    if not 0 < int(port) < 65536:
+    if not least <= int(port) < 65536:
         raise ValueError(f"no port: {text}")
     return host, int(port)
 
 
 def line(entry: dict) -> Line:
-    return Line(str(entry["id"]), address(entry["addr"]), str(entry.get("zone") or ""),
-                int(entry.get("cell") or 0), READY[entry["state"]], entry["state"] == "removed",
-                float(entry.get("weight") or 1.0), int(entry.get("started_ms") or 0) * 1_000_000)
+    return Line(str(entry["id"]), address(entry["addr"]), str(entry.get("zone", "")),
+                int(entry.get("cell", 0)), READY[entry["state"]], entry["state"] == "removed",
+                float(entry.get("weight", 1.0)), int(entry.get("started_ms", 0)) * 1_000_000)
 
 
 def listing(found: dict) -> Listing | None:
--- a/basalthook/protocol/http1.py
+++ b/basalthook/protocol/http1.py
@@ -75,8 +75,9 @@
     # ---- the states: each takes what it can from `rest` and says whether another look is worth while
 
     def _head(self) -> bool:
-        while not self.seen and self.rest[:2] == b"\r\n":
+        while self.rest[:2] == b"\r\n":
             del self.rest[:2]           # an empty line before a message is passed over
+            self.seen = 0
         at = self.rest.find(b"\r\n\r\n", max(0, self.seen - 3))
         if at < 0 or at + 4 > HEAD_MOST:
             self.seen = len(self.rest)
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -7,22 +7,23 @@
 from ..transport.buffers import BufferPool
 from ..transport.connection import Connection
 from ..transport.descriptors import Descriptors
-from ..transport.hostpool import HostPool
 from .clock import TICKS, Clock
 from .owner import Answer, Arrived, Gone, Order, Owner
 
 STALLED = 10.0      # seconds that a message may take to come in once it has begun
 LINGER = 1.0        # seconds that a refused peer gets to read why
+NEW, IDLE, BUSY = "new", "idle", "busy"     # nothing has come yet; between two messages; one is in hand
 OVERDUE = 200       # tenths of a millisecond past the hard limit: nothing should wait that long
 
 
 class Clients:
     def __init__(self, owner: Owner, clock: Clock, profiles: dict[str, int], buffers: BufferPool,
-                 descriptors: Descriptors, pool: HostPool, say) -> None:
+                 descriptors: Descriptors, say) -> None:
         self.owner, self.clock, self.profiles, self.say = owner, clock, profiles, say
-        self.buffers, self.descriptors, self.pool = buffers, descriptors, pool
+        self.buffers, self.descriptors = buffers, descriptors
+        descriptors.givers.append(lambda: self.close_idle(1))
         self.ready = False
-        self.open: dict[Connection, bool] = {}      # -> whether it idles; emptied as they end
+        self.open: dict[Connection, str] = {}       # -> NEW, IDLE or BUSY; emptied as they end
         self.tasks: set[asyncio.Task] = set()
 
     def take(self, sock) -> bool:
@@ -31,17 +32,15 @@
         At the limit idle connections go for it, those to hosts first. False: no room for another one.
         """
         connection = Connection(sock, self.buffers, self.descriptors)
-        self.open[connection] = True
+        self.open[connection] = NEW
         task = asyncio.get_running_loop().create_task(self.serve(connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-        while self.descriptors.full() and (self.pool.give_up_oldest() or self.close_idle(1, connection)):
-            pass
-        return not self.descriptors.full()
+        return self.descriptors.room(self.descriptors.most)
 
-    def close_idle(self, most: int, spared: Connection | None = None) -> int:
+    def close_idle(self, most: int | None = None, states: tuple = (IDLE,)) -> int:
         """Close so many of those that carry nothing, the longest idle first; what has bytes to read stays."""
-        idle = [c for c, idles in self.open.items() if idles and c is not spared and c.quiet()][:most]
+        idle = [c for c, state in self.open.items() if state in states and c.quiet()][:most]
         for connection in idle:
             del self.open[connection]
             connection.close()
@@ -57,6 +56,8 @@
             parser = Parser(responses=False)
             while await self.one(connection, parser):
                 parser.again()
+                self.open.pop(connection, None)
+                self.open[connection] = IDLE        # those that idle longest come first
         except Exception as fault:      # exceptions stop at the connection
             self.say("fault", where="client", error=repr(fault))
         finally:
@@ -65,14 +66,12 @@
 
     async def one(self, connection: Connection, parser: Parser) -> bool:
         """Read and answer one message; whether another may follow on this connection."""
-        self.open.pop(connection, None)
-        self.open[connection] = True        # those that idle longest come first
         stalled = None
         while parser.found is None:
             if await connection.read(parser.feed) is not None:
                 return False
+            self.open[connection] = BUSY
             if stalled is None and parser.started:
-                self.open[connection] = False
                 stalled = asyncio.get_running_loop().call_later(STALLED, self.stalled, connection, parser)
             if parser.awaits_body and not await self.write(connection, http1.CONTINUE, True):
                 return False
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -81,6 +81,7 @@
         self.decide(self.roster.told(known, answered=False))
 
     async def run(self) -> None:
+        self.wind()
         while True:
             item = await self.queue.get()
             self.alarm = self.alarm and self.alarm.cancel()
--- a/basalthook/transport/descriptors.py
+++ b/basalthook/transport/descriptors.py
@@ -5,8 +5,10 @@
 
 
 class Descriptors:
+    """`givers` close one idle connection each, if they have any; asked in turn, the cheapest first."""
+
     def __init__(self, limit: int) -> None:
-        self.most, self.held = max(2, limit - RESERVE), 0
+        self.most, self.held, self.givers = max(2, limit - RESERVE), 0, []
         self.most_for_hosts = self.most - max(1, self.most // CLIENTS_PART)
 
     def take(self) -> None:
@@ -18,5 +20,8 @@
     def full(self) -> bool:
         return self.held >= self.most
 
-    def full_for_hosts(self) -> bool:
-        return self.held >= self.most_for_hosts
+    def room(self, most: int) -> bool:
+        """Whether fewer than so many are held, if need be once idle connections have gone."""
+        while self.held >= most and any(give() for give in self.givers):
+            pass
+        return self.held < most
--- a/basalthook/transport/hostpool.py
+++ b/basalthook/transport/hostpool.py
@@ -18,6 +18,7 @@
         self.kept: OrderedDict[Connection, tuple] = OrderedDict()   # oldest first -> address, until
         self.by_host: dict[tuple, list[Connection]] = {}            # emptied as they are used, end or expire
         self.sweeping = None
+        descriptors.givers.append(self.give_up_oldest)
 
     def kept_one(self, address: tuple) -> Connection | None:
         """The one used last, if it is surely still good."""
@@ -33,7 +34,7 @@
 
     async def fresh(self, address: tuple, opened) -> Connection | Fault:
         """A new one; `opened` is told of it before it is up, so that whoever waits can close it."""
-        if self.descriptors.full_for_hosts() and not self.give_up_oldest():
+        if not self.descriptors.room(self.descriptors.most_for_hosts):
             return Fault(Stage.UNTRIED, "no descriptor free")
         try:
             sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -1,4 +1,7 @@
 """One tiny fake host, and a stage that plays a story of a proxy against a few of them."""
+import asyncio
+import json
+
 from basalthook.policy import interface as i
 from basalthook.policy.decide import Proxy
 
@@ -88,3 +91,126 @@
 
     def sends(self):
         return [e.host for e in self.record if isinstance(e, i.SendHop)]
+
+
+# ---- the same on sockets
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+SILENT, RESET = None, "reset"
+
+
+async def message(reader):
+    """Head and body of one message, read without the project's parser."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    length = [line for line in head.split("\r\n") if line.lower().startswith("content-length:")]
+    return head, await reader.readexactly(int(length[0].split(":")[1])) if length else b""
+
+
+class SocketHost:
+    """A host that answers its requests in these ways, one after the other, and the last one ever after."""
+
+    def __init__(self, *ways):
+        self.ways, self.writers, self.tasks = list(ways) or [OK], [], []
+        self.got, self.ended = asyncio.Queue(), asyncio.Queue()
+
+    async def start(self):
+        take = asyncio.get_running_loop().create_task
+        self.server = await asyncio.start_server(lambda *ends: self.tasks.append(take(self.serve(*ends))),
+                                                 "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def stop(self):
+        self.server.close()
+        for task, writer in zip(self.tasks, self.writers, strict=True):
+            task.cancel()
+            writer.transport.abort()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def serve(self, reader, writer):
+        self.writers.append(writer)
+        try:
+            while True:
+                self.got.put_nowait(await message(reader))
+                way = self.ways.pop(0) if len(self.ways) > 1 else self.ways[0]
+                if way == RESET:
+                    return writer.transport.abort()
+                if way is not SILENT:
+                    writer.write(way[-1] if isinstance(way, tuple) else way)
+                if isinstance(way, tuple):      # its end comes with it
+                    return writer.close()
+        except (OSError, asyncio.IncompleteReadError):
+            self.ended.put_nowait(True)
+            writer.close()
+
+    def line(self, name, **changes):
+        return {"id": name, "addr": self.address, "zone": "a", "kind": "m", "cell": 0, "state": "up",
+                "weight": 1.0, "started_ms": 0, **changes}
+
+
+class SocketDiscovery(SocketHost):
+    """Answers each watch as soon as the test tells it something."""
+
+    async def start(self):
+        self.news = asyncio.Queue()
+        return await super().start()
+
+    async def serve(self, reader, writer):
+        self.writers.append(writer)
+        while not reader.at_eof():
+            try:
+                self.got.put_nowait((await message(reader))[0].split(" ")[1])
+            except (OSError, asyncio.IncompleteReadError):
+                break
+            writer.write(await self.news.get())
+
+    def tell(self, version, *lines, full=False):
+        body = json.dumps({"version": version, "full": full, "servers": lines})
+        self.news.put_nowait(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+
+
+SETTINGS = {
+    "allowed": {"cancelling": True, "connect_timeout_ns": 250_000_000, "keepalive_ns": 30_000_000_000,
+                "max_hops": 4, "max_retry_after_ns": 2_000_000_000, "retry_after": True,
+                "second_copies": True},
+    "balancers": 1, "discovery": "on_request", "position": 0, "zone": "a",
+    "profiles": [{"name": n, "effect": e, "hard_limit_ns": 2_000_000_000, "service_goal_ns": 600_000_000}
+                 for n, e in (("view", "repeatable"), ("submit", "once"))],
+    "rules": {"ask_within_ns": 10_000_000, "cold_from": 0.2, "cold_ns": 20_000_000_000,
+              "fall_ns": 3_000_000_000, "overload_factor": 2.5},
+}
+
+
+def start_up(hosts, discovery, listen="127.0.0.1:0", sockets=256, **changes):
+    """The start-up file of a proxy that knows these hosts."""
+    lines = [host.line(f"s-{n}") for n, host in enumerate(hosts)]
+    return {"name": "n1", "listen": listen, "discovery": discovery.address, "seed": "2a",
+            "limits": {"sockets": sockets}, "known": {"version": 1, "full": True, "servers": lines},
+            "settings": {**SETTINGS, **changes}}
+
+
+class Caller:
+    """An application's connection to its proxy."""
+
+    async def to(self, address):
+        self.reader, self.writer = await asyncio.open_connection(*address)
+        return self
+
+    async def stop(self):
+        self.writer.transport.abort()
+        await asyncio.gather(self.writer.wait_closed(), return_exceptions=True)
+
+    def ask(self, profile="view", timeout="2.0", body=b"", key="k1", more=""):
+        method = "POST" if profile == "submit" else "GET"
+        line = f"{method} /{profile} HTTP/1.1\r\nHost: s\r\nRequest-Id: 5\r\n"
+        fields = f"Request-Timeout: {timeout}\r\nCookie: k={key}\r\n{more}"
+        size = f"Content-Length: {len(body)}\r\n" if body or profile == "submit" else ""
+        self.writer.write(f"{line}{fields}{size}\r\n".encode() + body)
+
+    async def answer(self):
+        head, body = await message(self.reader)
+        return int(head.split(" ")[1]), body, head
+
+    async def outcome(self, **request):
+        self.ask(**request)
+        return (await self.answer())[0]
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,85 @@
+"""The program as a process of its own: started, spoken to over loopback, ended."""
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+import unittest
+
+from tests.fake import OK, SILENT, Caller, SocketDiscovery, SocketHost, start_up
+
+
+async def start(*words, **more):
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "basalthook", *words, env={**os.environ, **more},
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+
+
+class Program(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.host, self.discovery = await SocketHost().start(), await SocketDiscovery().start()
+        self.addAsyncCleanup(self.host.stop)
+        self.addAsyncCleanup(self.discovery.stop)
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.path = os.path.join(self.folder.name, "start.json")
+        self.listen = "127.0.0.1:0"
+
+    async def serve(self):
+        with open(self.path, "w") as file:
+            json.dump(start_up([self.host], self.discovery, self.listen), file)
+        process = await start("serve", RELAY_CONFIG=self.path)
+        self.addAsyncCleanup(self.kill, process)
+        line = await self.line(process, "ready")
+        self.listen = ":".join(map(str, line["listen"]))
+        caller = await Caller().to(line["listen"])
+        self.addAsyncCleanup(caller.stop)
+        return process, caller
+
+    async def kill(self, process):
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+    async def line(self, process, event):
+        while line := await asyncio.wait_for(process.stdout.readline(), 30):
+            if json.loads(line)["event"] == event:
+                return json.loads(line)
+        self.fail((await process.stderr.read()).decode())
+
+    async def test_it_serves_and_comes_back_on_its_address_right_after_a_kill(self):
+        for _ in range(2):
+            process, caller = await self.serve()
+            self.assertEqual(await caller.outcome(profile="submit", body=b"b"), 200)
+            process.kill()
+            await process.wait()
+
+    async def test_told_to_end_it_finishes_what_it_has_and_leaves_with_zero(self):
+        self.host.ways = [SILENT]
+        process, caller = await self.serve()
+        caller.ask("submit")
+        await self.host.got.get()
+        process.terminate()
+        await self.line(process, "ending")
+        process.send_signal(signal.SIGTERM)         # a second one changes nothing
+        self.host.writers[0].write(OK)
+        self.assertEqual((await caller.answer())[0], 200)
+        self.assertEqual((await self.line(process, "ended"))["unanswered"], 0)
+        self.assertEqual(await process.wait(), 0)
+
+    async def test_a_bad_start_is_one_line_and_not_zero(self):
+        whole = start_up([self.host], self.discovery)
+        for text in ("{", "[]", "{}", json.dumps({**whole, "listen": "here"}),
+                     json.dumps({**whole, "settings": {}}), json.dumps({**whole, "known": {"servers": 1}})):
+            with open(self.path, "w") as file:
+                file.write(text)
+            process = await start("serve", "--file", self.path)
+            out, err = await process.communicate()
+            self.assertNotEqual(process.returncode, 0, text)
+            self.assertEqual((out, err.count(b"\n")), (b"", 1), err)
+            self.assertIn(b"basalthook: ", err)
+
+    async def test_it_says_its_version(self):
+        out, _ = await (await start("version")).communicate()
+        self.assertRegex(out, rb"^basalthook \d+\.\d+\.\d+\n$")
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,269 @@
+"""The client proxy on loopback sockets, in this process: hops by stage, clients, discovery, limits."""
+import asyncio
+import unittest
+
+from basalthook.policy import interface as i
+from basalthook.program.service import Service
+from basalthook.program.startup import decode
+from basalthook.routing.roster import Roster
+from basalthook.transport.buffers import BufferPool
+from basalthook.transport.connection import Connection
+from basalthook.transport.descriptors import Descriptors
+from tests.fake import OK, RESET, SILENT, Caller, SocketDiscovery, SocketHost, start_up
+
+REFUSED = b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+class Said:
+    """A log that keeps what it is told."""
+
+    def __init__(self):
+        self.lines = []
+
+    def say(self, event, **fields):
+        self.lines.append({"event": event, **fields})
+
+    def hops(self):
+        return [(line["stage"], line["outcome"]) for line in self.lines if line["event"] == "hop"]
+
+
+class Sockets(unittest.IsolatedAsyncioTestCase):
+    async def play(self, *hosts, **told):
+        """Start these hosts, discovery and a proxy that knows them; return a caller."""
+        self.hosts, self.log = [await self.started(h) for h in hosts], Said()
+        self.discovery = await self.started(SocketDiscovery())
+        self.service = Service(decode(start_up(self.hosts, self.discovery, **told), {}), self.log)
+        self.listener = self.service.begin()
+        self.addAsyncCleanup(self.stop)
+        late = asyncio.get_running_loop().call_later(20, asyncio.current_task().cancel)
+        self.addCleanup(late.cancel)            # a test that waits in vain fails
+        return await self.caller()
+
+    async def caller(self):
+        caller = await Caller().to(self.listener.address)
+        self.addAsyncCleanup(caller.stop)
+        return caller
+
+    async def started(self, host):
+        self.addAsyncCleanup(host.stop)
+        return await host.start()
+
+    async def stop(self):
+        self.listener.close()
+        self.service.clients.ready = False
+        self.service.watch.end()
+        self.service.pool.close()
+        for connection in list(self.service.clients.open):
+            connection.close()
+        await asyncio.wait_for(self.until(lambda: not self.service.clients.descriptors.held), 5)
+        self.service.task.cancel()
+        self.assertEqual([line for line in self.log.lines if line["event"] == "fault"], [])
+
+    @staticmethod
+    async def until(condition):
+        while not condition():
+            await asyncio.sleep(0)
+
+    # ---- hops, by how far they had come
+
+    async def test_a_commit_passes_the_body_on_and_keeps_the_connections(self):
+        caller = await self.play(SocketHost())
+        for _ in range(3):
+            caller.ask("submit", body=b"x" * 60_000)
+            status, body, _ = await caller.answer()
+            self.assertEqual((status, body), (200, b"done"))
+            head, body = await self.hosts[0].got.get()
+            self.assertEqual(len(body), 60_000)
+            self.assertIn("Request-Id: 5", head.title())
+        self.assertEqual(len(self.hosts[0].writers), 1)
+
+    async def test_refused_connections_ran_nothing_and_the_next_host_gets_it(self):
+        dead, alive = await self.started(SocketHost()), SocketHost()
+        dead.server.close()
+        await dead.server.wait_closed()
+        caller = await self.play(alive)
+        self.discovery.tell(2, dead.line("s-dead"))
+        await self.until(lambda: len(self.service.owner.roster.places) == 2)
+        for n in range(12):
+            self.assertEqual(await caller.outcome(profile="submit", key=f"k{n}"), 200)
+        self.assertEqual(self.log.hops(), [("connecting", i.UNREACHABLE)])      # then it is banned
+
+    async def test_what_must_not_run_twice_is_abandoned_after_a_reset(self):
+        caller = await self.play(SocketHost(RESET), SocketHost(RESET))
+        self.assertEqual(await caller.outcome(profile="submit"), 502)
+        self.assertEqual(self.log.hops(), [("written", i.RESET)])
+        self.assertEqual(sum(host.got.qsize() for host in self.hosts), 1)
+
+    async def test_answers_that_are_not_whole_are_never_passed_on(self):
+        """A short body, none of the length said, garbage, a switch, one without an end of its own."""
+        ways = [(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",), (b"HTTP/1.1 200 OK\r\n\r\nhalf",),
+                (b"\0\r\n\r\n",), (b"HTTP/1.1 101 X\r\n\r\n",),
+                (b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n",), OK]
+        caller = await self.play(SocketHost(*ways))
+        for way in ways:
+            expected = 200 if way == OK else 502
+            self.assertEqual(await caller.outcome(profile="submit"), expected, way)
+
+    async def test_turned_away_is_harmless_and_so_rolled_back(self):
+        caller = await self.play(SocketHost(REFUSED), SocketHost(REFUSED))
+        caller.ask("submit", timeout="0.300")
+        status, _, head = await caller.answer()
+        self.assertEqual(status, 503)
+        self.assertEqual(len(self.hosts[0].writers), 1)     # its connection is good for the next hop
+
+    async def test_a_connection_that_ended_while_kept_is_not_written_to(self):
+        caller = await self.play(SocketHost())
+        self.assertEqual(await caller.outcome(), 200)
+        self.hosts[0].writers[0].close()
+        await self.until(lambda: not self.service.pool.kept)
+        self.assertEqual(await caller.outcome(profile="submit"), 200)
+        self.assertEqual(self.log.hops(), [])
+
+    async def test_a_connection_that_said_something_unasked_is_not_used_again(self):
+        caller = await self.play(SocketHost(OK + b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnot", OK))
+        for _ in range(2):
+            caller.ask()
+            self.assertEqual((await caller.answer())[1], b"done")
+        self.assertEqual(len(self.hosts[0].writers), 2)
+
+    async def test_a_silent_host_costs_its_connection_and_the_answer_comes_in_time(self):
+        caller = await self.play(SocketHost(SILENT))
+        self.assertEqual(await caller.outcome(profile="submit", timeout="0.2"), 504)
+        self.assertTrue(await self.hosts[0].ended.get())
+        self.assertEqual(self.log.hops(), [("written", i.TIMED_OUT)])
+        self.assertEqual(self.service.pool.kept, {})
+
+    async def test_a_late_hop_gets_a_copy_and_the_first_commit_ends_the_other(self):
+        caller = await self.play(SocketHost(SILENT), SocketHost(SILENT))
+        caller.ask()
+        copies = [await host.got.get() for host in self.hosts]
+        self.assertEqual(copies[0][0].split("\r\n")[0], copies[1][0].split("\r\n")[0])
+        self.hosts[0].writers[0].write(OK)
+        self.assertEqual((await caller.answer())[0], 200)
+        self.assertTrue(await self.hosts[1].ended.get())
+
+    async def test_nothing_leaves_for_what_was_answered_while_its_connection_came_up(self):
+        host = SocketHost()
+        caller = await self.play(host)
+        fresh = self.service.pool.fresh
+
+        async def gone_meanwhile(address, opened):
+            connection = await fresh(address, opened)
+            order, = self.service.owner.orders.values()
+            order.closed = True
+            return connection
+        self.service.pool.fresh = gone_meanwhile
+        caller.ask("submit")
+        await self.until(self.log.hops)
+        self.assertEqual(self.log.hops(), [("untried", i.UNSENT)])
+        self.assertEqual((host.got.qsize(), len(self.service.pool.kept)), (0, 1))
+
+    # ---- clients
+
+    async def test_health_and_a_client_that_goes_away(self):
+        caller = await self.play(SocketHost(SILENT))
+        caller.writer.write(b"GET /_health HTTP/1.1\r\nHost: s\r\n\r\n")
+        self.assertEqual((await caller.answer())[0], 200)
+        caller.ask("submit")
+        await self.hosts[0].got.get()
+        caller.writer.close()
+        self.assertTrue(await self.hosts[0].ended.get())        # called back, as this deployment allows it
+        await self.until(lambda: not self.service.owner.orders)
+        self.assertEqual(self.service.owner.proxy.txs, {})
+
+    async def test_bad_input_gets_its_status_and_reaches_no_host(self):
+        first = await self.play(SocketHost())
+        first.writer.close()
+        for data, status in ((b"\0\r\n\r\n", 400), (b"GET /other HTTP/1.1\r\nHost: s\r\n\r\n", 404),
+                             (b"GET /view HTTP/1.1\r\nHost: s\r\nRequest-Id: 1\r\n\r\n", 400),
+                             (b"POST /submit HTTP/1.1\r\nHost: s\r\nContent-Length: 70000\r\n\r\n", 413),
+                             (b"GET /_health HTTP/1.1\r\nHost: s\r\n\r\nGET", 400)):
+            caller = await self.caller()
+            caller.writer.write(data)
+            self.assertEqual((await caller.answer())[0], status, data)
+            self.assertEqual(await caller.reader.read(), b"")
+            caller.writer.close()
+        self.assertEqual(self.hosts[0].got.qsize(), 0)
+
+    async def test_a_client_that_asks_first_is_told_to_send_its_body(self):
+        caller = await self.play(SocketHost())
+        caller.writer.write(b"POST /submit HTTP/1.1\r\nHost: s\r\nRequest-Id: 1\r\nRequest-Timeout: 1\r\n"
+                            b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        self.assertIn(b" 100 ", await caller.reader.readuntil(b"\r\n\r\n"))
+        caller.writer.write(b"hi")
+        self.assertEqual((await caller.answer())[0], 200)
+
+    # ---- discovery
+
+    async def test_a_drain_in_the_watch_is_kept(self):
+        caller = await self.play(SocketHost(), SocketHost())
+        self.discovery.tell(2, self.hosts[0].line("s-0", state="draining"))
+        await self.until(lambda: not self.service.owner.roster.ready(0))
+        for n in range(10):
+            self.assertEqual(await caller.outcome(key=f"k{n}"), 200)
+        self.assertEqual((self.hosts[0].got.qsize(), self.hosts[1].got.qsize()), (0, 10))
+        self.assertEqual([await self.discovery.got.get() for _ in range(2)],
+                         ["/catalog/members?index=1&wait=20", "/catalog/members?index=2&wait=20"])
+
+    async def test_a_list_that_is_not_sound_leaves_the_old_one_and_is_asked_for_again(self):
+        caller = await self.play(SocketHost())
+        self.discovery.news.put_nowait(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        self.discovery.news.put_nowait(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+        self.discovery.tell(7, full=True)
+        for _ in range(4):
+            self.assertIn("index=", await self.discovery.got.get())
+        self.assertEqual(sum(line["event"] == "list lost" for line in self.log.lines), 2)
+        self.assertEqual(await caller.outcome(timeout="0.05"), 503)     # nobody is listed any more
+
+    async def test_hosts_that_are_gone_are_forgotten_once_no_hop_is_out(self):
+        roster, host = Roster(), await self.started(SocketHost())
+        first = decode(start_up([host], host), {}).known
+        number = roster.told(first, False).hosts[0].host
+        roster.hop_out(number)
+        roster.told(first._replace(lines=()), True)
+        self.assertEqual((len(roster.places), roster.ready(number)), (1, False))
+        roster.hop_over(number)
+        self.assertEqual((roster.places, roster.numbers), ({}, {}))
+        self.assertNotEqual(roster.told(first, True).hosts[0].host, number)
+
+    # ---- limits and the end
+
+    async def test_at_the_descriptor_limit_whoever_comes_is_answered(self):
+        caller = await self.play(SocketHost(), sockets=16 + 8)
+        self.assertEqual(await caller.outcome(), 200)
+        for n in range(12):
+            other = await self.caller()         # those before stay open, until they must go
+            self.assertEqual(await other.outcome(profile="submit", key=f"k{n}"), 200)
+        self.assertLessEqual(self.service.clients.descriptors.held, 9)
+
+    async def test_the_end_answers_what_is_in_hand_and_what_still_comes(self):
+        caller = await self.play(SocketHost(SILENT))
+        idle, late = await self.caller(), await self.caller()
+        idle.writer.write(b"GET /_health HTTP/1.1\r\nHost: s\r\n\r\n")
+        await idle.answer()
+        caller.ask("submit")
+        await self.hosts[0].got.get()
+        end = asyncio.create_task(self.service.end(self.listener))
+        self.assertEqual(await idle.reader.read(), b"")         # closed at once
+        new = await self.caller()
+        for client in (late, new):
+            client.ask("submit", key="k2")
+            await self.hosts[0].got.get()
+        for writer in self.hosts[0].writers:
+            writer.write(OK)
+        for client in (caller, late, new):
+            status, _, head = await client.answer()
+            self.assertEqual((status, "Connection: close" in head), (200, True))
+        await end
+        self.assertEqual(self.log.lines[-1], {"event": "ended", "unanswered": 0})
+
+    async def test_a_buffer_goes_back_however_its_connection_ends(self):
+        host, pool, descriptors = await self.started(SocketHost()), BufferPool(64, 8), Descriptors(64)
+        _, writer = await asyncio.open_connection(*host.address.split(":"))
+        connection = Connection(writer.get_extra_info("socket").dup(), pool, descriptors)
+        connection.reading()
+        self.assertEqual(len(pool.free), 0)
+        connection.close()
+        self.assertEqual((len(pool.free), descriptors.held), (1, 0))
+        writer.close()
+        await writer.wait_closed()
