--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -22,7 +22,7 @@
         if self.stopped is None:
             self.stopped = outcome
             if self.connection is not None:
-                self.connection.close()
+                self.connection.close(f"given up: {outcome}")
 
     def holds(self, connection: Connection) -> None:
         self.stage, self.connection = Stage.CONNECTING, connection
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -34,6 +34,7 @@
         self.buffer: bytearray | None = None
         self.pending: asyncio.Future | None = None
         self.closed = self.awaited = False
+        self.why = ""               # the reason, where we closed it before its time
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.stream = IOStream(sock, max_buffer_size=256 * 1024, read_chunk_size=buffers.size)
         self.stream.set_close_callback(self.close)
@@ -43,13 +44,13 @@
             await self.stream.connect(address)
         except (OSError, StreamClosedError) as fault:
             self.close()
-            return Fault(Stage.CONNECTING, str(self.stream.error or fault))
+            return Fault(Stage.CONNECTING, self.why or str(self.stream.error or fault))
         return None
 
     @contextmanager
     def within(self, seconds: float):
         """What is waited for inside ends with the connection, if it takes longer."""
-        late = asyncio.get_running_loop().call_later(seconds, self.close)
+        late = asyncio.get_running_loop().call_later(seconds, self.close, f"not within {seconds:g} s")
         try:
             yield
         finally:
@@ -76,7 +77,7 @@
             return None
         except StreamClosedError as fault:
             self.close()
-            return Fault(Stage.WRITTEN, str(fault.real_error or "closed by the peer"))
+            return Fault(Stage.WRITTEN, self.why or str(fault.real_error or "ended by the peer"))
         finally:
             self.awaited = False
             self._release()
@@ -102,10 +103,10 @@
         except OSError:
             return False
 
-    def close(self) -> None:
+    def close(self, why: str = "") -> None:
         if self.closed:
             return
-        self.closed = True
+        self.closed, self.why = True, why
         self.descriptors.give()
         self.stream.close()
         if not self.awaited:
