Commands check and health; tests of stages, connect timeout, late hops, backlog, memory

A silent discovery is given up 2 s after the time asked for (5 before): by then what it had to tell counts as told.

--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -1,11 +1,14 @@
 """The command line."""
 import asyncio
+import http.client
 import os
 import sys
 
 import click
 
 from .. import VERSION
+from ..protocol import catalogue
+from ..protocol.application import HEALTH
 from . import startup
 from .log import Log
 from .service import Service
@@ -33,6 +36,37 @@
     await Service(told, log).run()
 
 
+@main.command()
+@FILE
+def check(path: str) -> None:
+    """Read the start-up file and say what it holds, without starting anything."""
+    told = read(path)
+    click.echo(f"{told.name}: listens on {told.listen[0]}:{told.listen[1]}, discovery at {told.discovery[0]}:"
+               f"{told.discovery[1]}, {len(told.known.lines)} hosts known, {len(told.profiles)} profiles, "
+               f"{told.sockets} descriptors")
+
+
+@main.command()
+@click.argument("address")
+@click.option("--seconds", default=2.0, show_default=True, help="How long to wait for the answer.")
+def health(address: str, seconds: float) -> None:
+    """Ask a running client proxy at ADDRESS (host:port) whether it is ready; exit with 1 if it is not."""
+    try:
+        host, port = catalogue.address(address)
+        connection = http.client.HTTPConnection(host, port, timeout=seconds)
+        connection.request("GET", HEALTH)
+        answer = connection.getresponse()
+        text = answer.read().decode().strip()
+        connection.close()
+    except ValueError as fault:
+        raise click.UsageError(str(fault)) from None
+    except (OSError, http.client.HTTPException) as fault:
+        click.echo(f"basalthook: no answer from {address}: {fault}", err=True)
+        sys.exit(1)
+    click.echo(text)
+    sys.exit(0 if answer.status == 200 else 1)
+
+
 @main.command()
 def version() -> None:
     """Say which version this is."""
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -9,7 +9,8 @@
 from ..transport.descriptors import Descriptors
 from .owner import Listed, ListLost, Owner
 
-ANSWER_MOST = 5.0       # seconds past the time asked for; discovery may vanish without a word
+ANSWER_MOST = 2.0       # seconds past the time asked for: discovery may vanish without a word, and what it
+                        # has to tell counts as told by then
 
 
 class Watch:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -52,8 +52,7 @@
         for _ in range(2):
             process, caller = await self.serve()
             self.assertEqual(await caller.outcome(profile="submit", body=b"b"), 200)
-            process.kill()
-            await process.wait()
+            await self.kill(process)
 
     async def test_told_to_end_it_finishes_what_it_has_and_leaves_with_zero(self):
         self.host.ways = [SILENT]
@@ -68,6 +67,34 @@
         self.assertEqual((await self.line(process, "ended"))["unanswered"], 0)
         self.assertEqual(await process.wait(), 0)
 
+    async def test_bodies_held_for_a_silent_host_stay_within_memory(self):
+        self.host.ways = [SILENT]
+        process, first = await self.serve()
+        callers = [first] + [await Caller().to(self.listen.split(":")) for _ in range(150)]
+        for n, caller in enumerate(callers):
+            caller.ask("submit", timeout="1.0", body=b"b" * 65536, key=f"k{n}")
+        for caller in callers:
+            self.assertIn((await caller.answer())[0], (503, 504))
+            await caller.stop()
+        with open(f"/proc/{process.pid}/status") as status:
+            peak = next(int(line.split()[1]) for line in status if line.startswith("VmHWM"))
+        self.assertLess(peak, 96 * 1024)
+
+    async def test_a_running_proxy_is_asked_whether_it_is_ready(self):
+        process, _ = await self.serve()
+        for running in (True, False):
+            asked = await start("health", self.listen)
+            await asked.communicate()
+            self.assertEqual(asked.returncode, 0 if running else 1)
+            await self.kill(process)
+
+    async def test_a_start_up_file_is_checked_without_a_start(self):
+        with open(self.path, "w") as file:
+            json.dump(start_up([self.host], self.discovery, "127.0.0.1:7"), file)
+        out, _ = await (await start("check", "--file", self.path)).communicate()
+        self.assertIn(b"listens on 127.0.0.1:7", out)
+        self.assertIn(b"1 hosts known", out)
+
     async def test_a_bad_start_is_one_line_and_not_zero(self):
         whole = start_up([self.host], self.discovery)
         for text in ("{", "[]", "{}", json.dumps({**whole, "listen": "here"}),
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,14 +1,18 @@
 """The client proxy on loopback sockets, in this process: hops by stage, clients, discovery, limits."""
 import asyncio
+import socket
 import unittest
+import unittest.mock
 
 from basalthook.policy import interface as i
 from basalthook.program.service import Service
 from basalthook.program.startup import decode
+from basalthook.routing.hops import Hop, Hops
 from basalthook.routing.roster import Roster
 from basalthook.transport.buffers import BufferPool
-from basalthook.transport.connection import Connection
+from basalthook.transport.connection import Connection, Stage
 from basalthook.transport.descriptors import Descriptors
+from basalthook.transport.listener import Listener
 from tests.fake import OK, RESET, SILENT, Caller, SocketDiscovery, SocketHost, start_up
 
 REFUSED = b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
@@ -158,8 +162,57 @@
         self.assertEqual(self.log.hops(), [("untried", i.UNSENT)])
         self.assertEqual((host.got.qsize(), len(self.service.pool.kept)), (0, 1))
 
+    async def test_from_the_stage_alone_follows_what_may_have_run(self):
+        for stage, stopped, outcome in (
+                (Stage.UNTRIED, None, i.UNSENT), (Stage.CONNECTING, None, i.UNREACHABLE),
+                (Stage.WRITING, None, i.UNREACHABLE), (Stage.WRITTEN, None, i.RESET),
+                (Stage.ANSWERING, None, i.RESET), (Stage.CONNECTING, i.TIMED_OUT, i.UNSENT),
+                (Stage.WRITING, i.CANCELLED, i.UNSENT), (Stage.WRITTEN, i.TIMED_OUT, i.TIMED_OUT),
+                (Stage.ANSWERING, i.CANCELLED, i.CANCELLED)):
+            hop = Hop(None, 0, 0, None, 1)
+            hop.stage, hop.stopped = stage, stopped
+            self.assertEqual(Hops.outcome(hop, None), outcome, (stage, stopped))
+
+    async def test_a_connection_that_never_comes_up_ends_in_the_connect_timeout(self):
+        host = SocketHost()
+        caller = await self.play(host)
+        full = socket.socket()
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        address = full.getsockname()
+        blockers = [socket.socket() for _ in range(4)]          # its backlog takes no more
+        for blocker in blockers:
+            blocker.setblocking(False)
+            blocker.connect_ex(address)
+        self.discovery.tell(2, host.line("s-full", addr=f"127.0.0.1:{address[1]}"),
+                            host.line("s-0", state="removed"))
+        await self.until(lambda: not self.service.owner.roster.ready(0))
+        self.assertEqual(await caller.outcome(profile="submit", timeout="1.5"), 503)
+        self.assertEqual(self.log.hops(), [("connecting", i.UNREACHABLE)])
+        self.assertGreaterEqual(self.log.lines[-2]["ms"], 250)
+        for sock in (full, *blockers):
+            sock.close()
+
+    async def test_a_hop_asked_for_too_late_ends_as_unsent(self):
+        caller = await self.play(SocketHost(SILENT))
+        caller.ask("submit")
+        await self.hosts[0].got.get()
+        order, = self.service.owner.orders.values()
+        order.closed = True
+        self.service.owner.send(i.SendHop(order.number, 0, 5_000))
+        await self.until(self.log.hops)
+        self.assertEqual(self.log.hops(), [("untried", i.UNSENT)])
+        self.assertEqual(self.hosts[0].got.qsize(), 0)
+
     # ---- clients
 
+    async def test_a_client_that_stops_half_way_does_not_hold_its_connection(self):
+        caller = await self.play(SocketHost())
+        with unittest.mock.patch("basalthook.routing.clients.STALLED", 0.02):
+            caller.writer.write(b"GET /view HT")
+            self.assertEqual((await caller.answer())[0], 408)
+            self.assertEqual(await caller.reader.read(), b"")
+
     async def test_health_and_a_client_that_goes_away(self):
         caller = await self.play(SocketHost(SILENT))
         caller.writer.write(b"GET /_health HTTP/1.1\r\nHost: s\r\n\r\n")
@@ -209,11 +262,12 @@
         caller = await self.play(SocketHost())
         self.discovery.news.put_nowait(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
         self.discovery.news.put_nowait(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
-        self.discovery.tell(7, full=True)
+        lines = [self.hosts[0].line(f"s-{n}", state="draining") for n in range(500)]     # many buffers long
+        self.discovery.tell(7, *lines, full=True)
         for _ in range(4):
             self.assertIn("index=", await self.discovery.got.get())
         self.assertEqual(sum(line["event"] == "list lost" for line in self.log.lines), 2)
-        self.assertEqual(await caller.outcome(timeout="0.05"), 503)     # nobody is listed any more
+        self.assertEqual(await caller.outcome(timeout="0.05"), 503)     # nobody is ready any more
 
     async def test_hosts_that_are_gone_are_forgotten_once_no_hop_is_out(self):
         roster, host = Roster(), await self.started(SocketHost())
@@ -236,6 +290,15 @@
             self.assertEqual(await other.outcome(profile="submit", key=f"k{n}"), 200)
         self.assertLessEqual(self.service.clients.descriptors.held, 9)
 
+    async def test_what_waits_to_be_accepted_is_taken_before_the_listener_closes(self):
+        taken = []
+        listener = Listener(("127.0.0.1", 0), lambda sock: taken.append(sock) or True)
+        waiting = socket.create_connection(listener.address)
+        listener.close()
+        self.assertEqual([sock.getpeername() for sock in taken], [waiting.getsockname()])
+        for sock in (waiting, *taken):
+            sock.close()
+
     async def test_the_end_answers_what_is_in_hand_and_what_still_comes(self):
         caller = await self.play(SocketHost(SILENT))
         idle, late = await self.caller(), await self.caller()
