--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -42,8 +42,11 @@
             asyncio.get_running_loop().add_signal_handler(number, self.ending.set)
         listener = self.begin()
         gc.collect()
-        gc.freeze()             # what is here stays: the collector need not look at it again
-        await self.ending.wait()
+        gc.freeze()             # what is here stays; looking at it again stopped everything for 4 ms
+        ending = asyncio.get_running_loop().create_task(self.ending.wait())
+        await asyncio.wait({ending, self.task}, return_when=asyncio.FIRST_COMPLETED)
+        if self.task.done():    # without its owner it could only leave everything unanswered
+            self.task.result()
         await self.end(listener)
 
     def begin(self) -> Listener:
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -31,7 +31,11 @@
 
         At the limit idle connections go for it, those to hosts first. False: no room for another one.
         """
-        connection = Connection(sock, self.buffers, self.descriptors)
+        try:
+            connection = Connection(sock, self.buffers, self.descriptors)
+        except OSError:         # it ended before we could look at it
+            sock.close()
+            return True
         self.open[connection] = NEW
         task = asyncio.get_running_loop().create_task(self.serve(connection))
         self.tasks.add(task)
@@ -66,17 +70,18 @@
 
     async def one(self, connection: Connection, parser: Parser) -> bool:
         """Read and answer one message; whether another may follow on this connection."""
-        stalled = None
-        while parser.found is None:
-            if await connection.read(parser.feed) is not None:
-                return False
-            self.open[connection] = BUSY
-            if stalled is None and parser.started:
-                stalled = asyncio.get_running_loop().call_later(STALLED, self.stalled, connection, parser)
-            if parser.awaits_body and not await self.write(connection, http1.CONTINUE, True):
-                return False
-        if stalled is not None:
-            stalled.cancel()
+        if await connection.read(parser.feed) is not None:
+            return False
+        self.open[connection] = BUSY
+        late = asyncio.get_running_loop().call_later(STALLED, self.stalled, connection)
+        try:
+            while parser.found is None:
+                if parser.awaits_body and not await self.write(connection, http1.CONTINUE, True):
+                    return False
+                if await connection.read(parser.feed) is not None:
+                    return False
+        finally:
+            late.cancel()
         found = parser.found
         if isinstance(found, Message) and parser.rest:
             found = Malformed(400, "bytes after the message")
@@ -141,8 +146,8 @@
                     pass
         return False
 
-    def stalled(self, connection: Connection, parser: Parser) -> None:
+    @staticmethod
+    def stalled(connection: Connection) -> None:
         """Guards against peers that stop half-way and hold a connection for ever."""
-        if parser.found is None:
-            connection.write(application.told(408, "stopped half-way", False))
-            connection.close()
+        connection.write(application.told(408, "stopped half-way", False))
+        connection.close()
--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -12,8 +12,9 @@
 
 
 class Hop:
-    def __init__(self, order: Order, index: int, host: int, place: Place, limit: int) -> None:
-        self.order, self.index, self.host, self.place, self.limit = order, index, host, place, limit
+    def __init__(self, order: Order, index: int, host: int, place: Place, begun: int, limit: int) -> None:
+        self.order, self.index, self.host, self.place = order, index, host, place
+        self.begun, self.limit = begun, limit           # connecting counts
         self.connection: Connection | None = None       # while it is this hop's alone
         self.stage, self.stopped, self.reused = Stage.UNTRIED, None, False
 
@@ -34,7 +35,7 @@
         self.tasks: set[asyncio.Task] = set()   # emptied as they end
 
     def begin(self, order: Order, index: int, host: int, place: Place, limit: int, refused: bool) -> Hop:
-        hop = Hop(order, index, host, place, limit)
+        hop = Hop(order, index, host, place, self.clock.now(), limit)
         if refused:
             hop.stopped = i.UNSENT
         task = asyncio.get_running_loop().create_task(self.run(hop))
@@ -43,11 +44,11 @@
         return hop
 
     async def run(self, hop: Hop) -> None:
-        begun, late, message, reason = self.clock.now(), None, None, ""
+        late, message, reason = None, None, ""
         try:
             if hop.stopped is None:
                 late = asyncio.get_running_loop().call_later(hop.limit / TICKS, hop.stop, i.TIMED_OUT)
-                found = await self.exchange(hop, begun)
+                found = await self.exchange(hop)
                 if isinstance(found, Message):
                     message = found
                 elif found is not None:
@@ -60,7 +61,7 @@
         if hop.connection is not None:
             hop.connection.close()
         outcome = self.outcome(hop, message)
-        elapsed = self.clock.now() - begun
+        elapsed = self.clock.now() - hop.begun
         if outcome != i.COMMITTED:
             self.say("hop", tx=hop.order.asked.message.field("request-id"), hop=hop.index, host=hop.place.id,
                      outcome=outcome, stage=hop.stage.name.lower(), reused=hop.reused, ms=elapsed / 10,
@@ -68,7 +69,7 @@
         await self.owner.post(HopOver(hop.order, hop.index, hop.host, outcome, elapsed,
                                       message if outcome == i.COMMITTED else None))
 
-    async def exchange(self, hop: Hop, begun: int) -> Message | Fault | Malformed | None:
+    async def exchange(self, hop: Hop) -> Message | Fault | Malformed | None:
         connection = self.pool.kept_one(hop.place.address)
         if connection is None:
             connection = await self.pool.fresh(hop.place.address, hop.holds)
@@ -83,7 +84,7 @@
             hop.stopped, hop.stage = i.UNSENT, Stage.UNTRIED
             self.keep(hop)
             return None
-        left = hop.limit - (self.clock.now() - begun)
+        left = hop.limit - (self.clock.now() - hop.begun)
         hop.stage = Stage.WRITING
         answer, reading = Parser(responses=True), connection.reading()
         writing = connection.write(hosts.hop(hop.order.asked.message, max(1, left) / TICKS))
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -84,21 +84,23 @@
         self.wind()
         while True:
             item = await self.queue.get()
-            self.alarm = self.alarm and self.alarm.cancel()
-            self.ring()
+            while self.timers and self.timers[0][0] <= self.clock.now():
+                self.safely(self.decide, i.TimerDue(heappop(self.timers)[2]))
             if item is not None:
-                try:
-                    self.take(item)
-                except Exception as fault:      # one bad event must not end the service of all others
-                    self.say("fault", where=type(item).__name__, error=repr(fault))
+                self.safely(self.take, item)
             self.wind()
 
-    def ring(self) -> None:
-        """Timers that are due, in the order of their times."""
-        while self.timers and self.timers[0][0] <= self.clock.now():
-            self.decide(i.TimerDue(heappop(self.timers)[2]))
+    def safely(self, work, given) -> None:
+        """One bad event must not end the service of all others."""
+        try:
+            work(given)
+        except Exception as fault:
+            self.say("fault", where=type(given).__name__, error=repr(fault))
 
     def wind(self) -> None:
+        """Wake up for the next timer."""
+        if self.alarm is not None:
+            self.alarm.cancel()
         if self.timers:
             wait = max(0, self.timers[0][0] - self.clock.now()) / TICKS
             self.alarm = asyncio.get_running_loop().call_later(wait, self._wake)
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -1,6 +1,5 @@
 """Discovery's watch: one connection, one call after the other, every answer to the owner in order."""
 import asyncio
-import socket
 
 from ..protocol import catalogue
 from ..protocol.http1 import Message, Parser
@@ -11,6 +10,8 @@
 
 ANSWER_MOST = 2.0       # seconds past the time asked for: discovery may vanish without a word, and what it
                         # has to tell counts as told by then
+PAUSE = 0.1             # seconds after an answer with nothing in it: guards against a discovery that answers
+                        # at once; a watch goes on as long as the next call comes within 0.2 s
 
 
 class Watch:
@@ -33,7 +34,10 @@
         """Until something fails: the decisions say when to ask again."""
         reason, self.told = "", False
         while not reason:       # a connection that ends between two calls is no failure
-            connection = Connection(socket.socket(), self.buffers, self.descriptors)
+            connection = Connection.towards(self.address, self.buffers, self.descriptors)
+            if isinstance(connection, Fault):
+                reason = connection.reason
+                break
             try:
                 reason = await self.follow(connection)
             except Exception as fault:      # exceptions stop at the connection
@@ -62,6 +66,8 @@
             if not self.told or listing.lines or listing.complete:
                 self.say("list", version=listing.version, complete=listing.complete, lines=len(listing.lines))
                 await self.owner.post(Listed(listing, answered=True))
+            else:
+                await asyncio.sleep(PAUSE)
             self.told = True
             if not found.keep:
                 return ""
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -29,7 +29,6 @@
     """`pending` is the one standing read. It goes on while the connection idles, so that an end is seen."""
 
     def __init__(self, sock: socket.socket, buffers: BufferPool, descriptors: Descriptors) -> None:
-        descriptors.take()
         self.buffers, self.descriptors = buffers, descriptors
         self.buffer: bytearray | None = None
         self.pending: asyncio.Future | None = None
@@ -38,6 +37,16 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.stream = IOStream(sock, max_buffer_size=256 * 1024, read_chunk_size=buffers.size)
         self.stream.set_close_callback(self.close)
+        descriptors.take()
+
+    @classmethod
+    def towards(cls, address: tuple[str, int], buffers: BufferPool, descriptors: Descriptors):
+        """One not yet up; a Fault where this machine gives no socket."""
+        try:
+            sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+        except OSError as fault:
+            return Fault(Stage.UNTRIED, str(fault))
+        return cls(sock, buffers, descriptors)
 
     async def connect(self, address: tuple[str, int]) -> Fault | None:
         try:
--- a/basalthook/transport/hostpool.py
+++ b/basalthook/transport/hostpool.py
@@ -1,6 +1,5 @@
 """Connections to hosts: kept ones are used again, given up before the host would, and never when in doubt."""
 import asyncio
-import socket
 import time
 from collections import OrderedDict
 
@@ -36,11 +35,9 @@
         """A new one; `opened` is told of it before it is up, so that whoever waits can close it."""
         if not self.descriptors.room(self.descriptors.most_for_hosts):
             return Fault(Stage.UNTRIED, "no descriptor free")
-        try:
-            sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
-        except OSError as fault:
-            return Fault(Stage.UNTRIED, str(fault))
-        connection = Connection(sock, self.buffers, self.descriptors)
+        connection = Connection.towards(address, self.buffers, self.descriptors)
+        if isinstance(connection, Fault):
+            return connection
         opened(connection)
         with connection.within(self.patience):
             return await connection.connect(address) or connection
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -169,7 +169,7 @@
                 (Stage.ANSWERING, None, i.RESET), (Stage.CONNECTING, i.TIMED_OUT, i.UNSENT),
                 (Stage.WRITING, i.CANCELLED, i.UNSENT), (Stage.WRITTEN, i.TIMED_OUT, i.TIMED_OUT),
                 (Stage.ANSWERING, i.CANCELLED, i.CANCELLED)):
-            hop = Hop(None, 0, 0, None, 1)
+            hop = Hop(None, 0, 0, None, 0, 1)
             hop.stage, hop.stopped = stage, stopped
             self.assertEqual(Hops.outcome(hop, None), outcome, (stage, stopped))
 
