--- a/basalthook/protocol/application.py
+++ b/basalthook/protocol/application.py
@@ -17,6 +17,7 @@
 
 class Asked(NamedTuple):
     """A transaction as the application sent it."""
+    id: str
     profile: int
     key: str | None
     timeout: float                  # seconds
@@ -38,9 +39,10 @@
     timeout = message.field("request-timeout") or ""
     if not SECONDS.fullmatch(timeout) or not 0 < float(timeout) <= TIMEOUT_MOST:
         return Malformed(400, "no usable Request-Timeout")
-    if not message.field("request-id"):
+    tx_id = message.field("request-id")
+    if not tx_id:
         return Malformed(400, "no Request-Id")
-    return Asked(profile, key(message), float(timeout), message)
+    return Asked(tx_id, profile, key(message), float(timeout), message)
 
 
 def key(message: Message) -> str | None:
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -11,7 +11,7 @@
 from .owner import Answer, Arrived, Gone, Order, Owner
 
 STALLED = 10.0      # seconds that a message may take to come in once it has begun
-LINGER = 1.0        # seconds that a refused peer gets to read why
+LINGER = 1.0        # seconds that a peer turned away gets to read why
 NEW, IDLE, BUSY = "new", "idle", "busy"     # nothing has come yet; between two messages; one is in hand
 OVERDUE = 200       # tenths of a millisecond past the hard limit: nothing should wait that long
 
@@ -117,7 +117,7 @@
         answer = order.answer.result()
         keep = keep and self.ready and not self.descriptors.full()
         if answer.kind != "committed":
-            self.say("answer", tx=asked.message.field("request-id"), kind=answer.kind, hops=len(order.hops),
+            self.say("answer", tx=asked.id, kind=answer.kind, hops=len(order.hops),
                      left_ms=(order.hard_limit - self.clock.now()) / 10, come_back_ms=answer.come_back / 10)
         return await self.write(connection, self.worded(answer, order, keep), keep)
 
--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -34,9 +34,9 @@
         self.pool, self.clock, self.roster, self.owner, self.say = pool, clock, roster, owner, say
         self.tasks: set[asyncio.Task] = set()   # emptied as they end
 
-    def begin(self, order: Order, index: int, host: int, place: Place, limit: int, refused: bool) -> Hop:
+    def begin(self, order: Order, index: int, host: int, place: Place, limit: int, over: bool) -> Hop:
         hop = Hop(order, index, host, place, self.clock.now(), limit)
-        if refused:
+        if over:
             hop.stopped = i.UNSENT
         task = asyncio.get_running_loop().create_task(self.run(hop))
         self.tasks.add(task)
@@ -63,7 +63,7 @@
         outcome = self.outcome(hop, message)
         elapsed = self.clock.now() - hop.begun
         if outcome != i.COMMITTED:
-            self.say("hop", tx=hop.order.asked.message.field("request-id"), hop=hop.index, host=hop.place.id,
+            self.say("hop", tx=hop.order.asked.id, hop=hop.index, host=hop.place.id,
                      outcome=outcome, stage=hop.stage.name.lower(), reused=hop.reused, ms=elapsed / 10,
                      reason=reason, status=message.status if message else None)
         await self.owner.post(HopOver(hop.order, hop.index, hop.host, outcome, elapsed,
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -159,9 +159,9 @@
     def send(self, effect: i.SendHop) -> None:
         order = self.orders[effect.tx]
         limit = min(effect.time_limit, order.hard_limit - self.clock.now())
-        refused = order.closed or limit <= 0 or len(order.hops) >= self.agreed.max_hops
+        over = order.closed or limit <= 0 or len(order.hops) >= self.agreed.max_hops
         place = self.roster.hop_out(effect.host)
-        order.hops.append(self.begin_hop(order, len(order.hops), effect.host, place, limit, refused))
+        order.hops.append(self.begin_hop(order, len(order.hops), effect.host, place, limit, over))
 
     def roll_back(self, effect: i.RollBack) -> None:
         self.answer(effect.tx, Answer("rolled back", None, effect.come_back))
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -92,13 +92,13 @@
             self._release()
 
     def write(self, data: bytes) -> asyncio.Future:
-        """Done once the last byte is with the kernel; failed if the connection ended before."""
+        """Done once the last byte is with the kernel; an exception if the connection ended before."""
         try:
             return self.stream.write(data)
         except StreamClosedError as fault:
-            failed = asyncio.get_running_loop().create_future()
-            failed.set_exception(fault)
-            return failed
+            ended = asyncio.get_running_loop().create_future()
+            ended.set_exception(fault)
+            return ended
 
     def quiet(self) -> bool:
         """Guards against using a kept connection that the peer has ended or written to unasked."""
