--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -13,7 +13,7 @@
 from basalthook.transport.connection import Connection, Stage
 from basalthook.transport.descriptors import Descriptors
 from basalthook.transport.listener import Listener
-from tests.fake import OK, RESET, SILENT, Caller, SocketDiscovery, SocketHost, start_up
+from tests.fake import OK, RESET, SETTINGS, SILENT, Caller, SocketDiscovery, SocketHost, start_up
 
 REFUSED = b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
 
@@ -130,6 +130,13 @@
             self.assertEqual((await caller.answer())[1], b"done")
         self.assertEqual(len(self.hosts[0].writers), 2)
 
+    async def test_an_idle_connection_goes_before_the_host_would_close_it(self):
+        caller = await self.play(SocketHost(), allowed={**SETTINGS["allowed"], "keepalive_ns": 50_000_000})
+        self.assertEqual(await caller.outcome(), 200)
+        self.assertEqual(len(self.service.pool.kept), 1)
+        self.assertTrue(await self.hosts[0].ended.get())
+        self.assertEqual((self.service.pool.kept, self.service.pool.by_host), ({}, {}))
+
     async def test_a_silent_host_costs_its_connection_and_the_answer_comes_in_time(self):
         caller = await self.play(SocketHost(SILENT))
         self.assertEqual(await caller.outcome(profile="submit", timeout="0.2"), 504)
@@ -269,6 +276,28 @@
         self.assertEqual(sum(line["event"] == "list lost" for line in self.log.lines), 2)
         self.assertEqual(await caller.outcome(timeout="0.05"), 503)     # nobody is ready any more
 
+    async def test_a_discovery_that_says_nothing_any_more_is_given_up_and_asked_anew(self):
+        with unittest.mock.patch("basalthook.routing.watch.ANSWER_MOST", 0.02):
+            await self.play(SocketHost())
+            for _ in range(3):
+                await self.discovery.got.get()
+        self.assertGreaterEqual(len(self.discovery.writers), 3)
+
+    async def test_a_host_that_moved_is_found_at_its_new_address(self):
+        caller, moved = await self.play(SocketHost()), await self.started(SocketHost())
+        self.discovery.tell(2, moved.line("s-0"))
+        await self.until(lambda: [line for line in self.log.lines if line["event"] == "list"])
+        self.assertEqual(await caller.outcome(), 200)
+        self.assertEqual((self.hosts[0].got.qsize(), moved.got.qsize()), (0, 1))
+
+    async def test_an_error_in_the_decisions_costs_one_transaction_not_the_service(self):
+        caller = await self.play(SocketHost())
+        with unittest.mock.patch.object(self.service.owner.proxy, "handle", side_effect=KeyError("defect")):
+            self.assertEqual(await caller.outcome(timeout="0.02"), 504)
+        self.assertIn("Arrived", [line["where"] for line in self.log.lines if line["event"] == "fault"])
+        self.log.lines.clear()
+        self.assertEqual(await (await self.caller()).outcome(), 200)
+
     async def test_hosts_that_are_gone_are_forgotten_once_no_hop_is_out(self):
         roster, host = Roster(), await self.started(SocketHost())
         first = decode(start_up([host], host), {}).known
