--- a/basalthook/protocol/application.py
+++ b/basalthook/protocol/application.py
@@ -6,7 +6,7 @@
 from .http1 import Malformed, Message
 
 HEALTH = "/_health"
-SECONDS = re.compile(r"\d{1,9}(\.\d{1,12})?")
+SECONDS = re.compile(r"\d{1,9}(\.\d{0,30})?|\.\d{1,30}")
 TIMEOUT_MOST = 3600.0
 KEY_COOKIE = "k"
 # Fields that speak of one connection only; lengths are written anew on each.
--- a/basalthook/protocol/catalogue.py
+++ b/basalthook/protocol/catalogue.py
@@ -42,6 +42,7 @@
 
 
 def line(entry: dict) -> Line:
+    entry = {name: value for name, value in entry.items() if value is not None}
     return Line(str(entry["id"]), address(entry["addr"]), str(entry.get("zone", "")),
                 int(entry.get("cell", 0)), READY[entry["state"]], entry["state"] == "removed",
                 float(entry.get("weight", 1.0)), int(entry.get("started_ms", 0)) * 1_000_000)
--- a/basalthook/transport/listener.py
+++ b/basalthook/transport/listener.py
@@ -39,6 +39,5 @@
             except OSError:
                 break
             sock.setblocking(False)
-            if not self.take(sock):
-                break
+            self.take(sock)         # the reserve is for this: nobody comes after them
         self.socket.close()
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -90,7 +90,10 @@
 
     def test_a_transaction_is_read_from_header_path_and_cookie(self):
         found = application.asked(parse(POST), self.PROFILES)
-        self.assertEqual((found.profile, found.key, found.timeout), (1, "ab", 0.48))
+        self.assertEqual((found.id, found.profile, found.key, found.timeout), ("7", 1, "ab", 0.48))
+        for text in (b"2", b"2.", b".3", b"0.30000000000000004"):
+            found = application.asked(parse(POST.replace(b"0.480", text)), self.PROFILES)
+            self.assertEqual(found.timeout, float(text))
 
     def test_what_cannot_be_carried_is_turned_away(self):
         for old, new, status in ((b"survey-submit", b"unknown", 404), (b"Request-Id: 7", b"X: 7", 400),
@@ -142,6 +145,8 @@
     def test_a_line(self):
         line, = self.read().lines
         self.assertEqual(line, ("s-1", ("127.0.0.9", 8443), "a", 3, True, False, 1.5, 12_000_000))
+        line, = self.read(cell=None, weight=None, started_ms=None).lines
+        self.assertEqual(line[3:], (0, True, False, 1.0, 0))
         self.assertEqual([self.read(state=s).lines[0][4:6] for s in ("draining", "removed")],
                          [(False, False), (False, True)])
 
