--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -67,6 +67,38 @@
         self.assertEqual((await self.line(process, "ended"))["unanswered"], 0)
         self.assertEqual(await process.wait(), 0)
 
+    async def asks_on(self, process, answers):
+        """Like an application at a planned restart: on while its connection is open, then anew, for 0.4 s."""
+        caller, clock = await Caller().to(self.listen.split(":")), asyncio.get_running_loop().time
+        again = True
+        while again:
+            try:
+                caller.ask("submit")
+                status, _, head = await caller.answer()
+            except (OSError, asyncio.IncompleteReadError):      # closed between two: once more on a new one
+                status, head = None, "Connection: close"
+            answers.append(status)
+            if self.told is None and len(answers) > 20:
+                process.terminate()
+                self.told = clock()
+            if "Connection: close" in head:
+                await caller.stop()
+                again = self.told is not None and clock() < self.told + 0.4
+                if again or status is None:
+                    caller = await Caller().to(self.listen.split(":"))
+                again = again or status is None
+
+    async def test_a_planned_restart_loses_nothing_of_what_goes_on_coming(self):
+        process, _ = await self.serve()
+        answers, self.told = [[] for _ in range(4)], None
+        await asyncio.gather(*(self.asks_on(process, each) for each in answers))
+        for each in answers:
+            self.assertEqual({status for status in each if status is not None}, {200})
+            self.assertTrue(all(a or b for a, b in zip(each, each[1:], strict=False)))    # never twice
+            self.assertEqual(each[-1], 200)
+        self.assertEqual((await self.line(process, "ended"))["unanswered"], 0)
+        self.assertEqual(await process.wait(), 0)
+
     async def test_bodies_held_for_a_silent_host_stay_within_memory(self):
         self.host.ways = [SILENT]
         process, first = await self.serve()
