--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -3,6 +3,7 @@
 import http.client
 import os
 import sys
+from typing import NoReturn
 
 import click
 
@@ -28,7 +29,10 @@
     """Run one client proxy in the foreground until SIGTERM."""
     told = read(path)
     log = Log(told.name)
-    asyncio.run(run(told, log))
+    try:
+        asyncio.run(run(told, log))
+    except startup.BadStart as fault:
+        leave(fault)
     log.close()
 
 
@@ -77,5 +81,9 @@
     try:
         return startup.read(path, os.environ)
     except startup.BadStart as fault:
-        click.echo(f"basalthook: {fault}", err=True)
-        sys.exit(2)
+        leave(fault)
+
+
+def leave(fault: startup.BadStart) -> NoReturn:
+    click.echo(f"basalthook: {fault}", err=True)
+    sys.exit(2)
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -14,7 +14,7 @@
 from ..transport.hostpool import HostPool
 from ..transport.listener import Listener
 from .log import Log
-from .startup import StartUp
+from .startup import BadStart, StartUp
 
 BUFFER = 16 * 1024
 BUFFERS_KEPT = 128
@@ -53,7 +53,11 @@
         """Ready only once the hosts are known, the owner runs and the address is ours."""
         self.owner.start(self.told.known)
         self.task = asyncio.get_running_loop().create_task(self.owner.run())
-        listener = Listener(self.told.listen, self.clients.take)
+        try:
+            listener = Listener(self.told.listen, self.clients.take)
+        except OSError as fault:
+            where = ":".join(map(str, self.told.listen))
+            raise BadStart(f"cannot listen on {where}: {fault.strerror}") from None
         listener.open()
         if not self.told.agreed.list_on_request:
             self.watch.begin()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -130,6 +130,7 @@
     async def test_a_bad_start_is_one_line_and_not_zero(self):
         whole = start_up([self.host], self.discovery)
         for text in ("{", "[]", "{}", json.dumps({**whole, "listen": "here"}),
+                     json.dumps({**whole, "listen": self.host.address}),        # somebody listens there
                      json.dumps({**whole, "settings": {}}), json.dumps({**whole, "known": {"servers": 1}})):
             with open(self.path, "w") as file:
                 file.write(text)
