--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -26,18 +26,18 @@
 @main.command()
 @FILE
 def serve(path: str) -> None:
-    """Run one client proxy in the foreground until SIGTERM."""
+    """Run one client proxy in the foreground until SIGTERM; SIGHUP takes the file over anew."""
     told = read(path)
     log = Log(told.name)
     try:
-        asyncio.run(run(told, log))
+        asyncio.run(run(told, log, lambda: startup.read(path, os.environ)))
     except startup.BadStart as fault:
         leave(fault)
     log.close()
 
 
-async def run(told: startup.StartUp, log: Log) -> None:
-    await Service(told, log).run()
+async def run(told: startup.StartUp, log: Log, reread) -> None:
+    await Service(told, log, reread).run()
 
 
 @main.command()
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -19,14 +19,16 @@
 BUFFER = 16 * 1024
 BUFFERS_KEPT = 128
 ACCEPT_ON = 0.6         # seconds after SIGTERM: new connections still come for up to 0.4 s
+AT_START_ONLY = ("listen", "agreed", "profiles")     # what a file taken over can't change
 READ_ON = 0.1           # seconds for what the last of them carry
 
 
 class Service:
-    def __init__(self, told: StartUp, log: Log) -> None:
-        self.told, self.log, self.ending = told, log, asyncio.Event()
+    def __init__(self, told: StartUp, log: Log, reread=None) -> None:
+        self.told, self.log, self.reread, self.ending = told, log, reread, asyncio.Event()
         clock, roster = Clock(), Roster()
         buffers, descriptors = BufferPool(BUFFER, BUFFERS_KEPT), Descriptors(told.sockets)
+        self.descriptors = descriptors
         self.owner = Owner(told.agreed, told.seed, clock, roster, log.say)
         self.pool = HostPool(buffers, descriptors, told.idle_seconds, told.connect_seconds)
         hops = Hops(self.pool, clock, roster, self.owner, log.say)
@@ -40,6 +42,7 @@
         """From start to SIGTERM, or SIGINT; a second one changes nothing."""
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, self.ending.set)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.renew)
         listener = self.begin()
         gc.collect()
         gc.freeze()             # what is here stays; looking at it again stopped everything for 4 ms
@@ -65,6 +68,24 @@
         self.log.say("ready", listen=list(listener.address), hosts=len(self.told.known.lines))
         return listener
 
+    def renew(self) -> None:
+        """SIGHUP: the start-up file as it is now, checked whole, then taken over in one step, or left."""
+        if self.ending.is_set():
+            return
+        try:
+            told = self.reread()
+        except BadStart as fault:       # guards against half a file: what is in force stays
+            self.log.say("file refused", reason=str(fault))
+            return
+        kept = {name: getattr(self.told, name) for name in AT_START_ONLY}
+        left = [name for name, value in kept.items() if getattr(told, name) != value]
+        self.told = told._replace(**kept)
+        self.log.name = told.name
+        self.descriptors.bound(told.sockets)
+        self.pool.times(told.idle_seconds, told.connect_seconds)
+        self.watch.move(told.discovery)
+        self.log.say("file taken", discovery=list(told.discovery), needs_restart=left)
+
     async def end(self, listener: Listener) -> None:
         """Idle connections go at once, while whoever crosses that can come anew; then all is finished."""
         self.log.say("ending", connections=len(self.clients.open), transactions=len(self.owner.orders))
--- a/basalthook/protocol/catalogue.py
+++ b/basalthook/protocol/catalogue.py
@@ -28,9 +28,10 @@
     lines: tuple[Line, ...]
 
 
-def call(host: str, version: int, wait_ms: int) -> bytes:
-    """A watch for what is newer than this version."""
-    return http1.request("GET", f"{PATH}?index={version}&wait={wait_ms}", [("Host", host)])
+def call(host: str, version: int | None, wait_ms: int) -> bytes:
+    """A watch for what is newer than this version; None: the whole list, now."""
+    watch = "" if version is None else f"?index={version}&wait={wait_ms}"
+    return http1.request("GET", PATH + watch, [("Host", host)])
 
 
 def address(text: str, least: int = 1) -> tuple[str, int]:
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -10,6 +10,7 @@
 
 ANSWER_MOST = 2.0       # seconds past the time asked for: discovery may vanish without a word, and what it
                         # has to tell counts as told by then
+TRIES = 4               # calls at a new address before it counts as failed
 PAUSE = 0.1             # seconds after an answer with nothing in it: guards against a discovery that answers
                         # at once; a watch goes on as long as the next call comes within 0.2 s
 
@@ -21,6 +22,7 @@
         self.owner, self.buffers, self.descriptors, self.say = owner, buffers, descriptors, say
         self.task: asyncio.Task | None = None
         self.told = False       # whether this watch has been answered yet
+        self.moved = False      # whether discovery is elsewhere and has not answered there yet
 
     def begin(self) -> None:
         if self.task is None or self.task.done():
@@ -30,24 +32,38 @@
         if self.task is not None:
             self.task.cancel()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery is at another address: the list stays as it is until there is a whole one from there."""
+        if address != self.address:
+            self.end()
+            self.address, self.moved, self.task = address, True, None
+            self.begin()
+
     async def run(self) -> None:
         """Until something fails: the decisions say when to ask again."""
-        reason, self.told = "", False
+        reason, tries, self.told = "", 1, False
         while not reason:       # a connection that ends between two calls is no failure
-            connection = Connection.towards(self.address, self.buffers, self.descriptors)
-            if isinstance(connection, Fault):
-                reason = connection.reason
-                break
-            try:
-                reason = await self.follow(connection)
-            except Exception as fault:      # exceptions stop at the connection
-                reason = repr(fault)
-            finally:
-                connection.close()
+            reason = await self.once()
+            if reason and self.moved and tries < TRIES:
+                # guards against one call lost after a move: its news counts as told soon after
+                reason, tries = "", tries + 1
+                await asyncio.sleep(PAUSE)
         self.say("list lost", reason=reason)
         self.task = None
         await self.owner.post(ListLost())
 
+    async def once(self) -> str:
+        """One connection, for as long as it lasts, and what went wrong."""
+        connection = Connection.towards(self.address, self.buffers, self.descriptors)
+        if isinstance(connection, Fault):
+            return connection.reason
+        try:
+            return await self.follow(connection)
+        except Exception as fault:      # exceptions stop at the connection
+            return repr(fault)
+        finally:
+            connection.close()
+
     async def follow(self, connection: Connection) -> str:
         """What went wrong; nothing, if discovery has closed the connection after an answer."""
         with connection.within(ANSWER_MOST):
@@ -55,14 +71,14 @@
         if fault is not None:
             return fault.reason
         while True:
-            with connection.within(self.wait + ANSWER_MOST):
+            with connection.within(ANSWER_MOST if self.moved else self.wait + ANSWER_MOST):
                 found = await self.call(connection)
             if isinstance(found, Fault):
                 return found.reason
             listing = catalogue.read(found.body) if found.status == 200 else None
             if listing is None:
                 return f"status {found.status}, no sound list"
-            self.version = listing.version
+            self.version, self.moved = listing.version, False
             if not self.told or listing.lines or listing.complete:
                 self.say("list", version=listing.version, complete=listing.complete, lines=len(listing.lines))
                 await self.owner.post(Listed(listing, answered=True))
@@ -74,7 +90,9 @@
 
     async def call(self, connection: Connection) -> Message | Fault:
         answer = Parser(responses=True, body_most=catalogue.BODY_MOST)
-        call = catalogue.call(f"{self.address[0]}:{self.address[1]}", self.version, int(self.wait * 1000))
+        # guards against versions counted differently there: after a move the whole list first
+        version = None if self.moved else self.version
+        call = catalogue.call(f"{self.address[0]}:{self.address[1]}", version, int(self.wait * 1000))
         try:
             await connection.write(call)
         except OSError as fault:
--- a/basalthook/transport/descriptors.py
+++ b/basalthook/transport/descriptors.py
@@ -8,7 +8,11 @@
     """`givers` close one idle connection each, if they have any; asked in turn, the cheapest first."""
 
     def __init__(self, limit: int) -> None:
-        self.most, self.held, self.givers = max(2, limit - RESERVE), 0, []
+        self.held, self.givers = 0, []
+        self.bound(limit)
+
+    def bound(self, limit: int) -> None:
+        self.most = max(2, limit - RESERVE)
         self.most_for_hosts = self.most - max(1, self.most // CLIENTS_PART)
 
     def take(self) -> None:
--- a/basalthook/transport/hostpool.py
+++ b/basalthook/transport/hostpool.py
@@ -13,12 +13,19 @@
 class HostPool:
     def __init__(self, buffers: BufferPool, descriptors: Descriptors, idle: float, connect: float) -> None:
         self.buffers, self.descriptors = buffers, descriptors
-        self.idle, self.patience = idle * MARGIN, connect
+        self.idle = self.patience = 0.0
         self.kept: OrderedDict[Connection, tuple] = OrderedDict()   # oldest first -> address, until
         self.by_host: dict[tuple, list[Connection]] = {}            # emptied as they are used, end or expire
         self.sweeping = None
+        self.times(idle, connect)
         descriptors.givers.append(self.give_up_oldest)
 
+    def times(self, idle: float, connect: float) -> None:
+        """How long a host leaves an idle connection open, and how long a new one may take to come up."""
+        while self.idle > idle * MARGIN and self.give_up_oldest():
+            pass                # guards against kept ones that hosts now close earlier
+        self.idle, self.patience = idle * MARGIN, connect
+
     def kept_one(self, address: tuple) -> Connection | None:
         """The one used last, if it is surely still good."""
         now = time.monotonic()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -67,6 +67,28 @@
         self.assertEqual((await self.line(process, "ended"))["unanswered"], 0)
         self.assertEqual(await process.wait(), 0)
 
+    async def test_a_new_file_is_taken_over_at_sighup_and_a_bad_one_is_not(self):
+        moved = await SocketDiscovery().start()
+        self.addAsyncCleanup(moved.stop)
+        process, caller = await self.serve()
+        self.assertIn("index=1", await self.discovery.got.get())
+        with open(self.path) as file:
+            whole = json.load(file)
+        for text, event in (("{", "file refused"), ('{"name": "n1"}', "file refused"),
+                            (json.dumps({**whole, "discovery": moved.address, "listen": "127.0.0.1:9"}),
+                             "file taken"),
+                            (json.dumps({**whole, "discovery": moved.address}), "file taken")):
+            with open(self.path, "w") as file:
+                file.write(text)
+            process.send_signal(signal.SIGHUP)
+            line = await self.line(process, event)
+            self.assertEqual(line.get("needs_restart", []), ["listen"] if '"127.0.0.1:9"' in text else [])
+            self.assertEqual(await caller.outcome(profile="submit"), 200)
+        self.assertEqual(await moved.got.get(), "/catalog/members")    # the whole list, then a watch
+        moved.tell(1, self.host.line("s-new"), full=True)
+        self.assertIn("index=1&", await moved.got.get())
+        self.assertEqual(await caller.outcome(), 200)
+
     async def asks_on(self, process, answers):
         """Like an application at a planned restart: on while its connection is open, then anew, for 0.4 s."""
         caller, clock = await Caller().to(self.listen.split(":")), asyncio.get_running_loop().time
