--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -58,9 +58,9 @@
 SORTED = {
     i.COMMITTED: ("sound", True), i.ERROR: ("erred", True), i.TIMED_OUT: ("timed_out", True),
     i.RESET: ("ban", True), i.CANCELLED: ("slow", True), i.REFUSED: ("back_off", False),
-    i.UNREACHABLE: ("ban", False), i.UNSENT: (None, False),
+    i.UNREACHABLE: ("ban", False), i.UNSENT: (None, False), i.DECLINED: (None, True),
 }
-SPOKEN, KEYED_FAILURES = {i.COMMITTED, i.ERROR, i.REFUSED}, {i.ERROR, i.TIMED_OUT, i.RESET}
+SPOKEN, KEYED_FAILURES = {i.COMMITTED, i.ERROR, i.REFUSED, i.DECLINED}, {i.ERROR, i.TIMED_OUT, i.RESET}
 
 
 class Server:
@@ -133,10 +133,9 @@
         self.tell(event.tx, "room")
 
     def on_timer(self, event):
-        if event.mark == 0:
-            if not self.watching and not self.asked:
-                self.asked = True
-                self.effects.append(i.WatchList())
+        if event.mark == 0 and not self.watching and not self.asked:
+            self.asked = True
+            self.effects.append(i.WatchList())
         elif event.mark == 1:
             self.fill()
         else:
@@ -198,8 +197,7 @@
         server = None if self.full() else self.pick(tx)
         if server is not None and self.send(tx, server):
             return "sent"
-        mean, deviation = self.usual[tx.kind]
-        tx.give_up = tx.goal - int(mean + deviation)        # kept: the estimate behind it moves
+        tx.give_up = tx.goal - int(sum(self.usual[tx.kind]))    # kept: the estimate behind it moves
         ahead = bisect(self.first_line, (tx.give_up, tx.id))
         if tx.tried:
             ahead = len(self.first_line) + bisect(self.further_line, (tx.give_up, tx.id))
@@ -229,8 +227,7 @@
 
     def second_look(self, tx):
         """Still out after the usual time: a copy. Moving the hop would lose its work in every crowd."""
-        other = self.pick(tx) if len(tx.out) == 1 else None
-        if other is not None:
+        if len(tx.out) == 1 and (other := self.pick(tx)) is not None:
             self.send(tx, other)
 
     def settle(self, tx):
@@ -287,18 +284,18 @@
             reach = REACH       # guards against keys strewn over hosts that don't know them and work more
         for server in self.ranking(tx.key):
             ban = server.banned_until > self.now
-            unbanned |= not ban
+            unbanned |= server.proven and not ban
             if server.id in tx.tried or not self.allowed(tx, server):
                 continue
-            if ban:
+            if ban or not server.proven:
                 banned.append(server)
-            elif not self.doubtful(server, tx):
+            if not ban and not self.doubtful(server, tx):
                 reach -= 1
                 if len(server.out) < self.budget(server):
                     best.append(server)
             if len(best) == 2 or not reach:
                 break
-        if not best and not unbanned and not tx.out:       # none unbanned: all ready ones count
+        if not best and not unbanned and not tx.out:    # all banned, or none proven since: ready ones count
             best = [s for s in banned if len(s.out) < self.budget(s)][:2]
         if len(best) == 2 and len(best[0].out) == len(best[1].out):
             return best[0] if self.busy() else self.chance.choice(best)
@@ -399,7 +396,7 @@
 
     def sound(self, server, tx, event):
         server.timeouts, server.proven = 0, True
-        server.erring *= 0.8
+        server.erring *= 0.9
         self.failing.pop(tx.key, None)
         since, self.last_commit = self.now - self.last_commit, self.now
         self.pace += (since - self.pace) * 0.1
@@ -438,13 +435,15 @@
     def erred(self, server, tx, event):
         """Quick errors look like an idle host and draw more: those of several keys are the host's fault."""
         if tx.key is None or tx.key != server.erred_key:
-            server.erring, server.erred_key = server.erring * 0.8 + 0.2, tx.key
+            server.erring, server.erred_key = server.erring * 0.9 + 0.1, tx.key
         if server.erring > ERRING:
             self.ban(server, tx, event)
 
     def ban(self, server, tx, event):
-        server.banned_until, server.timeouts = self.now + COOLDOWN, 0
-        server.erring, server.proven = 0.0, False
+        proven, server.proven = server.proven, False
+        if proven and event.outcome == i.RESET:     # guards against leaving a sound host out for one
+            return                                  # connection's end: one repeatable hop looks again first
+        server.banned_until, server.timeouts, server.erring = self.now + COOLDOWN, 0, 0.0
         if event.outcome == i.UNREACHABLE:
             self.scarce_until = server.banned_until
         self.effects.append(i.SetTimer(COOLDOWN, 1))
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -15,6 +15,7 @@
 # Outcomes of a hop. Of REFUSED, UNREACHABLE and UNSENT it is certain that nothing ran.
 COMMITTED, ERROR, TIMED_OUT, RESET = "committed", "error", "timed out", "reset"
 CANCELLED, REFUSED, UNREACHABLE, UNSENT = "cancelled", "refused", "unreachable", "unsent"
+DECLINED = "declined"   # the host answered that the transaction itself is wrong: its last word, like a commit
 
 
 class Profile(NamedTuple):
--- a/basalthook/protocol/hosts.py
+++ b/basalthook/protocol/hosts.py
@@ -12,6 +12,9 @@
                          message.body)
 
 
+MAY_PASS = {408, 425, 429}      # of 4xx: these speak of the moment, not of the message
+
+
 def outcome(answer: Message, written: bool) -> str:
     """What an answer proves. One that came before the whole hop was written can't be a commit."""
     if answer.status in (503, 504) and answer.field("not-started") == "1":
@@ -19,4 +22,6 @@
     if answer.status == 200:
         # guards against passing on as whole what a broken connection cut short
         return (i.COMMITTED if written else i.ERROR) if answer.delimited else i.RESET
+    if written and 400 <= answer.status < 500 and answer.status not in MAY_PASS:
+        return i.DECLINED       # guards against blaming hosts, and asking further ones, for a bad transaction
     return i.ERROR
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -124,6 +124,8 @@
     def worded(self, answer: Answer, order: Order, keep: bool) -> bytes:
         if answer.kind == "committed":
             return application.committed(answer.message, keep)
+        if answer.kind == "declined":
+            return application.told(answer.message.status, "declined by the host", keep)
         if answer.kind == "rolled back":
             return application.rolled_back(answer.come_back / TICKS, keep)
         return application.abandoned(self.clock.now() >= order.hard_limit, keep)
--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -44,15 +44,12 @@
         return hop
 
     async def run(self, hop: Hop) -> None:
-        late, message, reason = None, None, ""
+        late, found, reason = None, None, ""
         try:
             if hop.stopped is None:
                 late = asyncio.get_running_loop().call_later(hop.limit / TICKS, hop.stop, i.TIMED_OUT)
                 found = await self.exchange(hop)
-                if isinstance(found, Message):
-                    message = found
-                elif found is not None:
-                    reason = found.reason
+                reason = "" if found is None or isinstance(found, Message) else found.reason
         except Exception as fault:      # exceptions stop here; how far the hop had come still counts
             self.say("fault", where="hop", error=repr(fault))
             reason = repr(fault)
@@ -60,14 +57,14 @@
             late.cancel()
         if hop.connection is not None:
             hop.connection.close()
-        outcome = self.outcome(hop, message)
+        outcome, message = self.outcome(hop, found), found if isinstance(found, Message) else None
         elapsed = self.clock.now() - hop.begun
         if outcome != i.COMMITTED:
             self.say("hop", tx=hop.order.asked.id, hop=hop.index, host=hop.place.id,
                      outcome=outcome, stage=hop.stage.name.lower(), reused=hop.reused, ms=elapsed / 10,
                      reason=reason, status=message.status if message else None)
         await self.owner.post(HopOver(hop.order, hop.index, hop.host, outcome, elapsed,
-                                      message if outcome == i.COMMITTED else None))
+                                      message if outcome in (i.COMMITTED, i.DECLINED) else None))
 
     async def exchange(self, hop: Hop) -> Message | Fault | Malformed | None:
         connection = self.pool.kept_one(hop.place.address)
@@ -117,12 +114,14 @@
             hop.stage = Stage.WRITTEN
 
     @staticmethod
-    def outcome(hop: Hop, message: Message | None) -> str:
+    def outcome(hop: Hop, found: Message | Fault | Malformed | None) -> str:
         written = hop.stage >= Stage.WRITTEN
-        if message is not None:
-            return hosts.outcome(message, written)
+        if isinstance(found, Message):
+            return hosts.outcome(found, written)
         if hop.stopped is not None and written:
             return hop.stopped
         if hop.stopped is not None or hop.stage == Stage.UNTRIED:
             return i.UNSENT
+        if isinstance(found, Malformed) and written:
+            return i.ERROR      # guards against taking a host that answers, if badly, for one that is gone
         return i.RESET if written else i.UNREACHABLE
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -16,8 +16,8 @@
 
 
 class Answer(NamedTuple):
-    """The final answer; `message` is the host's, of a commit."""
-    kind: str                       # "committed", "rolled back", "abandoned"
+    """The final answer; `message` is the host's, where it is a host's."""
+    kind: str                       # "committed", "declined", "rolled back", "abandoned"
     message: Message | None = None
     come_back: int = 0
 
@@ -134,8 +134,8 @@
         order = item.order
         order.hops[item.hop] = None
         self.roster.hop_over(item.host)
-        if item.outcome == i.COMMITTED and not order.closed:
-            order.close(Answer("committed", item.message))
+        if item.message is not None and not order.closed:
+            order.close(Answer(item.outcome, item.message))
         self.decide(i.HopEnded(order.number, item.hop, item.host, item.outcome, item.elapsed, order.closed,
                                None))
         self.forget(order)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -108,6 +108,22 @@
             expected = 200 if way == OK else 502
             self.assertEqual(await caller.outcome(profile="submit"), expected, way)
 
+    async def test_hosts_that_answer_badly_now_and_then_stay_in_use(self):
+        spoilt = [b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", b"\0\xff\r\n\r\n",
+                  b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 5000]
+        caller = await self.play(*(SocketHost(way, OK) for way in spoilt))
+        statuses = [await caller.outcome(profile="submit", key=f"k{n}") for n in range(30)]
+        self.assertEqual((statuses.count(502), statuses.count(200)), (3, 27))
+        self.assertEqual(self.log.hops(), [("answering", i.ERROR)] * 3)
+
+    async def test_what_a_host_declines_goes_back_at_once_and_blames_no_host(self):
+        """Each bad transaction cost two hosts their good name, and a repeat at a second one."""
+        caller = await self.play(*(SocketHost(b"HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n") for _ in "ab"))
+        for n in range(20):
+            self.assertEqual(await caller.outcome(profile="view", key=f"k{n}"), 400)
+        self.assertEqual(sum(host.got.qsize() for host in self.hosts), 20)
+        self.assertEqual({s.banned_until for s in self.service.owner.proxy.servers.values()}, {0})
+
     async def test_turned_away_is_harmless_and_so_rolled_back(self):
         caller = await self.play(SocketHost(REFUSED), SocketHost(REFUSED))
         caller.ask("submit", timeout="0.300")
