--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -57,9 +57,9 @@
 # outcome -> what it does to the host, and whether the transaction may have run
 SORTED = {
     i.COMMITTED: ("sound", True), i.ERROR: ("erred", True), i.TIMED_OUT: ("timed_out", True),
-    i.RESET: ("ban", True), i.CANCELLED: ("slow", True), i.REFUSED: ("back_off", False),
+    i.RESET: ("ban", True), i.CANCELLED: ("weigh", True), i.REFUSED: ("back_off", False),
     i.UNREACHABLE: ("ban", False), i.UNSENT: (None, False), i.DECLINED: (None, True),
-}
+    i.DROPPED: ("ban", False)}
 SPOKEN, KEYED_FAILURES = {i.COMMITTED, i.ERROR, i.REFUSED, i.DECLINED}, {i.ERROR, i.TIMED_OUT, i.RESET}
 
 
@@ -74,7 +74,8 @@
     def renew(self, line):
         """A new process: what was learned of an earlier one is void."""
         self.line, self.fresh_from, self.proven = line, line.started, True
-        self.banned_until = self.shy_until = self.spare_until = self.throttles = self.timeouts = 0
+        self.banned_until = self.shy_until = self.spare_until = self.throttles = 0
+        self.timeouts, self.mute_until = {}, {}     # by profile: a run of time-outs, and what it led to
         self.strain, self.erring, self.erred_key, self.proof = 1.0, 0.0, None, 1.0
 
 
@@ -276,8 +277,6 @@
             self.effects.append(i.SetTimer(self.late_after(tx), tx.id + 2))
         return True
 
-    # ---- the pick
-
     def pick(self, tx):
         best, banned, unbanned, reach = [], [], False, len(self.ready)
         if tx.key is not None and self.terms.warm_keys and self.busy() and self.now < tx.give_up:
@@ -302,7 +301,7 @@
         return min(best, key=lambda s: len(s.out), default=None)
 
     def doubtful(self, server, tx):
-        if server.shy_until > self.now:
+        if max(server.shy_until, server.mute_until.get(tx.kind, 0)) > self.now:
             return True
         if server.throttles or not server.proven:       # back from a ban or rest: one hop at a time, and
             return bool(server.out) or tx.profile.kind == i.NON_IDEMPOTENT      # only what may be repeated
@@ -381,8 +380,6 @@
         if lean != self.lean:
             self.reset_rankings()
 
-    # ---- cold hosts
-
     def warmth(self, server):
         """The share that a host can carry for sure, a fresh one without knowing a key."""
         if server.fresh_from is None:
@@ -395,7 +392,8 @@
     # ---- health: what an outcome does to its host
 
     def sound(self, server, tx, event):
-        server.timeouts, server.proven = 0, True
+        server.proven = True
+        server.timeouts.pop(tx.kind, None)
         server.erring *= 0.9
         self.failing.pop(tx.key, None)
         since, self.last_commit = self.now - self.last_commit, self.now
@@ -413,10 +411,8 @@
         if server.fresh_from is None:
             self.warm_commits.add(self.now)
 
-    def slow(self, server, tx, event):
-        self.weigh(server, tx, event, max(server.strain, min(10.0, event.elapsed / self.quiet[tx.kind])))
-
-    def weigh(self, server, tx, event, strain):
+    def weigh(self, server, tx, event, strain=None):
+        strain = strain or max(server.strain, min(10.0, event.elapsed / self.quiet[tx.kind]))
         # a proxy among more than there are hosts meets each seldom: what was given up on must tell at once
         lost = event.outcome != i.COMMITTED and self.terms.proxies > len(self.ready)
         server.strain += (strain - server.strain) * (0.5 if server.throttles or lost else 0.1)
@@ -426,11 +422,15 @@
             server.throttles = 0
 
     def timed_out(self, server, tx, event):
-        self.slow(server, tx, event)
-        server.timeouts += 1
+        self.weigh(server, tx, event)
+        run, since = server.timeouts.get(tx.kind, (0, self.now - event.elapsed))
+        server.timeouts[tx.kind] = run + 1, since
         # fewer where proxies outnumber hosts: a proxy that meets a host seldom sees no run in time
-        if server.timeouts * self.terms.proxies >= TIMEOUT_RUN * min(len(self.ready), self.terms.proxies):
-            self.ban(server, tx, event)
+        if (run + 1) * self.terms.proxies >= TIMEOUT_RUN * min(len(self.ready), self.terms.proxies):
+            if server.heard <= since:
+                return self.ban(server, tx, event)
+            server.mute_until[tx.kind] = self.now + COOLDOWN    # guards against hosts that answer all but
+            self.effects.append(i.SetTimer(COOLDOWN, 1))        # one profile: its next time-out does it again
 
     def erred(self, server, tx, event):
         """Quick errors look like an idle host and draw more: those of several keys are the host's fault."""
@@ -441,11 +441,10 @@
 
     def ban(self, server, tx, event):
         proven, server.proven = server.proven, False
-        if proven and event.outcome == i.RESET:     # guards against leaving a sound host out for one
-            return                                  # connection's end: one repeatable hop looks again first
-        server.banned_until, server.timeouts, server.erring = self.now + COOLDOWN, 0, 0.0
-        if event.outcome == i.UNREACHABLE:
-            self.scarce_until = server.banned_until
+        if proven and event.outcome in (i.RESET, i.DROPPED):    # guards against leaving a sound host out for
+            return                              # one connection's end: one repeatable hop looks again first
+        server.banned_until, server.erring, server.timeouts = self.now + COOLDOWN, 0.0, {}
+        self.scarce_until = server.banned_until if event.outcome == i.UNREACHABLE else self.scarce_until
         self.effects.append(i.SetTimer(COOLDOWN, 1))
 
     def back_off(self, server, tx, event):
@@ -462,8 +461,7 @@
         if tx.key is None:
             return False
         seen = {h: at for h, at in self.failing.pop(tx.key, {}).items() if at > self.now - SPREAD_WINDOW}
-        seen[server.id] = self.now
-        self.failing[tx.key] = seen
+        seen[server.id], self.failing[tx.key] = self.now, seen
         if len(self.failing) > KEYS_KEPT:
             self.failing.popitem(last=False)
         return len(seen) >= SPREAD
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -12,9 +12,10 @@
 IDEMPOTENT, JOURNALLED, NON_IDEMPOTENT = "idempotent", "journalled", "non-idempotent"
 # Repeat groups: which hosts discard repeats of a journalled transaction.
 EVERYWHERE, ZONE, CELL = "everywhere", "zone", "cell"
-# Outcomes of a hop. Of REFUSED, UNREACHABLE and UNSENT it is certain that nothing ran.
+# Outcomes of a hop. Of REFUSED, UNREACHABLE, DROPPED and UNSENT it is certain that nothing ran.
 COMMITTED, ERROR, TIMED_OUT, RESET = "committed", "error", "timed out", "reset"
 CANCELLED, REFUSED, UNREACHABLE, UNSENT = "cancelled", "refused", "unreachable", "unsent"
+DROPPED = "dropped"     # the host's machine took the connection, and it broke before all was written
 DECLINED = "declined"   # the host answered that the transaction itself is wrong: its last word, like a commit
 
 
--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -71,6 +71,7 @@
         if connection is None:
             connection = await self.pool.fresh(hop.place.address, hop.holds)
             if isinstance(connection, Fault):
+                hop.stage = max(hop.stage, connection.stage)
                 return connection
         else:
             hop.reused, hop.connection = True, connection
@@ -124,4 +125,4 @@
             return i.UNSENT
         if isinstance(found, Malformed) and written:
             return i.ERROR      # guards against taking a host that answers, if badly, for one that is gone
-        return i.RESET if written else i.UNREACHABLE
+        return i.RESET if written else i.DROPPED if hop.stage == Stage.WRITING else i.UNREACHABLE
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -53,7 +53,9 @@
             await self.stream.connect(address)
         except (OSError, StreamClosedError) as fault:
             self.close()
-            return Fault(Stage.CONNECTING, self.why or str(self.stream.error or fault))
+            # reset, not refused: the peer's machine had taken it already
+            stage = Stage.WRITING if isinstance(self.stream.error, ConnectionResetError) else Stage.CONNECTING
+            return Fault(stage, self.why or str(self.stream.error or fault))
         return None
 
     @contextmanager
