Bad clients bounded in time and places, open ids once, host connections by id

Read in the code: an idle host connection was filed by address and used again at once, the search mark was kept over an interim answer, an id could be opened twice, a bare line end ran into the 10 s limit. Host connections belong to id and address, close when the host leaves, and rest 10 ms before the next hop, so that what comes behind an answer is seen.

--- a/basalthook/protocol/application.py
+++ b/basalthook/protocol/application.py
@@ -12,6 +12,7 @@
 # Fields that speak of one connection only; lengths are written anew on each.
 OF_ONE_CONNECTION = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
                      "upgrade", "content-length", "expect"}
+DECIDING = ("request-id", "request-class", "request-timeout")
 PER_HOP = OF_ONE_CONNECTION | {"request-timeout"}
 
 
@@ -32,10 +33,14 @@
 def asked(message: Message, profiles: dict[str, int]) -> Asked | Malformed:
     if message.method not in ("GET", "POST"):
         return Malformed(405, "method not allowed")
-    name = message.field("request-class") or message.target.split("?", 1)[0].split("/")[1:2]
-    profile = profiles.get(name if isinstance(name, str) else "".join(name))
-    if profile is None:
-        return Malformed(404, "unknown class")
+    if not message.target.startswith("/"):
+        return Malformed(400, "no path")
+    if any(sum(n == name for n, _ in message.fields) > 1 for name in DECIDING):
+        return Malformed(400, "a deciding field twice")     # which one a host would follow is not known
+    first = message.target.split("?", 1)[0].split("/")[1]
+    profile = profiles.get(message.field("request-class") or first)
+    if profile is None or first in profiles and profiles[first] != profile:
+        return Malformed(404, "unknown class, or two of them")
     timeout = message.field("request-timeout") or ""
     if not SECONDS.fullmatch(timeout) or not 0 < float(timeout) <= TIMEOUT_MOST:
         return Malformed(400, "no usable Request-Timeout")
@@ -46,7 +51,7 @@
 
 
 def key(message: Message) -> str | None:
-    """What the transaction is about."""
+    """What the transaction is about; of several the first."""
     for name, value in message.fields:
         if name == "cookie":
             for crumb in value.split(";"):
--- a/basalthook/protocol/http1.py
+++ b/basalthook/protocol/http1.py
@@ -7,11 +7,13 @@
 
 HEAD_MOST = 16 * 1024
 BODY_MOST = 64 * 1024
+INTERIMS_MOST = 64
 LINE_MOST = 256             # of a chunk's size line
 TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 REQUEST_LINE = re.compile(rb"(" + TOKEN + rb") ([\x21-\x7e]+) HTTP/(\d)\.(\d)")
 STATUS_LINE = re.compile(rb"HTTP/(\d)\.(\d) (\d{3})(?: [\t\x20-\x7e\x80-\xff]*)?")
 FIELD = re.compile(rb"(" + TOKEN + rb"):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*")
+BARE_END = re.compile(rb"(?<!\r)\n")
 LENGTH = re.compile(r"[0-9]{1,18}")
 CHUNK = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
 NO_BODY = {204, 304}
@@ -51,7 +53,7 @@
     def again(self) -> None:
         self.found: Message | Malformed | None = None
         self.started = bool(self.rest)
-        self.body, self.need, self.seen = bytearray(), 0, 0
+        self.body, self.need, self.seen, self.interims = bytearray(), 0, 0, 0
         self.head: tuple | None = None
         self.state = self._head
 
@@ -75,15 +77,18 @@
     # ---- the states: each takes what it can from `rest` and says whether another look is worth while
 
     def _head(self) -> bool:
-        while self.rest[:2] == b"\r\n":
-            del self.rest[:2]           # an empty line before a message is passed over
+        while self.rest[:2] == b"\r\n" and not self.responses:
+            del self.rest[:2]           # an empty line before a request is passed over
             self.seen = 0
         at = self.rest.find(b"\r\n\r\n", max(0, self.seen - 3))
         if at < 0 or at + 4 > HEAD_MOST:
+            if BARE_END.search(self.rest, max(0, self.seen - 1)):
+                return self._bad(400, "bare line end")      # its sender takes the head for ended
             self.seen = len(self.rest)
             return self._bad(431, "head too long") if self.seen > HEAD_MOST or at >= 0 else False
         lines = bytes(self.rest[:at]).split(b"\r\n")
         del self.rest[:at + 4]
+        self.seen = 0                   # guards against missing a short head behind an interim one
         line = (STATUS_LINE if self.responses else REQUEST_LINE).fullmatch(lines[0])
         if line is None:
             return self._bad(400, "no start line")
@@ -103,6 +108,7 @@
         if version[0] != b"1":
             return self._bad(505, "not HTTP/1")
         named = {n for n, _ in fields}
+        counted = sum(n == "content-length" for n, _ in fields)
         lengths = {part.strip() for n, v in fields if n == "content-length" for part in v.split(",")}
         codings = [v.strip().lower() for n, v in fields if n == "transfer-encoding"]
         hosts = sum(n == "host" for n, _ in fields)
@@ -112,12 +118,13 @@
             return self._bad(400, "length and transfer coding")
         if codings and codings != ["chunked"]:
             return self._bad(501, "unknown transfer coding")
-        if lengths and (len(lengths) > 1 or not LENGTH.fullmatch(next(iter(lengths)))):
+        if lengths and (counted > 1 or len(lengths) > 1 or not LENGTH.fullmatch(next(iter(lengths)))):
             return self._bad(400, "bad Content-Length")
         options = {o.strip().lower() for n, v in fields if n == "connection" for o in v.split(",")}
         keep = "close" not in options and (version[1] != b"0" or "keep-alive" in options)
         if self.responses and 100 <= status < 200 and status != 101:
-            return True                 # an interim answer; the next head follows
+            self.interims += 1          # an interim answer; the next head follows
+            return True if self.interims <= INTERIMS_MOST else self._bad(400, "no end of interim answers")
         self.head = method, target, status, fields, keep
         if self.responses and (status in NO_BODY or status == 101):
             return self._finish(keep=status != 101)
@@ -216,6 +223,7 @@
 
 
 PHRASES = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+           409: "Conflict",
            413: "Content Too Large", 431: "Request Header Fields Too Large", 501: "Not Implemented",
            502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
            505: "HTTP Version Not Supported"}
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -10,8 +10,11 @@
 from .clock import TICKS, Clock
 from .owner import Answer, Arrived, Gone, Order, Owner
 
-STALLED = 10.0      # seconds that a message may take to come in once it has begun
-LINGER = 1.0        # seconds that a peer turned away gets to read why
+STALLED = 2.5       # seconds that a message may take to come in: the first from connecting, others once begun
+TAKE_IN = 10.0      # seconds that a peer may take to read its answer
+LINGER = 1.0        # seconds that a peer turned away gets to read why,
+LEFT_UNREAD = 1024 * 1024   # and bytes read from it meanwhile: a peer that sends on must not cost more
+LOUD = 20           # lines on bad input a second; more are counted
 NEW, IDLE, BUSY = "new", "idle", "busy"     # nothing has come yet; between two messages; one is in hand
 OVERDUE = 200       # tenths of a millisecond past the hard limit: nothing should wait that long
 
@@ -23,6 +26,8 @@
         self.buffers, self.descriptors = buffers, descriptors
         descriptors.givers.append(lambda: self.close_idle(1))
         self.ready = False
+        self.ids: set[str] = set()                  # of transactions not yet answered
+        self.loud = [0, 0, 0]                       # second, lines said in it, and left out since
         self.open: dict[Connection, str] = {}       # -> NEW, IDLE or BUSY; emptied as they end
         self.tasks: set[asyncio.Task] = set()
 
@@ -36,15 +41,29 @@
         except OSError:         # it ended before we could look at it
             sock.close()
             return True
+        fits = self.make_room()
         self.open[connection] = NEW
         task = asyncio.get_running_loop().create_task(self.serve(connection))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-        return self.descriptors.room(self.descriptors.most)
+        return self.descriptors.room(self.descriptors.most) and fits
+
+    def make_room(self) -> bool:
+        """Guards against peers that connect by hundreds and say nothing: they go first, no host's does."""
+        crowd = len(self.open) + 1 - self.descriptors.most_for_clients
+        for states in ((NEW,), (IDLE,)):
+            if crowd > 0:
+                crowd -= self.close_idle(crowd, states)
+        return crowd <= 0
 
     def close_idle(self, most: int | None = None, states: tuple = (IDLE,)) -> int:
         """Close so many of those that carry nothing, the longest idle first; what has bytes to read stays."""
-        idle = [c for c, state in self.open.items() if state in states and c.quiet()][:most]
+        idle = []
+        for connection, state in self.open.items():
+            if most is not None and len(idle) >= most:
+                break
+            if state in states and connection.quiet():
+                idle.append(connection)
         for connection in idle:
             del self.open[connection]
             connection.close()
@@ -55,10 +74,15 @@
         if self.tasks:
             await asyncio.wait(self.tasks, timeout=seconds)
 
+    def within_time(self, connection: Connection) -> asyncio.TimerHandle:
+        return asyncio.get_running_loop().call_later(STALLED, self.stalled, connection)
+
     async def serve(self, connection: Connection) -> None:
+        late = self.within_time(connection)     # guards against silence too
         try:
             parser = Parser(responses=False)
-            while await self.one(connection, parser):
+            while await self.one(connection, parser, late):
+                late = None
                 parser.again()
                 self.open.pop(connection, None)
                 self.open[connection] = IDLE        # those that idle longest come first
@@ -68,20 +92,19 @@
             connection.close()
             self.open.pop(connection, None)
 
-    async def one(self, connection: Connection, parser: Parser) -> bool:
+    async def one(self, connection: Connection, parser: Parser, late: asyncio.TimerHandle | None) -> bool:
         """Read and answer one message; whether another may follow on this connection."""
-        if await connection.read(parser.feed) is not None:
-            return False
-        self.open[connection] = BUSY
-        late = asyncio.get_running_loop().call_later(STALLED, self.stalled, connection)
         try:
             while parser.found is None:
                 if parser.awaits_body and not await self.write(connection, http1.CONTINUE, True):
                     return False
                 if await connection.read(parser.feed) is not None:
                     return False
+                self.open[connection] = BUSY
+                late = late or self.within_time(connection)
         finally:
-            late.cancel()
+            if late is not None:
+                late.cancel()
         found = parser.found
         if isinstance(found, Message) and parser.rest:
             found = Malformed(400, "bytes after the message")
@@ -98,6 +121,15 @@
                                 message.keep), message.keep
 
     async def carry(self, connection: Connection, asked: Asked) -> bool:
+        if asked.id in self.ids:        # guards against answering one client with what another asked
+            return await self.turn_away(connection, Malformed(409, "this Request-Id is open already"))
+        self.ids.add(asked.id)
+        try:
+            return await self.follow(connection, asked)
+        finally:
+            self.ids.discard(asked.id)
+
+    async def follow(self, connection: Connection, asked: Asked) -> bool:
         order = Order(asked, self.clock.now() + int(asked.timeout * TICKS))
         await self.owner.post(Arrived(order))
         keep, watched = asked.message.keep, {order.answer, connection.reading()}
@@ -132,7 +164,7 @@
 
     async def write(self, connection: Connection, data: bytes, keep: bool) -> bool:
         try:
-            with connection.within(STALLED):
+            with connection.within(TAKE_IN):
                 await connection.write(data)
         except OSError:         # the peer went, or does not read; there is nobody to tell
             return False
@@ -140,16 +172,33 @@
 
     async def turn_away(self, connection: Connection, why: Malformed) -> bool:
         """Bad input: say so, and give the peer time to read it before the connection ends."""
-        self.say("bad input", status=why.status, reason=why.reason)
+        self.complain(why)
         if await self.write(connection, application.told(why.status, why.reason, False), True):
             connection.end_sending()
+            unread = [LEFT_UNREAD]
+
+            def skim(part) -> None:
+                unread[0] -= len(part)
             with connection.within(LINGER):
-                while await connection.read(lambda _: None) is None:
+                while await connection.read(skim) is None and unread[0] > 0:
                     pass
+                if not connection.closed:       # it sends on: no more is read, and it has time to see why
+                    await asyncio.sleep(LINGER)
         return False
 
-    @staticmethod
-    def stalled(connection: Connection) -> None:
-        """Guards against peers that stop half-way and hold a connection for ever."""
-        connection.write(application.told(408, "stopped half-way", False))
-        connection.close()
+    def complain(self, why: Malformed) -> None:
+        """Guards against a log filled by those who send the same again as soon as they are turned away."""
+        second = self.clock.now() // TICKS
+        if second != self.loud[0]:
+            self.loud[:2] = second, 0
+        if self.loud[1] < LOUD:
+            self.say("bad input", status=why.status, reason=why.reason, unsaid=self.loud[2])
+            self.loud[1:] = self.loud[1] + 1, 0
+        else:
+            self.loud[2] += 1
+
+    def stalled(self, connection: Connection) -> None:
+        """Guards against peers that stop half-way, or never begin, and hold a connection for ever."""
+        if self.open.get(connection) == BUSY:
+            connection.write(application.told(408, "stopped half-way", False))
+        connection.close(f"not whole within {STALLED:g} s")
--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -67,7 +67,7 @@
                                       message if outcome in (i.COMMITTED, i.DECLINED) else None))
 
     async def exchange(self, hop: Hop) -> Message | Fault | Malformed | None:
-        connection = self.pool.kept_one(hop.place.address)
+        connection = self.pool.kept_one(hop.place.door)
         if connection is None:
             connection = await self.pool.fresh(hop.place.address, hop.holds)
             if isinstance(connection, Fault):
@@ -106,7 +106,7 @@
     def keep(self, hop: Hop) -> None:
         """From here on the connection is the pool's: stopping this hop must not close it under another."""
         connection, hop.connection = hop.connection, None
-        self.pool.keep(connection, hop.place.address)
+        self.pool.keep(connection, hop.place.door)
 
     @staticmethod
     def wrote(hop: Hop, writing: asyncio.Future) -> None:
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -185,4 +185,4 @@
 
     GIVES = {i.SendHop: send, i.RollBack: roll_back, i.Abandon: abandon, i.CancelHop: cancel,
              i.SetTimer: set_timer, i.WatchList: lambda self, _: self.begin_watch(),
-             i.CloseIdle: lambda self, effect: self.close_idle(self.roster.places[effect.host].address)}
+             i.CloseIdle: lambda self, effect: self.close_idle(self.roster.places[effect.host].door)}
--- a/basalthook/routing/roster.py
+++ b/basalthook/routing/roster.py
@@ -11,6 +11,11 @@
     address: tuple[str, int]
     ready: bool
 
+    @property
+    def door(self) -> tuple:
+        """What kept connections belong to: a new host at an old address has none, nor has one that moved."""
+        return self.id, self.address
+
 
 class Roster:
     def __init__(self) -> None:
@@ -18,6 +23,7 @@
         self.numbers: dict[str, int] = {}
         self.out: dict[int, int] = {}           # hops out, by host; emptied as they end
         self.next = 0
+        self.left = lambda door: None           # told of the doors of hosts that have left
 
     def told(self, listing: Listing, answered: bool) -> i.HostsListed:
         """Take a list in and turn it into the decisions' event."""
@@ -28,6 +34,7 @@
             removed |= self.places.keys() - named
         for number in removed:
             self.places[number] = self.places[number]._replace(ready=False)
+            self.left(self.places[number].door)
             self._forget(number)
         return event
 
--- a/basalthook/transport/hostpool.py
+++ b/basalthook/transport/hostpool.py
@@ -7,6 +7,7 @@
 from .connection import Connection, Fault, Stage
 from .descriptors import Descriptors
 
+SETTLE = 0.01   # seconds after an answer before the connection is used again
 MARGIN = 0.8    # of the time after which a host closes an idle connection: what is older is not used
 
 
@@ -14,7 +15,7 @@
     def __init__(self, buffers: BufferPool, descriptors: Descriptors, idle: float, connect: float) -> None:
         self.buffers, self.descriptors = buffers, descriptors
         self.idle = self.patience = 0.0
-        self.kept: OrderedDict[Connection, tuple] = OrderedDict()   # oldest first -> address, until
+        self.kept: OrderedDict[Connection, tuple] = OrderedDict()   # oldest first -> host, until
         self.by_host: dict[tuple, list[Connection]] = {}            # emptied as they are used, end or expire
         self.sweeping = None
         self.times(idle, connect)
@@ -26,12 +27,13 @@
             pass                # guards against kept ones that hosts now close earlier
         self.idle, self.patience = idle * MARGIN, connect
 
-    def kept_one(self, address: tuple) -> Connection | None:
-        """The one used last, if it is surely still good."""
+    def kept_one(self, host: tuple) -> Connection | None:
+        """The one used last that has settled, if it is surely still good."""
         now = time.monotonic()
-        while stack := self.by_host.get(address):
-            connection = stack[-1]
-            until = self.kept[connection][1]
+        for connection in reversed(self.by_host.get(host, [])[:]):
+            _, until = self.kept[connection]
+            if until - self.idle > now - SETTLE:
+                continue        # guards against taking what comes behind its answer for the next one
             self._drop(connection)
             if until > now and connection.quiet():
                 return connection
@@ -49,17 +51,17 @@
         with connection.within(self.patience):
             return await connection.connect(address) or connection
 
-    def keep(self, connection: Connection, address: tuple) -> None:
+    def keep(self, connection: Connection, host: tuple) -> None:
         if connection.closed or not self.idle:
             return connection.close()
-        self.kept[connection] = address, time.monotonic() + self.idle
-        self.by_host.setdefault(address, []).append(connection)
+        self.kept[connection] = host, time.monotonic() + self.idle
+        self.by_host.setdefault(host, []).append(connection)
         connection.reading().add_done_callback(lambda _: self._stirred(connection))
         if self.sweeping is None:
             self.sweeping = asyncio.get_running_loop().call_later(self.idle, self._sweep)
 
-    def close_idle(self, address: tuple) -> None:
-        for connection in list(self.by_host.get(address, ())):
+    def close_idle(self, host: tuple) -> None:
+        for connection in list(self.by_host.get(host, ())):
             self._drop(connection)
             connection.close()
 
@@ -78,11 +80,11 @@
             self.sweeping.cancel()
 
     def _drop(self, connection: Connection) -> None:
-        address, _ = self.kept.pop(connection)
-        stack = self.by_host[address]
+        host, _ = self.kept.pop(connection)
+        stack = self.by_host[host]
         stack.remove(connection)
         if not stack:
-            del self.by_host[address]
+            del self.by_host[host]
 
     def _stirred(self, connection: Connection) -> None:
         """Ended, or written to unasked, while idle."""
