--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -57,9 +57,9 @@
 # outcome -> what it does to the host, and whether the transaction may have run
 SORTED = {
     i.COMMITTED: ("sound", True), i.ERROR: ("erred", True), i.TIMED_OUT: ("timed_out", True),
-    i.RESET: ("ban", True), i.CANCELLED: ("weigh", True), i.REFUSED: ("back_off", False),
+    i.RESET: ("erred", True), i.CANCELLED: ("weigh", True), i.REFUSED: ("back_off", False),
     i.UNREACHABLE: ("ban", False), i.UNSENT: (None, False), i.DECLINED: (None, True),
-    i.DROPPED: ("ban", False)}
+    i.DROPPED: ("erred", False)}
 SPOKEN, KEYED_FAILURES = {i.COMMITTED, i.ERROR, i.REFUSED, i.DECLINED}, {i.ERROR, i.TIMED_OUT, i.RESET}
 
 
@@ -125,8 +125,6 @@
         if tx.state == "done" and not tx.out:
             self.txs.pop(tx.id, None)
 
-    # ---- events
-
     def on_arrived(self, event):
         tx = self.txs[event.tx] = Tx(event, self.now, self.terms.profiles[event.profile])
         tx.luck = self.chance.random() if event.key in self.lately else 0.0     # a key met often needs luck
@@ -436,14 +434,15 @@
         """Quick errors look like an idle host and draw more: those of several keys are the host's fault."""
         if tx.key is None or tx.key != server.erred_key:
             server.erring, server.erred_key = server.erring * 0.9 + 0.1, tx.key
-        if server.erring > ERRING:
+        # a connection's end bans nobody by itself: one repeatable hop looks again, and a dead host refuses it
+        server.proven = server.proven and event.outcome == i.ERROR
+        errings = sorted(s.erring for s in self.servers.values())
+        if server.erring > ERRING + 2 * errings[(len(errings) - 1) // 2]:   # what most share is no fault of its
             self.ban(server, tx, event)
 
     def ban(self, server, tx, event):
-        proven, server.proven = server.proven, False
-        if proven and event.outcome in (i.RESET, i.DROPPED):    # guards against leaving a sound host out for
-            return                              # one connection's end: one repeatable hop looks again first
         server.banned_until, server.erring, server.timeouts = self.now + COOLDOWN, 0.0, {}
+        server.proven = False
         self.scarce_until = server.banned_until if event.outcome == i.UNREACHABLE else self.scarce_until
         self.effects.append(i.SetTimer(COOLDOWN, 1))
 
