--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -437,7 +437,7 @@
         # a connection's end bans nobody by itself: one repeatable hop looks again, and a dead host refuses it
         server.proven = server.proven and event.outcome == i.ERROR
         errings = sorted(s.erring for s in self.servers.values())
-        if server.erring > ERRING + 2 * errings[(len(errings) - 1) // 2]:   # what most share is no fault of its
+        if server.erring > ERRING + 2 * errings[(len(errings) - 1) // 2]:   # beyond what most share
             self.ban(server, tx, event)
 
     def ban(self, server, tx, event):
--- a/basalthook/protocol/http1.py
+++ b/basalthook/protocol/http1.py
@@ -133,7 +133,7 @@
         elif "content-length" in named:
             self.need = int(next(iter(lengths)))
             if self.need > self.body_most:
-                return self._bad(413, "body too long")
+                return self._bad(413, f"body too long: {self.need}")
             self.state = self._sized
         elif self.responses:
             self.state = self._to_the_end
