--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -31,10 +31,10 @@
         self.descriptors = descriptors
         self.owner = Owner(told.agreed, told.seed, clock, roster, log.say)
         self.pool = HostPool(buffers, descriptors, told.idle_seconds, told.connect_seconds)
-        hops = Hops(self.pool, clock, roster, self.owner, log.say)
+        self.hops = Hops(self.pool, clock, roster, self.owner, told.answer_most, log.say)
         self.watch = Watch(told.discovery, 2 * told.agreed.ask_within / TICKS, told.known.version, self.owner,
                            buffers, descriptors, log.say)
-        self.owner.begin_hop, self.owner.begin_watch = hops.begin, self.watch.begin
+        self.owner.begin_hop, self.owner.begin_watch = self.hops.begin, self.watch.begin
         self.owner.close_idle = roster.left = self.pool.close_idle
         self.clients = Clients(self.owner, clock, told.profiles, buffers, descriptors, log.say)
 
@@ -82,6 +82,7 @@
         self.told = told._replace(**kept)
         self.log.name = told.name
         self.descriptors.bound(told.sockets)
+        self.hops.answer_most = told.answer_most
         self.pool.times(told.idle_seconds, told.connect_seconds)
         self.watch.move(told.discovery)
         self.log.say("file taken", discovery=list(told.discovery), needs_restart=left)
--- a/basalthook/program/startup.py
+++ b/basalthook/program/startup.py
@@ -16,6 +16,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    answer_most: int                   # bytes of a host's answer that are held
     agreed: i.Agreement
     profiles: dict[str, int]
     connect_seconds: float
@@ -24,6 +25,9 @@
     known: catalogue.Listing
 
 
+MEMORY, ANSWERS = 64, 64       # MB, if none are told; one answer takes no more than one part in so many
+
+
 class BadStart(Exception):
     """Says in one line what is wrong."""
 
@@ -58,6 +62,7 @@
         discovery=catalogue.address(told.get("discovery") or environ["RELAY_DISCOVERY"]),
         seed=int(seed, 16) if isinstance(seed, str) else int(seed),
         sockets=min(ours, int(told.get("limits", {}).get("sockets") or ours)),
+        answer_most=int(told.get("limits", {}).get("memory_mb") or MEMORY) * 2**20 // ANSWERS,
         agreed=terms.agreement(setup), profiles=terms.profiles(setup),
         connect_seconds=allowed["connect_timeout_ns"] / 1e9,
         idle_seconds=allowed.get("keepalive_ns", 0) / 1e9,
--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -30,7 +30,9 @@
 
 
 class Hops:
-    def __init__(self, pool: HostPool, clock: Clock, roster: Roster, owner: Owner, say) -> None:
+    def __init__(self, pool: HostPool, clock: Clock, roster: Roster, owner: Owner, answer_most: int,
+                 say) -> None:
+        self.answer_most = answer_most
         self.pool, self.clock, self.roster, self.owner, self.say = pool, clock, roster, owner, say
         self.tasks: set[asyncio.Task] = set()   # emptied as they end
 
@@ -84,7 +86,7 @@
             return None
         left = hop.limit - (self.clock.now() - hop.begun)
         hop.stage = Stage.WRITING
-        answer, reading = Parser(responses=True), connection.reading()
+        answer, reading = Parser(responses=True, body_most=self.answer_most), connection.reading()
         writing = connection.write(hosts.hop(hop.order.asked.message, max(1, left) / TICKS))
         if not writing.done():
             await asyncio.wait({writing, reading}, return_when=asyncio.FIRST_COMPLETED)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -132,6 +132,17 @@
         self.assertEqual(sum(host.got.qsize() for host in self.hosts), 20)
         self.assertEqual({s.banned_until for s in self.service.owner.proxy.servers.values()}, {0})
 
+    async def test_long_answers_pass_and_endless_ones_do_not(self):
+        """Good answers of up to 400 KB were refused as too long, and hosts banned for them (G 0.34)."""
+        body = bytes(range(256)) * 1600
+        long = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        chunk = b"ffff\r\n" + b"x" * 65535 + b"\r\n"
+        endless = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + 40 * chunk
+        caller = await self.play(SocketHost(long, endless, OK))
+        caller.ask("submit")
+        self.assertEqual((await caller.answer())[1], body)
+        self.assertEqual(await caller.outcome(profile="submit"), 502)
+
     async def test_turned_away_is_harmless_and_so_rolled_back(self):
         caller = await self.play(SocketHost(REFUSED), SocketHost(REFUSED))
         caller.ask("submit", timeout="0.300")
