--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -25,6 +25,7 @@
 BACKOFF_MOST = COOLDOWN // 4    # backoffs double up to this
 KEYS_KEPT = 2_000       # rankings and failing keys held at once
 ROOMY = 1.5             # a host gets no more of our hops than make its answers this many times slower
+BEARABLE = 4            # hops of all proxies that a host may always hold: else it idles between two of ours
 FAIR = 1.25             # nor more than this multiple of its share of all our hops
 CROWDED = 3.0           # answers this many times slower than in quiet times tell of a crowd
 REACH = 2               # while busy, a key waits for one of its first so many hosts before it goes elsewhere
@@ -311,9 +312,9 @@
     def budget(self, server):
         """Little's law: our hops at a host whose answers take ROOMY times as long as in quiet."""
         share = FAIR * (len(self.flying) + 1) * server.line.weight * self.warmth(server) / self.weight
-        own = ROOMY * self.quiet_out(server.sent)
         loose = self.strain <= BUSY and not self.first_line or server.spare_until > self.now
-        return max(1.0, share if loose else min(own, share))
+        own = share if loose else min(ROOMY * self.quiet_out(server.sent), share)
+        return max(1.0, BEARABLE // self.terms.proxies, own)
 
     def busy(self):
         """Answers are slow, or some wait: when they quicken the whole line must not go out at once."""
@@ -434,8 +435,7 @@
         """Quick errors look like an idle host and draw more: those of several keys are the host's fault."""
         if tx.key is None or tx.key != server.erred_key:
             server.erring, server.erred_key = server.erring * 0.9 + 0.1, tx.key
-        # a connection's end bans nobody by itself: one repeatable hop looks again, and a dead host refuses it
-        server.proven = server.proven and event.outcome == i.ERROR
+        server.proven = server.proven and event.outcome == i.ERROR      # a reset: one repeatable looks
         errings = sorted(s.erring for s in self.servers.values())
         if server.erring > ERRING + 2 * errings[(len(errings) - 1) // 2]:   # beyond what most share
             self.ban(server, tx, event)
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -14,7 +14,7 @@
 TAKE_IN = 10.0      # seconds that a peer may take to read its answer
 LINGER = 1.0        # seconds that a peer turned away gets to read why,
 LEFT_UNREAD = 1024 * 1024   # and bytes read from it meanwhile: a peer that sends on must not cost more
-LOUD = 20           # lines on bad input a second; more are counted
+LOUD = 20           # lines on bad input, and on answers that are no commit, a second; more are counted
 NEW, IDLE, BUSY = "new", "idle", "busy"     # nothing has come yet; between two messages; one is in hand
 OVERDUE = 200       # tenths of a millisecond past the hard limit: nothing should wait that long
 
@@ -27,7 +27,7 @@
         descriptors.givers.append(lambda: self.close_idle(1))
         self.ready = False
         self.ids: set[str] = set()                  # of transactions not yet answered
-        self.loud = [0, 0, 0]                       # second, lines said in it, and left out since
+        self.loud: dict[str, list] = {}     # event -> second, lines said in it, and left out since
         self.open: dict[Connection, str] = {}       # -> NEW, IDLE or BUSY; emptied as they end
         self.tasks: set[asyncio.Task] = set()
 
@@ -149,7 +149,7 @@
         answer = order.answer.result()
         keep = keep and self.ready and not self.descriptors.full()
         if answer.kind != "committed":
-            self.say("answer", tx=asked.id, kind=answer.kind, hops=len(order.hops),
+            self.sparingly("answer", tx=asked.id, kind=answer.kind, hops=len(order.hops),
                      left_ms=(order.hard_limit - self.clock.now()) / 10, come_back_ms=answer.come_back / 10)
         return await self.write(connection, self.worded(answer, order, keep), keep)
 
@@ -172,7 +172,7 @@
 
     async def turn_away(self, connection: Connection, why: Malformed) -> bool:
         """Bad input: say so, and give the peer time to read it before the connection ends."""
-        self.complain(why)
+        self.sparingly("bad input", status=why.status, reason=why.reason)
         if await self.write(connection, application.told(why.status, why.reason, False), True):
             connection.end_sending()
             unread = [LEFT_UNREAD]
@@ -186,16 +186,16 @@
                     await asyncio.sleep(LINGER)
         return False
 
-    def complain(self, why: Malformed) -> None:
-        """Guards against a log filled by those who send the same again as soon as they are turned away."""
-        second = self.clock.now() // TICKS
-        if second != self.loud[0]:
-            self.loud[:2] = second, 0
-        if self.loud[1] < LOUD:
-            self.say("bad input", status=why.status, reason=why.reason, unsaid=self.loud[2])
-            self.loud[1:] = self.loud[1] + 1, 0
+    def sparingly(self, event: str, **fields) -> None:
+        """Guards against a log, and its CPU, taken up by those who ask again as soon as turned away."""
+        second, loud = self.clock.now() // TICKS, self.loud.setdefault(event, [0, 0, 0])
+        if second != loud[0]:
+            loud[:2] = second, 0
+        if loud[1] < LOUD:
+            self.say(event, unsaid=loud[2], **fields)
+            loud[1:] = loud[1] + 1, 0
         else:
-            self.loud[2] += 1
+            loud[2] += 1
 
     def stalled(self, connection: Connection) -> None:
         """Guards against peers that stop half-way, or never begin, and hold a connection for ever."""
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -235,6 +235,14 @@
             stage.many(60)
             self.assertEqual(len(bad.got), most)
 
+    def test_few_proxies_leave_no_host_idle_between_two_hops(self):
+        """With one place a host and answers of 3 ms, hosts idled while some waited (G 0.34 to 0.43)."""
+        for proxies, places in ((2, 2), (4, 1)):
+            stage = Stage(fleet(2), proxies=proxies)
+            stage.many(20)
+            stage.crowd(2.0)
+            self.assertEqual(stage.proxy.budget(stage.proxy.servers[0]), places)
+
     def test_resets_that_all_hosts_share_leave_them_in_use(self):
         """Any two near each other banned: at one in ten, most hosts were out (wide day, G 0.33)."""
         hosts = fleet(3)
