--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -11,11 +11,13 @@
 from .owner import Answer, Arrived, Gone, Order, Owner
 
 STALLED = 2.5       # seconds that a message may take to come in: the first from connecting, others once begun
+RESTED = 2.0        # seconds that a connection may idle where there are many
 TAKE_IN = 10.0      # seconds that a peer may take to read its answer
 LINGER = 1.0        # seconds that a peer turned away gets to read why,
 LEFT_UNREAD = 1024 * 1024   # and bytes read from it meanwhile: a peer that sends on must not cost more
 LOUD = 20           # lines on bad input, and on answers that are no commit, a second; more are counted
-NEW, IDLE, BUSY = "new", "idle", "busy"     # nothing has come yet; between two messages; one is in hand
+# nothing has come yet; a part of a message has; turned away; between two messages; one is in hand
+NEW, COMING, LEAVING, IDLE, BUSY = "new", "coming", "leaving", "idle", "busy"
 OVERDUE = 200       # tenths of a millisecond past the hard limit: nothing should wait that long
 
 
@@ -26,9 +28,11 @@
         self.buffers, self.descriptors = buffers, descriptors
         descriptors.givers.append(lambda: self.close_idle(1))
         self.ready = False
+        self.since: dict[Connection, float] = {}    # idle since; emptied with `open`
+        self.sweeping: asyncio.TimerHandle | None = None
         self.ids: set[str] = set()                  # of transactions not yet answered
         self.loud: dict[str, list] = {}     # event -> second, lines said in it, and left out since
-        self.open: dict[Connection, str] = {}       # -> NEW, IDLE or BUSY; emptied as they end
+        self.open: dict[Connection, str] = {}       # -> one of these; emptied as they end
         self.tasks: set[asyncio.Task] = set()
 
     def take(self, sock) -> bool:
@@ -51,9 +55,9 @@
     def make_room(self) -> bool:
         """Guards against peers that connect by hundreds and say nothing: they go first, no host's does."""
         crowd = len(self.open) + 1 - self.descriptors.most_for_clients
-        for states in ((NEW,), (IDLE,)):
+        for state in (NEW, COMING, LEAVING, IDLE):
             if crowd > 0:
-                crowd -= self.close_idle(crowd, states)
+                crowd -= self.close_idle(crowd, (state,))
         return crowd <= 0
 
     def close_idle(self, most: int | None = None, states: tuple = (IDLE,)) -> int:
@@ -62,13 +66,25 @@
         for connection, state in self.open.items():
             if most is not None and len(idle) >= most:
                 break
-            if state in states and connection.quiet():
+            if state in states and (state in (COMING, LEAVING) or connection.quiet()):
                 idle.append(connection)
         for connection in idle:
+            self.stalled(connection)
             del self.open[connection]
-            connection.close()
         return len(idle)
 
+    def sweep(self) -> None:
+        """Guards against clients that ask once and stay: they hold the places of those that want to ask."""
+        self.sweeping = None
+        now, spare = asyncio.get_running_loop().time(), len(self.open) - self.descriptors.at_ease
+        rested = [c for c, state in self.open.items()
+                  if state == IDLE and now - self.since[c] >= RESTED and c.quiet()]
+        for connection in rested[:max(0, spare)]:
+            del self.open[connection]
+            connection.close("idle for long")
+        if self.since:
+            self.sweeping = asyncio.get_running_loop().call_later(RESTED / 4, self.sweep)
+
     async def finish(self, seconds: float) -> None:
         """Wait until every transaction taken has been answered."""
         if self.tasks:
@@ -86,11 +102,15 @@
                 parser.again()
                 self.open.pop(connection, None)
                 self.open[connection] = IDLE        # those that idle longest come first
+                self.since[connection] = asyncio.get_running_loop().time()
+                if self.sweeping is None:
+                    self.sweeping = asyncio.get_running_loop().call_later(RESTED, self.sweep)
         except Exception as fault:      # exceptions stop at the connection
             self.say("fault", where="client", error=repr(fault))
         finally:
             connection.close()
             self.open.pop(connection, None)
+            self.since.pop(connection, None)
 
     async def one(self, connection: Connection, parser: Parser, late: asyncio.TimerHandle | None) -> bool:
         """Read and answer one message; whether another may follow on this connection."""
@@ -100,7 +120,7 @@
                     return False
                 if await connection.read(parser.feed) is not None:
                     return False
-                self.open[connection] = BUSY
+                self.open[connection] = COMING if parser.found is None else BUSY
                 late = late or self.within_time(connection)
         finally:
             if late is not None:
@@ -147,7 +167,7 @@
             await self.owner.post(Gone(order))
             return await self.write(connection, application.abandoned(True, False), False)
         answer = order.answer.result()
-        keep = keep and self.ready and not self.descriptors.full()
+        keep = keep and self.ready and len(self.open) <= self.descriptors.at_ease
         if answer.kind != "committed":
             self.sparingly("answer", tx=asked.id, kind=answer.kind, hops=len(order.hops),
                      left_ms=(order.hard_limit - self.clock.now()) / 10, come_back_ms=answer.come_back / 10)
@@ -174,6 +194,7 @@
         """Bad input: say so, and give the peer time to read it before the connection ends."""
         self.sparingly("bad input", status=why.status, reason=why.reason)
         if await self.write(connection, application.told(why.status, why.reason, False), True):
+            self.open[connection] = LEAVING
             connection.end_sending()
             unread = [LEFT_UNREAD]
 
@@ -199,6 +220,6 @@
 
     def stalled(self, connection: Connection) -> None:
         """Guards against peers that stop half-way, or never begin, and hold a connection for ever."""
-        if self.open.get(connection) == BUSY:
+        if self.open.get(connection) == COMING:
             connection.write(application.told(408, "stopped half-way", False))
         connection.close(f"not whole within {STALLED:g} s")
--- a/basalthook/transport/descriptors.py
+++ b/basalthook/transport/descriptors.py
@@ -14,6 +14,7 @@
     def bound(self, limit: int) -> None:
         self.most = max(2, limit - RESERVE)
         self.most_for_clients = max(1, self.most * 2 // 3)      # the rest is for hosts and discovery
+        self.at_ease = max(1, self.most // 4)           # so many client connections may idle for long
         self.most_for_hosts = self.most - max(1, self.most // CLIENTS_PART)
 
     def take(self) -> None:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -305,6 +305,32 @@
         self.assertEqual(await caller.outcome(profile="submit"), 200)   # and the one that had asked did not
         self.assertEqual(len(self.service.pool.kept), 1)
 
+    async def test_hundreds_that_send_half_a_head_take_no_place_from_callers(self):
+        """They held every place for 2.5 s, and callers waited to be accepted (recorded day, G 0.37)."""
+        caller = await self.play(SocketHost(), sockets=16 + 24)
+        self.assertEqual(await caller.outcome(), 200)
+        drips = []
+        for _ in range(40):
+            drips.append(await self.caller())
+            drips[-1].writer.write(b"GET /view HT")
+        self.assertEqual((await drips[0].answer())[0], 408)
+        self.assertEqual(await caller.outcome(), 200)
+        self.assertLessEqual(len(self.service.clients.open), 16)
+
+    async def test_clients_that_ask_once_and_stay_leave_room_for_others(self):
+        """They held all connections that clients may have, and others could not ask (recorded, G 0.37)."""
+        with unittest.mock.patch("basalthook.routing.clients.RESTED", 0.05):
+            await self.play(SocketHost(), sockets=16 + 24)
+            heads = []
+            for _ in range(12):
+                stays = await self.caller()
+                stays.ask("submit")
+                heads.append((await stays.answer())[2])
+            self.assertNotIn("Connection: close", heads[0])
+            self.assertIn("Connection: close", "".join(heads))
+            self.service.descriptors.at_ease = 2
+            await self.until(lambda: len(self.service.clients.open) <= 2)
+
     async def test_an_id_that_is_open_is_not_opened_again(self):
         first = await self.play(SocketHost(SILENT))
         second = await self.caller()
