--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -83,7 +83,8 @@
 class Tx:
     def __init__(self, event, now, profile):
         self.id, self.key, self.kind, self.profile = event.tx, event.key, event.profile, profile
-        self.hard_limit, self.goal = now + event.patience, now + min(event.patience, profile.service_goal)
+        self.hard_limit = now + event.patience
+        self.goal = min(self.hard_limit, now - event.waited + profile.service_goal)
         self.state, self.tried, self.give_up, self.come_back = "waiting", [], self.goal, profile.service_goal
         self.out, self.ran = {}, None   # hop -> (server, sent at); the same, as a line, of what may have run
 
@@ -101,6 +102,7 @@
         self.level = list(self.quiet)       # the same, as of late
         self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
         self.pace, self.last_commit, self.cores = 0.0, now, 1.0     # time between commits; cores said busy
+        self.unread = 0.0           # how long answers lie here before this process looks at them
         self.flying = {}            # hops out: (tx, hop) -> server, sent at, late after; emptied as they end
         self.sent, self.warm_commits = Window(agreement.fall_time), Window(agreement.fall_time)
         self.usual_rate, self.lately = 0.0, deque(maxlen=64)    # commits of a warm host a fall window; keys
@@ -153,6 +155,7 @@
         del server.out[tx.id, event.hop]
         del self.flying[tx.id, event.hop]
         effect, ran = SORTED[event.outcome]
+        self.unread += (event.waited - self.unread) * 0.02
         server.heard = self.now if event.outcome in SPOKEN else server.heard
         if ran and (tx.ran is None or sent_at < tx.ran[0]):
             tx.ran = sent_at, server.line
@@ -322,16 +325,23 @@
 
     def full(self):
         """Guards against many proxies with a hop or two each; one owed by a silent host does not count."""
+        if not self.busy():
+            return False
         usual = self.quiet_out(self.sent)
         spare = max(0.0, min(1.0, (CROWDED - self.strain) / (CROWDED - BUSY)))
-        owed = sum(self.now - at >= late and s.heard <= at for s, at, late in self.flying.values())
         most = max(1.0, ROOMY * usual + spare * (1 + 2 * usual ** 0.5))
-        return len(self.flying) - spare * owed >= most and self.busy()
+        if len(self.flying) < most:
+            return False
+        owed = sum(self.now - at >= late and s.heard <= at for s, at, late in self.flying.values())
+        return len(self.flying) - spare * owed >= most
 
     def quiet_out(self, sent):
-        """Hops that would be out, at the rate of these sends, if all were answered as in quiet times."""
+        """Hops that would be out, at the rate of these sends, if all were answered as in quiet times.
+
+        Guards against a late process that fills its own budget: what is answered but unread is out as well.
+        """
         span = min(self.terms.fall_time, max(self.now - self.born, self.quiet_mix))
-        return sent.count(self.now) / span * self.quiet_mix
+        return sent.count(self.now) / span * (self.quiet_mix + self.unread)
 
     def ranking(self, key):
         self.tilt()
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -75,7 +75,8 @@
     tx: int
     profile: int                    # index in Agreement.profiles
     key: int | None
-    patience: int
+    patience: int                   # what is left of it now
+    waited: int = 0                 # since its last byte came in, where this process was late to look
 
 
 class HopEnded(NamedTuple):
@@ -86,6 +87,7 @@
     elapsed: int
     closed: bool                    # the transaction has its final answer
     load: dict[str, float] | None   # the host's own figures, where it reports any: "busy", share of its cores
+    waited: int = 0                 # its answer lay here unread for this long; not in `elapsed`
 
 
 class StreamBegan(NamedTuple):
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -13,6 +13,7 @@
 from ..transport.descriptors import Descriptors
 from ..transport.hostpool import HostPool
 from ..transport.listener import Listener
+from ..transport.timers import Timers
 from .log import Log
 from .startup import BadStart, StartUp
 
@@ -27,16 +28,17 @@
     def __init__(self, told: StartUp, log: Log, reread=None) -> None:
         self.told, self.log, self.reread, self.ending = told, log, reread, asyncio.Event()
         clock, roster = Clock(), Roster()
+        self.timers = timers = Timers(clock.now, TICKS)
         buffers, descriptors = BufferPool(BUFFER, BUFFERS_KEPT), Descriptors(told.sockets)
         self.descriptors = descriptors
-        self.owner = Owner(told.agreed, told.seed, clock, roster, log.say)
-        self.pool = HostPool(buffers, descriptors, told.idle_seconds, told.connect_seconds)
-        self.hops = Hops(self.pool, clock, roster, self.owner, told.answer_most, log.say)
+        self.owner = Owner(told.agreed, told.seed, clock, timers, roster, log.say)
+        self.pool = HostPool(buffers, descriptors, timers, told.idle_seconds, told.connect_seconds)
+        self.hops = Hops(self.pool, clock, timers, roster, self.owner, told.answer_most, log.say)
         self.watch = Watch(told.discovery, 2 * told.agreed.ask_within / TICKS, told.known.version, self.owner,
-                           buffers, descriptors, log.say)
+                           buffers, descriptors, timers, log.say)
         self.owner.begin_hop, self.owner.begin_watch = self.hops.begin, self.watch.begin
         self.owner.close_idle = roster.left = self.pool.close_idle
-        self.clients = Clients(self.owner, clock, told.profiles, buffers, descriptors, log.say)
+        self.clients = Clients(self.owner, clock, timers, told.profiles, buffers, descriptors, log.say)
 
     async def run(self) -> None:
         """From start to SIGTERM, or SIGINT; a second one changes nothing."""
@@ -46,16 +48,12 @@
         listener = self.begin()
         gc.collect()
         gc.freeze()             # what is here stays; looking at it again stopped everything for 4 ms
-        ending = asyncio.get_running_loop().create_task(self.ending.wait())
-        await asyncio.wait({ending, self.task}, return_when=asyncio.FIRST_COMPLETED)
-        if self.task.done():    # without its owner it could only leave everything unanswered
-            self.task.result()
+        await self.ending.wait()
         await self.end(listener)
 
     def begin(self) -> Listener:
-        """Ready only once the hosts are known, the owner runs and the address is ours."""
+        """Ready only once the hosts are known to the decisions and the address is ours."""
         self.owner.start(self.told.known)
-        self.task = asyncio.get_running_loop().create_task(self.owner.run())
         try:
             listener = Listener(self.told.listen, self.clients.take)
         except OSError as fault:
@@ -100,4 +98,4 @@
         self.log.say("ended", unanswered=sum(not order.closed for order in self.owner.orders.values()))
         self.watch.end()
         self.pool.close()
-        self.task.cancel()
+        self.timers.close()
--- a/basalthook/protocol/application.py
+++ b/basalthook/protocol/application.py
@@ -10,10 +10,13 @@
 TIMEOUT_MOST = 3600.0
 KEY_COOKIE = "k"
 # Fields that speak of one connection only; lengths are written anew on each.
-OF_ONE_CONNECTION = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
-                     "upgrade", "content-length", "expect"}
+OF_ONE_CONNECTION = ("connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
+                     "upgrade", "content-length", "expect")
 DECIDING = ("request-id", "request-class", "request-timeout")
-PER_HOP = OF_ONE_CONNECTION | {"request-timeout"}
+WANTED = (*DECIDING, "cookie")      # what the parser of the application's messages looks for
+PER_HOP = (*OF_ONE_CONNECTION, "request-timeout")
+COMMITTED = b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n%b\r\n"
+CLOSE = b"Connection: close\r\n"
 
 
 class Asked(NamedTuple):
@@ -25,45 +28,40 @@
     message: Message
 
 
-def end_to_end(message: Message, dropped: set[str]) -> list[tuple[str, str]]:
-    named = {o.strip().lower() for n, v in message.fields if n == "connection" for o in v.split(",")}
-    return [(n, v) for n, v in message.fields if n not in dropped and n not in named]
-
-
 def asked(message: Message, profiles: dict[str, int]) -> Asked | Malformed:
     if message.method not in ("GET", "POST"):
         return Malformed(405, "method not allowed")
     if not message.target.startswith("/"):
         return Malformed(400, "no path")
-    if any(sum(n == name for n, _ in message.fields) > 1 for name in DECIDING):
+    ids, classes, timeouts = (message.values(name) for name in DECIDING)
+    if len(ids) > 1 or len(classes) > 1 or len(timeouts) > 1:
         return Malformed(400, "a deciding field twice")     # which one a host would follow is not known
     first = message.target.split("?", 1)[0].split("/")[1]
-    profile = profiles.get(message.field("request-class") or first)
+    profile = profiles.get(classes[0] if classes and classes[0] else first)
     if profile is None or first in profiles and profiles[first] != profile:
         return Malformed(404, "unknown class, or two of them")
-    timeout = message.field("request-timeout") or ""
+    timeout = timeouts[0] if timeouts else ""
     if not SECONDS.fullmatch(timeout) or not 0 < float(timeout) <= TIMEOUT_MOST:
         return Malformed(400, "no usable Request-Timeout")
-    tx_id = message.field("request-id")
-    if not tx_id:
+    if not ids or not ids[0]:
         return Malformed(400, "no Request-Id")
-    return Asked(tx_id, profile, key(message), float(timeout), message)
+    return Asked(ids[0], profile, key(message), float(timeout), message)
 
 
 def key(message: Message) -> str | None:
     """What the transaction is about; of several the first."""
-    for name, value in message.fields:
-        if name == "cookie":
-            for crumb in value.split(";"):
-                mark, _, word = crumb.strip().partition("=")
-                if mark == KEY_COOKIE and word:
-                    return word
+    for value in message.values("cookie"):
+        for crumb in value.split(";"):
+            mark, _, word = crumb.strip().partition("=")
+            if mark == KEY_COOKIE and word:
+                return word
     return None
 
 
-def committed(message: Message, keep: bool) -> bytes:
-    """A host's answer, its body unchanged."""
-    return http1.response(200, end_to_end(message, OF_ONE_CONNECTION), message.body, keep)
+def committed(message: Message, keep: bool) -> tuple[bytes, bytes]:
+    """A host's answer: a head of our own framing, and its body unchanged, as it is."""
+    lines = message.lines_without(*OF_ONE_CONNECTION)
+    return COMMITTED % (lines, len(message.body), b"" if keep else CLOSE), message.body
 
 
 def rolled_back(come_back: float, keep: bool) -> bytes:
--- a/basalthook/protocol/hosts.py
+++ b/basalthook/protocol/hosts.py
@@ -1,15 +1,18 @@
 """A hop on the wire: the message that goes to a host, and what its answer means."""
 from ..policy import interface as i
-from . import http1
-from .application import PER_HOP, end_to_end
+from .application import PER_HOP
 from .http1 import Message
 
+WANTED = ("not-started",)           # what the parser of hosts' answers looks for
 
-def hop(message: Message, seconds: float) -> bytes:
-    """The transaction unchanged, with the time that we will wait."""
-    fields = end_to_end(message, PER_HOP)
-    return http1.request(message.method, message.target, [*fields, ("Request-Timeout", f"{seconds:.4f}")],
-                         message.body)
+
+def hop(message: Message, seconds: float) -> tuple[bytes, ...]:
+    """The transaction unchanged, with the time that we will wait; head and body, written in one call."""
+    body = message.body
+    sized = b"Content-Length: %d\r\n" % len(body) if body or message.method not in ("GET", "HEAD") else b""
+    head = b"%b %b HTTP/1.1\r\n%bRequest-Timeout: %.4f\r\n%b\r\n" % (
+        message.method.encode(), message.target.encode(), message.lines_without(*PER_HOP), seconds, sized)
+    return (head, body) if body else (head,)
 
 
 MAY_PASS = {408, 425, 429}      # of 4xx: these speak of the moment, not of the message
--- a/basalthook/protocol/http1.py
+++ b/basalthook/protocol/http1.py
@@ -1,37 +1,74 @@
 """An incremental HTTP/1.1 parser and a writer. Bytes in, messages out; no I/O.
 
 Strict where leniency would let two readers see two different messages: line ends, lengths, transfer codings.
+A head is read in one pass of compiled expressions: one checks it whole, one finds the fields that decide; the
+rest is carried as the bytes that came.
 """
 import re
+from functools import lru_cache
 from typing import NamedTuple
 
 HEAD_MOST = 16 * 1024
 BODY_MOST = 64 * 1024
 INTERIMS_MOST = 64
 LINE_MOST = 256             # of a chunk's size line
-TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
-REQUEST_LINE = re.compile(rb"(" + TOKEN + rb") ([\x21-\x7e]+) HTTP/(\d)\.(\d)")
-STATUS_LINE = re.compile(rb"HTTP/(\d)\.(\d) (\d{3})(?: [\t\x20-\x7e\x80-\xff]*)?")
-FIELD = re.compile(rb"(" + TOKEN + rb"):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*")
+TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]++"
+# possessive, so that a head that does not match costs one pass and no more
+LINES = rb"(?:" + TOKEN + rb":[\t\x20-\x7e\x80-\xff]*+\r\n)*+"
+REQUEST = re.compile(rb"(" + TOKEN + rb") ([\x21-\x7e]++) HTTP/(\d)\.(\d)\r\n" + LINES)
+RESPONSE = re.compile(rb"HTTP/(\d)\.(\d) (\d{3})(?: [\t\x20-\x7e\x80-\xff]*+)?\r\n" + LINES)
+TRAILER = re.compile(TOKEN + rb":[\t\x20-\x7e\x80-\xff]*")
 BARE_END = re.compile(rb"(?<!\r)\n")
 LENGTH = re.compile(r"[0-9]{1,18}")
 CHUNK = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
 NO_BODY = {204, 304}
+FRAMING = ("connection", "content-length", "expect", "host", "transfer-encoding")
+KEPT, CLOSED = "keep-alive", "close"
+
+
+@lru_cache(maxsize=64)
+def fields_named(*names: str) -> re.Pattern[bytes]:
+    """Finds every field of these names in a head whose lines each end with CRLF, the start line included."""
+    return re.compile(rb"\r\n(" + b"|".join(re.escape(n.encode()) for n in names) + rb"):([^\r\n]*+)", re.I)
+
+
+@lru_cache(maxsize=64)
+def lines_named(*names: str) -> re.Pattern[bytes]:
+    """Matches whole lines of these names, to leave them out of a message that goes on."""
+    either = b"|".join(re.escape(n.encode()) for n in names)
+    return re.compile(rb"^(?:" + either + rb"):[^\n]*+\n", re.I | re.M)
 
 
 class Message(NamedTuple):
-    """A whole message; its fields as they came, names in lower case."""
+    """A whole message."""
     method: str                     # requests
     target: str
     status: int                     # responses
-    fields: tuple[tuple[str, str], ...]
+    lines: bytes                    # its field lines as they came, each with its CRLF
+    marked: dict[str, list[str]]    # values of the fields that were looked for, names in lower case
     body: bytes
     keep: bool                      # the connection can be used again
     delimited: bool                 # its own framing told where it ends, not the connection's end
 
+    def values(self, name: str) -> list[str]:
+        """Of all fields of this name (lower case), in order."""
+        if name in self.marked:
+            return self.marked[name]
+        found = fields_named(name).finditer(b"\r\n" + self.lines)
+        return [field[2].strip(b" \t").decode("latin-1") for field in found]
+
     def field(self, name: str) -> str | None:
         """The first of this name."""
-        return next((value for n, value in self.fields if n == name), None)
+        return next(iter(self.values(name)), None)
+
+    def options(self) -> set[str]:
+        """What its Connection fields name."""
+        return {o.strip().lower() for v in self.marked.get("connection", ()) for o in v.split(",")}
+
+    def lines_without(self, *names: str) -> bytes:
+        """Its field lines less those of these names, and less those that its Connection field names."""
+        more = self.options() - {"", KEPT, CLOSED} if "connection" in self.marked else ()
+        return lines_named(*names, *sorted(more)).sub(b"", self.lines)
 
 
 class Malformed(NamedTuple):
@@ -45,8 +82,10 @@
     Bytes past the end of a message stay in `rest`; `again` starts on the next message.
     """
 
-    def __init__(self, responses: bool, body_most: int = BODY_MOST) -> None:
+    def __init__(self, responses: bool, body_most: int = BODY_MOST, wanted: tuple[str, ...] = ()) -> None:
+        """`wanted`: names of fields that whoever reads the message will ask for, in lower case."""
         self.responses, self.body_most = responses, body_most
+        self.finds, self.whole = fields_named(*FRAMING, *wanted), RESPONSE if responses else REQUEST
         self.rest = bytearray()
         self.again()
 
@@ -72,66 +111,64 @@
     def awaits_body(self) -> bool:
         """The head is there and asks to be told before the body is sent."""
         return self.found is None and self.head is not None and not self.body and not self.rest and any(
-            n == "expect" and v.lower() == "100-continue" for n, v in self.head[3])
+            v.lower() == "100-continue" for v in self.head[4].get("expect", ()))
 
     # ---- the states: each takes what it can from `rest` and says whether another look is worth while
 
     def _head(self) -> bool:
-        while self.rest[:2] == b"\r\n" and not self.responses:
-            del self.rest[:2]           # an empty line before a request is passed over
+        rest = self.rest
+        while rest[:2] == b"\r\n" and not self.responses:
+            del rest[:2]            # an empty line before a request is passed over
             self.seen = 0
-        at = self.rest.find(b"\r\n\r\n", max(0, self.seen - 3))
+        at = rest.find(b"\r\n\r\n", max(0, self.seen - 3))
         if at < 0 or at + 4 > HEAD_MOST:
-            if BARE_END.search(self.rest, max(0, self.seen - 1)):
+            if BARE_END.search(rest, max(0, self.seen - 1)):
                 return self._bad(400, "bare line end")      # its sender takes the head for ended
-            self.seen = len(self.rest)
+            self.seen = len(rest)
             return self._bad(431, "head too long") if self.seen > HEAD_MOST or at >= 0 else False
-        lines = bytes(self.rest[:at]).split(b"\r\n")
-        del self.rest[:at + 4]
+        head = bytes(rest[:at + 2])
+        del rest[:at + 4]
         self.seen = 0                   # guards against missing a short head behind an interim one
-        line = (STATUS_LINE if self.responses else REQUEST_LINE).fullmatch(lines[0])
+        line = self.whole.fullmatch(head)
         if line is None:
-            return self._bad(400, "no start line")
-        fields = []
-        for raw in lines[1:]:
-            field = FIELD.fullmatch(raw)
-            if field is None:
-                return self._bad(400, "bad field line")
-            fields.append((field[1].decode().lower(), field[2].decode("latin-1")))
-        return self._start(line, tuple(fields))
-
-    def _start(self, line, fields: tuple) -> bool:
+            return self._bad(400, "no start line" if self.whole.match(head) is None else "bad field line")
+        marked: dict[str, list[str]] = {}
+        for field in self.finds.finditer(head):
+            name, value = field[1].lower().decode(), field[2].strip(b" \t").decode("latin-1")
+            marked.setdefault(name, []).append(value)
+        return self._start(line, head[head.index(b"\n") + 1:], marked)
+
+    def _start(self, line, lines: bytes, marked: dict[str, list[str]]) -> bool:
         if self.responses:
             version, method, target, status = (line[1], line[2]), "", "", int(line[3])
         else:
             version, method, target, status = (line[3], line[4]), line[1].decode(), line[2].decode(), 0
         if version[0] != b"1":
             return self._bad(505, "not HTTP/1")
-        named = {n for n, _ in fields}
-        counted = sum(n == "content-length" for n, _ in fields)
-        lengths = {part.strip() for n, v in fields if n == "content-length" for part in v.split(",")}
-        codings = [v.strip().lower() for n, v in fields if n == "transfer-encoding"]
-        hosts = sum(n == "host" for n, _ in fields)
+        lengths, codings = marked.get("content-length", ()), marked.get("transfer-encoding", ())
+        hosts = len(marked.get("host", ()))
         if not self.responses and (hosts > 1 or not hosts and version[1] != b"0"):
             return self._bad(400, "not one Host field")
         if codings and (lengths or version[1] == b"0"):
             return self._bad(400, "length and transfer coding")
-        if codings and codings != ["chunked"]:
+        if codings and (len(codings) > 1 or codings[0].lower() != "chunked"):
             return self._bad(501, "unknown transfer coding")
-        if lengths and (counted > 1 or len(lengths) > 1 or not LENGTH.fullmatch(next(iter(lengths)))):
+        if lengths and (len(lengths) > 1 or not LENGTH.fullmatch(lengths[0])):
             return self._bad(400, "bad Content-Length")
-        options = {o.strip().lower() for n, v in fields if n == "connection" for o in v.split(",")}
-        keep = "close" not in options and (version[1] != b"0" or "keep-alive" in options)
+        keep = version[1] != b"0"
+        if "connection" in marked:
+            options = {o.strip().lower() for v in marked["connection"] for o in v.split(",")}
+            keep = CLOSED not in options and (keep or KEPT in options)
         if self.responses and 100 <= status < 200 and status != 101:
             self.interims += 1          # an interim answer; the next head follows
             return True if self.interims <= INTERIMS_MOST else self._bad(400, "no end of interim answers")
-        self.head = method, target, status, fields, keep
+        self.head = method, target, status, lines, marked, keep
         if self.responses and (status in NO_BODY or status == 101):
             return self._finish(keep=status != 101)
         if codings:
             self.state = self._chunk_size
-        elif "content-length" in named:
-            self.need = int(next(iter(lengths)))
+        elif lengths:
+            self.need = int(lengths[0])
             if self.need > self.body_most:
                 return self._bad(413, f"body too long: {self.need}")
             self.state = self._sized
@@ -183,7 +220,7 @@
         self.seen += len(line) + 2      # trailers are passed over, as many as a head may be long
         if self.seen > HEAD_MOST:
             return self._bad(431, "trailers too long")
-        if line and FIELD.fullmatch(line) is None:
+        if line and TRAILER.fullmatch(line) is None:
             return self._bad(400, "bad trailer")
         return True if line else self._finish()
 
@@ -200,7 +237,11 @@
         return line
 
     def _take(self, count: int) -> None:
-        self.body += self.rest[:count]
+        if not self.body and count == len(self.rest):
+            self.body, self.rest = self.rest, bytearray()       # the ordinary case: handed on, not copied
+            return
+        with memoryview(self.rest) as rest, rest[:count] as part:
+            self.body += part
         del self.rest[:count]
 
     def _bad(self, status: int, reason: str) -> bool:
@@ -208,8 +249,8 @@
         return False
 
     def _finish(self, keep: bool = True, delimited: bool = True) -> bool:
-        method, target, status, fields, wanted = self.head
-        self.found = Message(method, target, status, fields, bytes(self.body), keep and wanted, delimited)
+        *begun, wanted = self.head
+        self.found = Message(*begun, bytes(self.body), keep and wanted, delimited)
         return False
 
 
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -5,9 +5,10 @@
 from ..protocol.application import Asked
 from ..protocol.http1 import Malformed, Message, Parser
 from ..transport.buffers import BufferPool
-from ..transport.connection import Connection
+from ..transport.connection import Connection, Fault
 from ..transport.descriptors import Descriptors
-from .clock import TICKS, Clock
+from ..transport.timers import Timers
+from .clock import TICK, TICKS, Clock
 from .owner import Answer, Arrived, Gone, Order, Owner
 
 STALLED = 2.5       # seconds that a message may take to come in: the first from connecting, others once begun
@@ -21,19 +22,178 @@
 OVERDUE = 200       # tenths of a millisecond past the hard limit: nothing should wait that long
 
 
+class Client:
+    """One connection; its state says what its bytes mean and who may close it."""
+
+    __slots__ = ("clients", "connection", "state", "parser", "since", "timer", "order", "keep", "unread",
+                 "continued")
+
+    def __init__(self, clients: "Clients", connection: Connection) -> None:
+        self.clients, self.connection, self.state, self.since = clients, connection, NEW, 0
+        self.parser = Parser(responses=False, wanted=application.WANTED)
+        self.order: Order | None = None
+        self.keep, self.continued, self.unread = True, False, 0
+        self.timer = self.within(STALLED, self.stalled)     # guards against silence too
+
+    def begin(self) -> None:
+        self.connection.follow(self.took, self.ended)
+
+    def within(self, seconds: float, call) -> list:
+        return self.clients.timers.set(int(seconds * TICKS), call)
+
+    def took(self, part, late: int) -> None:
+        try:
+            if self.state == BUSY:      # it writes out of turn: what it says is left with the kernel
+                self.keep = False
+                self.connection.pause()
+            elif self.state == LEAVING:
+                self.skim(len(part))
+            else:
+                self.parser.feed(part)
+                self.look(late)
+        except Exception as fault:      # exceptions stop at the connection
+            self.broke(fault)
+
+    def broke(self, fault: Exception) -> None:
+        self.clients.say("fault", where="client", error=repr(fault))
+        self.ended(None)
+
+    def look(self, late: int) -> None:
+        found, clients = self.parser.found, self.clients
+        if found is None:
+            self.state = COMING
+            if self.timer is None:
+                self.timer = self.within(STALLED, self.stalled)
+            if self.parser.awaits_body and not self.continued:
+                self.continued = True
+                self.connection.write((http1.CONTINUE,))
+            return
+        clients.timers.cancel(self.timer)
+        self.timer, self.state, self.keep = None, BUSY, True
+        if isinstance(found, Message):
+            if self.parser.rest:
+                found = Malformed(400, "bytes after the message")
+            elif found.target == application.HEALTH:
+                self.keep = found.keep
+                return self.write((clients.health(found),))
+            else:
+                self.keep = found.keep
+                found = application.asked(found, clients.profiles)
+        if isinstance(found, Malformed):
+            return self.turn_away(found)
+        self.carry(found, late)
+
+    def carry(self, asked: Asked, late: int) -> None:
+        clients = self.clients
+        if asked.id in clients.ids:     # guards against answering one client with what another asked
+            return self.turn_away(Malformed(409, "this Request-Id is open already"))
+        clients.ids.add(asked.id)
+        came = clients.clock.now() - -(-late // TICK)
+        self.order = order = Order(asked, came, came + int(asked.timeout * TICKS), self.answer)
+        self.timer = clients.timers.set(order.hard_limit - clients.clock.now() + OVERDUE, self.overdue)
+        clients.owner.post(Arrived(order))
+
+    def settled(self) -> Order:
+        """The transaction in hand has its answer, or nobody waits for it."""
+        order, self.order = self.order, None
+        self.clients.ids.discard(order.asked.id)
+        self.clients.timers.cancel(self.timer)
+        self.timer = None
+        return order
+
+    def answer(self, answer: Answer) -> None:
+        try:
+            clients, order = self.clients, self.settled()
+            self.keep = self.keep and clients.ready and len(clients.open) <= clients.descriptors.at_ease
+            if answer.kind != "committed":
+                clients.sparingly("answer", tx=order.asked.id, kind=answer.kind, hops=len(order.hops),
+                                  left_ms=(order.hard_limit - clients.clock.now()) / 10,
+                                  come_back_ms=answer.come_back / 10)
+            self.write(clients.worded(answer, order, self.keep))
+        except Exception as fault:      # exceptions stop at the connection
+            self.broke(fault)
+
+    def overdue(self) -> None:
+        self.clients.say("fault", where="owner", error="no answer in time")
+        order, self.keep = self.settled(), False
+        self.clients.owner.post(Gone(order))
+        self.write((application.abandoned(True, False),))
+
+    def write(self, parts: tuple[bytes, ...]) -> None:
+        """An answer; then the next message, or the end."""
+        if self.connection.write(parts, self.written):
+            self.written()
+        elif not self.connection.closed:
+            self.timer = self.within(TAKE_IN, self.ended_for)
+
+    def ended_for(self) -> None:
+        self.ended(None)        # the peer does not read; there is nobody to tell
+
+    def written(self) -> None:
+        self.clients.timers.cancel(self.timer)
+        self.timer = None
+        if not self.keep:
+            if self.connection.paused:      # guards against an answer lost to what its reader wrote meanwhile
+                return self.leave()
+            return self.clients.drop(self)
+        self.parser.again()
+        self.continued, self.state = False, IDLE
+        self.clients.rest(self)
+
+    def turn_away(self, why: Malformed) -> None:
+        """Bad input: say so, and give the peer time to read it before the connection ends."""
+        self.clients.sparingly("bad input", status=why.status, reason=why.reason)
+        self.keep = False
+        if self.connection.write((application.told(why.status, why.reason, False),), self.leave):
+            self.leave()
+        elif not self.connection.closed:
+            self.timer = self.within(TAKE_IN, self.ended_for)
+
+    def leave(self) -> None:
+        self.clients.timers.cancel(self.timer)
+        self.state, self.unread = LEAVING, LEFT_UNREAD
+        self.timer = self.within(LINGER, self.ended_for)
+        self.connection.end_sending()
+        if self.connection.paused:
+            self.connection.follow(self.took, self.ended)
+
+    def skim(self, count: int) -> None:
+        self.unread -= count
+        if self.unread <= 0 and not self.connection.paused:
+            self.connection.pause()     # it sends on: no more is read, and it has time to see why
+            self.clients.timers.cancel(self.timer)
+            self.timer = self.within(LINGER, self.ended_for)
+
+    def stalled(self) -> None:
+        """Guards against peers that stop half-way, or never begin, and hold a connection for ever."""
+        if self.state == COMING:
+            self.connection.write((application.told(408, "stopped half-way", False),))
+        self.clients.drop(self)
+
+    def ended(self, _: Fault | None) -> None:
+        order = self.order
+        if order is not None:
+            self.settled()
+        self.clients.drop(self)
+        if order is not None:
+            self.clients.owner.post(Gone(order))
+
+    def close(self) -> None:
+        self.ended(None)
+
+
 class Clients:
-    def __init__(self, owner: Owner, clock: Clock, profiles: dict[str, int], buffers: BufferPool,
-                 descriptors: Descriptors, say) -> None:
-        self.owner, self.clock, self.profiles, self.say = owner, clock, profiles, say
+    def __init__(self, owner: Owner, clock: Clock, timers: Timers, profiles: dict[str, int],
+                 buffers: BufferPool, descriptors: Descriptors, say) -> None:
+        self.owner, self.clock, self.timers, self.profiles, self.say = owner, clock, timers, profiles, say
         self.buffers, self.descriptors = buffers, descriptors
         descriptors.givers.append(lambda: self.close_idle(1))
         self.ready = False
-        self.since: dict[Connection, float] = {}    # idle since; emptied with `open`
-        self.sweeping: asyncio.TimerHandle | None = None
-        self.ids: set[str] = set()                  # of transactions not yet answered
-        self.loud: dict[str, list] = {}     # event -> second, lines said in it, and left out since
-        self.open: dict[Connection, str] = {}       # -> one of these; emptied as they end
-        self.tasks: set[asyncio.Task] = set()
+        self.sweeping = False
+        self.ids: set[str] = set()              # of transactions not yet answered
+        self.loud: dict[str, list] = {}         # event -> second, lines said in it, and left out since
+        self.open: dict[Client, None] = {}      # longest idle first; emptied as they end
+        self.none_left: asyncio.Future | None = None
 
     def take(self, sock) -> bool:
         """A connection that the machine has accepted may carry something already: it is taken and answered.
@@ -46,10 +206,9 @@
             sock.close()
             return True
         fits = self.make_room()
-        self.open[connection] = NEW
-        task = asyncio.get_running_loop().create_task(self.serve(connection))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        client = Client(self, connection)
+        self.open[client] = None
+        client.begin()
         return self.descriptors.room(self.descriptors.most) and fits
 
     def make_room(self) -> bool:
@@ -63,149 +222,61 @@
     def close_idle(self, most: int | None = None, states: tuple = (IDLE,)) -> int:
         """Close so many of those that carry nothing, the longest idle first; what has bytes to read stays."""
         idle = []
-        for connection, state in self.open.items():
+        for client in self.open:
             if most is not None and len(idle) >= most:
                 break
-            if state in states and (state in (COMING, LEAVING) or connection.quiet()):
-                idle.append(connection)
-        for connection in idle:
-            self.stalled(connection)
-            del self.open[connection]
+            state = client.state
+            if state in states and (state in (COMING, LEAVING) or client.connection.quiet()):
+                idle.append(client)
+        for client in idle:
+            client.stalled()
         return len(idle)
 
+    def rest(self, client: Client) -> None:
+        del self.open[client]
+        self.open[client] = None        # those that idle longest come first
+        client.since = self.clock.now()
+        if not self.sweeping:
+            self.sweeping = True
+            self.timers.set(int(RESTED * TICKS), self.sweep)
+
     def sweep(self) -> None:
         """Guards against clients that ask once and stay: they hold the places of those that want to ask."""
-        self.sweeping = None
-        now, spare = asyncio.get_running_loop().time(), len(self.open) - self.descriptors.at_ease
-        rested = [c for c, state in self.open.items()
-                  if state == IDLE and now - self.since[c] >= RESTED and c.quiet()]
-        for connection in rested[:max(0, spare)]:
-            del self.open[connection]
-            connection.close("idle for long")
-        if self.since:
-            self.sweeping = asyncio.get_running_loop().call_later(RESTED / 4, self.sweep)
-
-    async def finish(self, seconds: float) -> None:
-        """Wait until every transaction taken has been answered."""
-        if self.tasks:
-            await asyncio.wait(self.tasks, timeout=seconds)
+        spare, rested = len(self.open) - self.descriptors.at_ease, []
+        until = self.clock.now() - int(RESTED * TICKS)
+        if spare > 0:
+            rested = [c for c in self.open if c.state == IDLE and c.since <= until and c.connection.quiet()]
+        for client in rested[:max(0, spare)]:
+            self.drop(client)
+        self.sweeping = bool(self.open)
+        if self.sweeping:
+            self.timers.set(int(RESTED * TICKS / 4), self.sweep)
 
-    def within_time(self, connection: Connection) -> asyncio.TimerHandle:
-        return asyncio.get_running_loop().call_later(STALLED, self.stalled, connection)
+    def drop(self, client: Client) -> None:
+        self.timers.cancel(client.timer)
+        client.timer = None
+        client.connection.close()
+        if self.open.pop(client, self) is None and not self.open and self.none_left is not None:
+            self.none_left.cancelled() or self.none_left.done() or self.none_left.set_result(None)
 
-    async def serve(self, connection: Connection) -> None:
-        late = self.within_time(connection)     # guards against silence too
-        try:
-            parser = Parser(responses=False)
-            while await self.one(connection, parser, late):
-                late = None
-                parser.again()
-                self.open.pop(connection, None)
-                self.open[connection] = IDLE        # those that idle longest come first
-                self.since[connection] = asyncio.get_running_loop().time()
-                if self.sweeping is None:
-                    self.sweeping = asyncio.get_running_loop().call_later(RESTED, self.sweep)
-        except Exception as fault:      # exceptions stop at the connection
-            self.say("fault", where="client", error=repr(fault))
-        finally:
-            connection.close()
-            self.open.pop(connection, None)
-            self.since.pop(connection, None)
-
-    async def one(self, connection: Connection, parser: Parser, late: asyncio.TimerHandle | None) -> bool:
-        """Read and answer one message; whether another may follow on this connection."""
-        try:
-            while parser.found is None:
-                if parser.awaits_body and not await self.write(connection, http1.CONTINUE, True):
-                    return False
-                if await connection.read(parser.feed) is not None:
-                    return False
-                self.open[connection] = COMING if parser.found is None else BUSY
-                late = late or self.within_time(connection)
-        finally:
-            if late is not None:
-                late.cancel()
-        found = parser.found
-        if isinstance(found, Message) and parser.rest:
-            found = Malformed(400, "bytes after the message")
-        if isinstance(found, Message):
-            if found.target == application.HEALTH:
-                return await self.write(connection, *self.health(found))
-            found = application.asked(found, self.profiles)
-        if isinstance(found, Malformed):
-            return await self.turn_away(connection, found)
-        return await self.carry(connection, found)
+    async def finish(self, seconds: float) -> None:
+        """Wait until every transaction taken has been answered, and its connection has ended."""
+        if self.open:
+            self.none_left = asyncio.get_running_loop().create_future()
+            await asyncio.wait({self.none_left}, timeout=seconds)
 
-    def health(self, message: Message) -> tuple[bytes, bool]:
-        return application.told(200 if self.ready else 503, "ready" if self.ready else "not ready",
-                                message.keep), message.keep
+    def health(self, message: Message) -> bytes:
+        status, text = (200, "ready") if self.ready else (503, "not ready")
+        return application.told(status, text, message.keep)
 
-    async def carry(self, connection: Connection, asked: Asked) -> bool:
-        if asked.id in self.ids:        # guards against answering one client with what another asked
-            return await self.turn_away(connection, Malformed(409, "this Request-Id is open already"))
-        self.ids.add(asked.id)
-        try:
-            return await self.follow(connection, asked)
-        finally:
-            self.ids.discard(asked.id)
-
-    async def follow(self, connection: Connection, asked: Asked) -> bool:
-        order = Order(asked, self.clock.now() + int(asked.timeout * TICKS))
-        await self.owner.post(Arrived(order))
-        keep, watched = asked.message.keep, {order.answer, connection.reading()}
-        left = (order.hard_limit - self.clock.now() + OVERDUE) / TICKS
-        await asyncio.wait(watched, timeout=left, return_when=asyncio.FIRST_COMPLETED)
-        if not order.answer.done() and connection.reading().done():
-            keep = False
-            if await connection.read(lambda _: None) is not None:
-                await self.owner.post(Gone(order))
-                return False
-            left = (order.hard_limit - self.clock.now() + OVERDUE) / TICKS      # it wrote out of turn
-            await asyncio.wait({order.answer}, timeout=left)
-        if not order.answer.done():
-            self.say("fault", where="owner", error="no answer in time")
-            await self.owner.post(Gone(order))
-            return await self.write(connection, application.abandoned(True, False), False)
-        answer = order.answer.result()
-        keep = keep and self.ready and len(self.open) <= self.descriptors.at_ease
-        if answer.kind != "committed":
-            self.sparingly("answer", tx=asked.id, kind=answer.kind, hops=len(order.hops),
-                     left_ms=(order.hard_limit - self.clock.now()) / 10, come_back_ms=answer.come_back / 10)
-        return await self.write(connection, self.worded(answer, order, keep), keep)
-
-    def worded(self, answer: Answer, order: Order, keep: bool) -> bytes:
+    def worded(self, answer: Answer, order: Order, keep: bool) -> tuple[bytes, ...]:
         if answer.kind == "committed":
             return application.committed(answer.message, keep)
         if answer.kind == "declined":
-            return application.told(answer.message.status, "declined by the host", keep)
+            return application.told(answer.message.status, "declined by the host", keep),
         if answer.kind == "rolled back":
-            return application.rolled_back(answer.come_back / TICKS, keep)
-        return application.abandoned(self.clock.now() >= order.hard_limit, keep)
-
-    async def write(self, connection: Connection, data: bytes, keep: bool) -> bool:
-        try:
-            with connection.within(TAKE_IN):
-                await connection.write(data)
-        except OSError:         # the peer went, or does not read; there is nobody to tell
-            return False
-        return keep
-
-    async def turn_away(self, connection: Connection, why: Malformed) -> bool:
-        """Bad input: say so, and give the peer time to read it before the connection ends."""
-        self.sparingly("bad input", status=why.status, reason=why.reason)
-        if await self.write(connection, application.told(why.status, why.reason, False), True):
-            self.open[connection] = LEAVING
-            connection.end_sending()
-            unread = [LEFT_UNREAD]
-
-            def skim(part) -> None:
-                unread[0] -= len(part)
-            with connection.within(LINGER):
-                while await connection.read(skim) is None and unread[0] > 0:
-                    pass
-                if not connection.closed:       # it sends on: no more is read, and it has time to see why
-                    await asyncio.sleep(LINGER)
-        return False
+            return application.rolled_back(answer.come_back / TICKS, keep),
+        return application.abandoned(self.clock.now() >= order.hard_limit, keep),
 
     def sparingly(self, event: str, **fields) -> None:
         """Guards against a log, and its CPU, taken up by those who ask again as soon as turned away."""
@@ -217,9 +288,3 @@
             loud[1:] = loud[1] + 1, 0
         else:
             loud[2] += 1
-
-    def stalled(self, connection: Connection) -> None:
-        """Guards against peers that stop half-way, or never begin, and hold a connection for ever."""
-        if self.open.get(connection) == COMING:
-            connection.write(application.told(408, "stopped half-way", False))
-        connection.close(f"not whole within {STALLED:g} s")
--- a/basalthook/routing/clock.py
+++ b/basalthook/routing/clock.py
@@ -2,6 +2,7 @@
 import time
 
 TICKS = 10_000      # a second
+TICK = 100_000      # nanoseconds
 
 
 class Clock:
@@ -9,4 +10,4 @@
         self.ahead = time.time_ns() - time.monotonic_ns()
 
     def now(self) -> int:
-        return (time.monotonic_ns() + self.ahead) // 100_000
+        return (time.monotonic_ns() + self.ahead) // TICK
--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -1,120 +1,140 @@
 """One hop: a message to a host and its answer, or how far it had come. From that alone follows what ran."""
-import asyncio
-
 from ..policy import interface as i
 from ..protocol import hosts
 from ..protocol.http1 import Malformed, Message, Parser
 from ..transport.connection import Connection, Fault, Stage
 from ..transport.hostpool import HostPool
-from .clock import TICKS, Clock
+from ..transport.timers import Timers
+from .clock import TICK, TICKS, Clock
 from .owner import HopOver, Order, Owner
 from .roster import Place, Roster
 
 
 class Hop:
-    def __init__(self, order: Order, index: int, host: int, place: Place, begun: int, limit: int) -> None:
-        self.order, self.index, self.host, self.place = order, index, host, place
+    """Driven by its connection and its timer; over once, whatever ends it."""
+
+    __slots__ = ("hops", "order", "index", "host", "place", "begun", "limit", "connection", "stage",
+                 "stopped", "reused", "answer", "timer", "over")
+
+    def __init__(self, hops: "Hops", order: Order, index: int, host: int, place: Place, begun: int,
+                 limit: int) -> None:
+        self.hops, self.order, self.index, self.host, self.place = hops, order, index, host, place
         self.begun, self.limit = begun, limit           # connecting counts
         self.connection: Connection | None = None       # while it is this hop's alone
-        self.stage, self.stopped, self.reused = Stage.UNTRIED, None, False
+        self.stage, self.stopped, self.reused, self.over = Stage.UNTRIED, None, False, False
+        self.answer: Parser | None = None
+        self.timer = None
 
     def stop(self, outcome: str) -> None:
         """Give it up: the connection is closed, whatever state it is in, and never used again."""
-        if self.stopped is None:
+        if not self.over:
             self.stopped = outcome
-            if self.connection is not None:
-                self.connection.close(f"given up: {outcome}")
+            self.finish(None)
 
-    def holds(self, connection: Connection) -> None:
+    def expire(self) -> None:
+        """Guards against blaming a host for our own lateness: an answer that is here counts."""
+        if self.stage >= Stage.WRITTEN and self.connection is not None:
+            self.connection.receive()
+        self.stop(i.TIMED_OUT)
+
+    def begin(self) -> None:
+        connection = self.hops.pool.kept_one(self.place.door)
+        if connection is not None:
+            self.reused, self.connection = True, connection
+            return self.send()
+        connection = self.hops.pool.fresh(self.place.address, self.up)
+        if isinstance(connection, Fault):
+            return self.finish(connection)
         self.stage, self.connection = Stage.CONNECTING, connection
 
+    def up(self, fault: Fault | None) -> None:
+        if self.over:
+            return
+        if fault is not None:
+            self.stage = max(self.stage, fault.stage)
+            return self.finish(fault)
+        self.send()
 
-class Hops:
-    def __init__(self, pool: HostPool, clock: Clock, roster: Roster, owner: Owner, answer_most: int,
-                 say) -> None:
-        self.answer_most = answer_most
-        self.pool, self.clock, self.roster, self.owner, self.say = pool, clock, roster, owner, say
-        self.tasks: set[asyncio.Task] = set()   # emptied as they end
+    def send(self) -> None:
+        hops, connection = self.hops, self.connection
+        if self.order.closed or not hops.roster.ready(self.host):
+            # guards against sending what was answered, or to a host that left, while the connection came up
+            self.stopped, self.stage = i.UNSENT, Stage.UNTRIED
+            self.keep()
+            return self.finish(None)
+        self.stage = Stage.WRITING
+        self.answer = Parser(responses=True, body_most=hops.answer_most, wanted=hosts.WANTED)
+        left = self.limit - (hops.clock.now() - self.begun)
+        connection.follow(self.took, self.ended)
+        if not self.over and connection.write(hosts.hop(self.order.asked.message, max(1, left) / TICKS),
+                                              self.wrote):
+            self.wrote()
 
-    def begin(self, order: Order, index: int, host: int, place: Place, limit: int, over: bool) -> Hop:
-        hop = Hop(order, index, host, place, self.clock.now(), limit)
-        if over:
-            hop.stopped = i.UNSENT
-        task = asyncio.get_running_loop().create_task(self.run(hop))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return hop
+    def wrote(self) -> None:
+        if self.stage == Stage.WRITING:
+            self.stage = Stage.WRITTEN
 
-    async def run(self, hop: Hop) -> None:
-        late, found, reason = None, None, ""
+    def took(self, part, late: int) -> None:
         try:
-            if hop.stopped is None:
-                late = asyncio.get_running_loop().call_later(hop.limit / TICKS, hop.stop, i.TIMED_OUT)
-                found = await self.exchange(hop)
-                reason = "" if found is None or isinstance(found, Message) else found.reason
+            self.answer.feed(part)
+            if self.stage == Stage.WRITTEN:
+                self.stage = Stage.ANSWERING
+            if self.answer.found is not None:
+                self.finish(self.answer.found, late // TICK)
         except Exception as fault:      # exceptions stop here; how far the hop had come still counts
-            self.say("fault", where="hop", error=repr(fault))
-            reason = repr(fault)
-        if late is not None:
-            late.cancel()
-        if hop.connection is not None:
-            hop.connection.close()
-        outcome, message = self.outcome(hop, found), found if isinstance(found, Message) else None
-        elapsed = self.clock.now() - hop.begun
-        if outcome != i.COMMITTED:
-            self.say("hop", tx=hop.order.asked.id, hop=hop.index, host=hop.place.id,
-                     outcome=outcome, stage=hop.stage.name.lower(), reused=hop.reused, ms=elapsed / 10,
-                     reason=reason, status=message.status if message else None)
-        await self.owner.post(HopOver(hop.order, hop.index, hop.host, outcome, elapsed,
-                                      message if outcome in (i.COMMITTED, i.DECLINED) else None))
-
-    async def exchange(self, hop: Hop) -> Message | Fault | Malformed | None:
-        connection = self.pool.kept_one(hop.place.door)
-        if connection is None:
-            connection = await self.pool.fresh(hop.place.address, hop.holds)
-            if isinstance(connection, Fault):
-                hop.stage = max(hop.stage, connection.stage)
-                return connection
-        else:
-            hop.reused, hop.connection = True, connection
-        if hop.stopped is not None:
-            return None
-        if hop.order.closed or not self.roster.ready(hop.host):
-            # guards against sending what was answered, or to a host that left, while the connection came up
-            hop.stopped, hop.stage = i.UNSENT, Stage.UNTRIED
-            self.keep(hop)
-            return None
-        left = hop.limit - (self.clock.now() - hop.begun)
-        hop.stage = Stage.WRITING
-        answer, reading = Parser(responses=True, body_most=self.answer_most), connection.reading()
-        writing = connection.write(hosts.hop(hop.order.asked.message, max(1, left) / TICKS))
-        if not writing.done():
-            await asyncio.wait({writing, reading}, return_when=asyncio.FIRST_COMPLETED)
-        writing.add_done_callback(lambda done: self.wrote(hop, done))
-        self.wrote(hop, writing)
-        while answer.found is None:
-            fault = await connection.read(answer.feed)
-            if answer.started and hop.stage == Stage.WRITTEN:
-                hop.stage = Stage.ANSWERING
-            if fault is not None:
-                answer.end()
-                if answer.found is None:
-                    return fault._replace(stage=hop.stage)
-        found = answer.found
-        if isinstance(found, Message) and found.keep and not answer.rest and hop.stage == Stage.ANSWERING:
-            self.keep(hop)
-        return found
-
-    def keep(self, hop: Hop) -> None:
+            self.hops.say("fault", where="hop", error=repr(fault))
+            self.finish(Fault(self.stage, repr(fault)))
+
+    def ended(self, fault: Fault) -> None:
+        self.answer.end()
+        self.finish(self.answer.found or fault)
+
+    def keep(self) -> None:
         """From here on the connection is the pool's: stopping this hop must not close it under another."""
-        connection, hop.connection = hop.connection, None
-        self.pool.keep(connection, hop.place.door)
+        connection, self.connection = self.connection, None
+        self.hops.pool.keep(connection, self.place.door)
 
-    @staticmethod
-    def wrote(hop: Hop, writing: asyncio.Future) -> None:
-        if writing.done() and not writing.cancelled() and writing.exception() is None and (
-                hop.stage == Stage.WRITING):
-            hop.stage = Stage.WRITTEN
+    def finish(self, found: Message | Fault | Malformed | None, late: int = 0) -> None:
+        """`late`: ticks that the answer had lain here unread; they are ours, not the host's."""
+        if self.over:
+            return
+        self.over = True
+        hops, connection = self.hops, self.connection
+        hops.timers.cancel(self.timer)
+        if connection is not None:
+            late += connection.noticed_late // TICK if not self.reused else 0
+            if isinstance(found, Message) and found.keep and not self.answer.rest and (
+                    self.stage == Stage.ANSWERING):
+                self.keep()
+            else:
+                connection.close()
+                self.connection = None
+        outcome, message = hops.outcome(self, found), found if isinstance(found, Message) else None
+        elapsed = max(0, hops.clock.now() - late - self.begun)
+        if outcome != i.COMMITTED:
+            reason = "" if found is None or message else found.reason
+            hops.say("hop", tx=self.order.asked.id, hop=self.index, host=self.place.id, outcome=outcome,
+                     stage=self.stage.name.lower(), reused=self.reused, ms=elapsed / 10, reason=reason,
+                     status=message.status if message else None)
+        hops.owner.post(HopOver(self.order, self.index, self.host, outcome, elapsed, late,
+                                message if outcome in (i.COMMITTED, i.DECLINED) else None))
+
+
+class Hops:
+    def __init__(self, pool: HostPool, clock: Clock, timers: Timers, roster: Roster, owner: Owner,
+                 answer_most: int, say) -> None:
+        self.pool, self.clock, self.timers, self.roster = pool, clock, timers, roster
+        self.owner, self.answer_most, self.say = owner, answer_most, say
+
+    def begin(self, order: Order, index: int, host: int, place: Place, limit: int, over: bool) -> Hop:
+        """What ends at once is told to the owner after this has returned: the owner is at an event now."""
+        hop = Hop(self, order, index, host, place, self.clock.now(), limit)
+        if over:
+            hop.stop(i.UNSENT)
+        else:
+            hop.timer = self.timers.set(limit, hop.expire)
+            hop.begin()
+        return hop
 
     @staticmethod
     def outcome(hop: Hop, found: Message | Fault | Malformed | None) -> str:
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -1,6 +1,5 @@
-"""The owner task: the only holder of the decisions. Everything reaches it through one queue."""
-import asyncio
-from heapq import heappop, heappush
+"""The owner: the only holder of the decisions. Everything reaches it through one queue, in order."""
+from collections import deque
 from typing import NamedTuple
 
 from .. import terms
@@ -9,10 +8,11 @@
 from ..protocol.application import Asked
 from ..protocol.catalogue import Listing
 from ..protocol.http1 import Message
-from .clock import TICKS, Clock
+from ..transport.timers import Timers
+from .clock import Clock
 from .roster import Roster
 
-QUEUE_MOST = 4096       # who has more to tell waits
+OVERDUE = 50            # tenths of a millisecond: timers later than this are told between two events
 
 
 class Answer(NamedTuple):
@@ -25,15 +25,18 @@
 class Order:
     """One transaction taken; in the owner's books from its arrival until it is closed with no hop out."""
 
-    def __init__(self, asked: Asked, hard_limit: int) -> None:
-        self.asked, self.hard_limit = asked, hard_limit
-        self.answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+    __slots__ = ("asked", "came", "hard_limit", "deliver", "number", "hops", "closed")
+
+    def __init__(self, asked: Asked, came: int, hard_limit: int, deliver) -> None:
+        """`came`: when its last byte came in; `deliver(answer)` is called once, unless its client went."""
+        self.asked, self.came, self.hard_limit, self.deliver = asked, came, hard_limit, deliver
         self.number, self.hops, self.closed = -1, [], False     # hops: one an effect, None once it is over
 
     def close(self, answer: Answer | None) -> None:
-        self.closed = True
-        if answer is not None and not self.answer.done():
-            self.answer.set_result(answer)
+        if not self.closed:
+            self.closed = True
+            if answer is not None:
+                self.deliver(answer)
 
 
 class Arrived(NamedTuple):
@@ -50,6 +53,7 @@
     host: int
     outcome: str
     elapsed: int
+    waited: int                     # that its answer lay here unread
     message: Message | None
 
 
@@ -63,32 +67,44 @@
 
 
 class Owner:
-    def __init__(self, agreed: i.Agreement, seed: int, clock: Clock, roster: Roster, say) -> None:
-        self.agreed, self.clock, self.roster, self.say = agreed, clock, roster, say
+    """`post` returns once all that an event brought about is decided and carried out.
+
+    What it brings about at once (a hop that could not begin) waits in the queue for its turn, so that the
+    decisions are never entered twice; the queue is empty again when `post` returns.
+    """
+
+    def __init__(self, agreed: i.Agreement, seed: int, clock: Clock, timers: Timers, roster: Roster,
+                 say) -> None:
+        self.agreed, self.clock, self.timers, self.roster, self.say = agreed, clock, timers, roster, say
         self.proxy = Proxy(agreed, seed, clock.now())
-        self.queue: asyncio.Queue = asyncio.Queue(QUEUE_MOST)
-        self.timers: list[tuple[int, int, int]] = []    # due, order set, mark; emptied as they fall due
-        self.alarm: asyncio.TimerHandle | None = None
-        self.set = self.next = 0
+        self.queue: deque = deque()
+        self.running, self.next = False, 0
         self.orders: dict[int, Order] = {}
         self.begin_hop = self.begin_watch = self.close_idle = None      # set by whoever builds the program
 
-    async def post(self, item) -> None:
-        await self.queue.put(item)
-
     def start(self, known: Listing) -> None:
         self.carry_out(self.proxy.begin())
         self.decide(self.roster.told(known, answered=False))
 
-    async def run(self) -> None:
-        self.wind()
-        while True:
-            item = await self.queue.get()
-            while self.timers and self.timers[0][0] <= self.clock.now():
-                self.safely(self.decide, i.TimerDue(heappop(self.timers)[2]))
-            if item is not None:
-                self.safely(self.take, item)
-            self.wind()
+    def post(self, item) -> None:
+        self.queue.append(item)
+        if not self.running:
+            self.pump()
+
+    def pump(self) -> None:
+        self.running = True
+        try:
+            while self.queue:
+                self.timers.run(OVERDUE)    # guards against timers that wait behind a crowd of events
+                self.safely(self.take, self.queue.popleft())
+        finally:
+            self.running = False
+
+    def due(self, mark: int) -> None:
+        """A timer of the decisions; told before what waits in the queue."""
+        self.queue.appendleft(i.TimerDue(mark))
+        if not self.running:
+            self.pump()
 
     def safely(self, work, given) -> None:
         """One bad event must not end the service of all others."""
@@ -97,18 +113,6 @@
         except Exception as fault:
             self.say("fault", where=type(given).__name__, error=repr(fault))
 
-    def wind(self) -> None:
-        """Wake up for the next timer."""
-        if self.alarm is not None:
-            self.alarm.cancel()
-        if self.timers:
-            wait = max(0, self.timers[0][0] - self.clock.now()) / TICKS
-            self.alarm = asyncio.get_running_loop().call_later(wait, self._wake)
-
-    def _wake(self) -> None:
-        if self.queue.empty():          # else it is awake in a moment, and looks at its timers anyway
-            self.queue.put_nowait(None)
-
     def decide(self, event) -> None:
         self.carry_out(self.proxy.handle(self.clock.now(), event))
 
@@ -122,7 +126,9 @@
         self.next += 1
         order.number, self.orders[number] = number, order
         key, patience = order.asked.key, max(0, order.hard_limit - self.clock.now())
-        self.decide(i.TxArrived(number, order.asked.profile, terms.number(key) if key else None, patience))
+        waited = max(0, self.clock.now() - order.came)
+        self.decide(i.TxArrived(number, order.asked.profile, terms.number(key) if key else None, patience,
+                                waited))
 
     def gone(self, item: Gone) -> None:
         if not item.order.closed:
@@ -137,14 +143,14 @@
         if item.message is not None and not order.closed:
             order.close(Answer(item.outcome, item.message))
         self.decide(i.HopEnded(order.number, item.hop, item.host, item.outcome, item.elapsed, order.closed,
-                               None))
+                               None, item.waited))
         self.forget(order)
 
     def listed(self, item: Listed) -> None:
         self.decide(self.roster.told(item.listing, item.answered))
 
     TAKES = {Arrived: arrived, Gone: gone, HopOver: hop_over, Listed: listed,
-             ListLost: lambda self, _: self.decide(i.ListFailed())}
+             ListLost: lambda self, _: self.decide(i.ListFailed()), i.TimerDue: decide}
 
     def forget(self, order: Order) -> None:
         if order.closed and not any(order.hops):
@@ -180,8 +186,7 @@
             order.hops[effect.hop].stop(i.CANCELLED)
 
     def set_timer(self, effect: i.SetTimer) -> None:
-        self.set += 1
-        heappush(self.timers, (self.clock.now() + effect.delay, self.set, effect.mark))
+        self.timers.set(effect.delay, self.due, effect.mark)
 
     GIVES = {i.SendHop: send, i.RollBack: roll_back, i.Abandon: abandon, i.CancelHop: cancel,
              i.SetTimer: set_timer, i.WatchList: lambda self, _: self.begin_watch(),
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -1,11 +1,13 @@
 """Discovery's watch: one connection, one call after the other, every answer to the owner in order."""
 import asyncio
+from contextlib import contextmanager
 
 from ..protocol import catalogue
 from ..protocol.http1 import Message, Parser
 from ..transport.buffers import BufferPool
 from ..transport.connection import Connection, Fault, Stage
 from ..transport.descriptors import Descriptors
+from ..transport.timers import Timers
 from .owner import Listed, ListLost, Owner
 
 ANSWER_MOST = 2.0       # seconds past the time asked for: discovery may vanish without a word, and what it
@@ -17,9 +19,10 @@
 
 class Watch:
     def __init__(self, address: tuple[str, int], wait: float, version: int, owner: Owner, buffers: BufferPool,
-                 descriptors: Descriptors, say) -> None:
+                 descriptors: Descriptors, timers: Timers, say) -> None:
         self.address, self.wait, self.version = address, wait, version
         self.owner, self.buffers, self.descriptors, self.say = owner, buffers, descriptors, say
+        self.timers = timers
         self.task: asyncio.Task | None = None
         self.told = False       # whether this watch has been answered yet
         self.moved = False      # whether discovery is elsewhere and has not answered there yet
@@ -50,7 +53,7 @@
                 await asyncio.sleep(PAUSE)
         self.say("list lost", reason=reason)
         self.task = None
-        await self.owner.post(ListLost())
+        self.owner.post(ListLost())
 
     async def once(self) -> str:
         """One connection, for as long as it lasts, and what went wrong."""
@@ -66,12 +69,14 @@
 
     async def follow(self, connection: Connection) -> str:
         """What went wrong; nothing, if discovery has closed the connection after an answer."""
-        with connection.within(ANSWER_MOST):
-            fault = await connection.connect(self.address)
+        up = asyncio.get_running_loop().create_future()
+        connection.connect(self.address, up.set_result)
+        with self.within(connection, ANSWER_MOST):
+            fault = await up
         if fault is not None:
             return fault.reason
         while True:
-            with connection.within(ANSWER_MOST if self.moved else self.wait + ANSWER_MOST):
+            with self.within(connection, ANSWER_MOST if self.moved else self.wait + ANSWER_MOST):
                 found = await self.call(connection)
             if isinstance(found, Fault):
                 return found.reason
@@ -81,7 +86,7 @@
             self.version, self.moved = listing.version, False
             if not self.told or listing.lines or listing.complete:
                 self.say("list", version=listing.version, complete=listing.complete, lines=len(listing.lines))
-                await self.owner.post(Listed(listing, answered=True))
+                self.owner.post(Listed(listing, answered=True))
             else:
                 await asyncio.sleep(PAUSE)
             self.told = True
@@ -93,16 +98,35 @@
         # guards against versions counted differently there: after a move the whole list first
         version = None if self.moved else self.version
         call = catalogue.call(f"{self.address[0]}:{self.address[1]}", version, int(self.wait * 1000))
-        try:
-            await connection.write(call)
-        except OSError as fault:
-            return Fault(Stage.WRITING, str(fault))
-        while answer.found is None:
-            fault = await connection.read(answer.feed)
-            if fault is not None:
-                answer.end()
-                if answer.found is None:
-                    return fault
+        over = asyncio.get_running_loop().create_future()
+        if connection.closed:
+            return Fault(Stage.WRITING, "ended between two calls")
+
+        def took(part, _) -> None:
+            answer.feed(part)
+            if answer.found is not None and not over.done():
+                over.set_result(None)
+
+        def ended(fault: Fault) -> None:
+            answer.end()
+            if not over.done():
+                over.set_result(None if answer.found is not None else fault)
+        connection.follow(took, ended)
+        if not over.done():
+            connection.write((call,))
+        fault = await over
+        if fault is not None:
+            return fault
         if not isinstance(answer.found, Message) or not answer.found.delimited:
             return Fault(Stage.ANSWERING, "no HTTP answer")
         return answer.found
+
+    @contextmanager
+    def within(self, connection: Connection, seconds: float):
+        """What is waited for inside ends with the connection, if it takes longer."""
+        ticks, why = int(seconds * self.timers.second), f"not within {seconds:g} s"
+        late = self.timers.set(ticks, connection.fail, why)
+        try:
+            yield
+        finally:
+            self.timers.cancel(late)
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -1,15 +1,17 @@
-"""One TCP connection: reads into pooled buffers, writes, and values that say how far it had come."""
-import asyncio
+"""One TCP connection: reads handed on as they come, writes, and values that say how far it had come."""
 import socket
-from contextlib import contextmanager
+import time
 from enum import IntEnum
 from typing import NamedTuple
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from . import arrival
 from .buffers import BufferPool
 from .descriptors import Descriptors
 
+READS_A_TURN = 4        # buffers that one connection may fill in a turn of the loop, before others come
+
 
 class Stage(IntEnum):
     """How far an exchange had come; the peer can have begun on it only from WRITTEN on."""
@@ -25,18 +27,35 @@
     reason: str
 
 
+class Stream(IOStream):
+    """Gives what it reads to its connection at once and keeps nothing, so one read stands for ever."""
+
+    def __init__(self, sock: socket.socket, connection: "Connection") -> None:
+        self.connection = connection
+        super().__init__(sock, read_chunk_size=1)       # its own buffer stays empty
+
+    def read_from_fd(self, buf) -> None:
+        self.connection.receive()
+
+
 class Connection:
-    """`pending` is the one standing read. It goes on while the connection idles, so that an end is seen."""
+    """Whoever follows it is told `took(bytes, late)` of what comes, once `ended(fault)`, unless it closed.
+
+    `late` is for how many nanoseconds the bytes had lain in the kernel. A read stands from the first follower
+    on, also while the connection idles, so that an end is seen.
+    """
+
+    __slots__ = ("buffers", "descriptors", "closed", "took", "ended", "up", "stream", "standing", "paused",
+                 "begun", "noticed_late")
 
     def __init__(self, sock: socket.socket, buffers: BufferPool, descriptors: Descriptors) -> None:
         self.buffers, self.descriptors = buffers, descriptors
-        self.buffer: bytearray | None = None
-        self.pending: asyncio.Future | None = None
-        self.closed = self.awaited = False
-        self.why = ""               # the reason, where we closed it before its time
+        self.closed = self.standing = self.paused = False
+        self.took = self.ended = self.up = None
+        self.begun = self.noticed_late = 0
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.stream = IOStream(sock, max_buffer_size=256 * 1024, read_chunk_size=buffers.size)
-        self.stream.set_close_callback(self.close)
+        arrival.stamp(sock)
+        self.stream = Stream(sock, self)
         descriptors.take()
 
     @classmethod
@@ -48,63 +67,104 @@
             return Fault(Stage.UNTRIED, str(fault))
         return cls(sock, buffers, descriptors)
 
-    async def connect(self, address: tuple[str, int]) -> Fault | None:
-        try:
-            await self.stream.connect(address)
-        except (OSError, StreamClosedError) as fault:
+    def connect(self, address: tuple[str, int], up) -> None:
+        """`up(None)` once it is up, `up(fault)` if it is not to be; not before this returns."""
+        self.up, self.begun = up, time.monotonic_ns()
+        self.stream.connect(address).add_done_callback(self._connected)
+
+    def _connected(self, future) -> None:
+        if self.closed:
+            future.cancelled() or future.exception()
+            return
+        up, self.up = self.up, None
+        if future.cancelled() or future.exception() is not None:
+            error = self.stream.error or future.exception()
             self.close()
             # reset, not refused: the peer's machine had taken it already
-            stage = Stage.WRITING if isinstance(self.stream.error, ConnectionResetError) else Stage.CONNECTING
-            return Fault(stage, self.why or str(self.stream.error or fault))
-        return None
-
-    @contextmanager
-    def within(self, seconds: float):
-        """What is waited for inside ends with the connection, if it takes longer."""
-        late = asyncio.get_running_loop().call_later(seconds, self.close, f"not within {seconds:g} s")
-        try:
-            yield
-        finally:
-            late.cancel()
-
-    def reading(self) -> asyncio.Future:
-        """The standing read; begun if there is none."""
-        if self.pending is None:
-            self.buffer = self.buffers.take()
+            stage = Stage.WRITING if isinstance(error, ConnectionResetError) else Stage.CONNECTING
+            return up(Fault(stage, str(error)))
+        took = arrival.connecting(self.stream.socket)
+        if took is not None:
+            self.noticed_late = max(0, time.monotonic_ns() - self.begun - took)
+        up(None)
+
+    def follow(self, took, ended) -> None:
+        """From here on tell these; what is there already is told before this returns."""
+        self.took, self.ended = took, ended
+        if self.paused and not self.closed:
+            self.paused, loop = False, self.stream.io_loop
+            loop.update_handler(self.stream.socket, loop.READ | loop.ERROR)
+        if not self.standing and not self.closed:
+            self.standing = True
+            self.stream.set_close_callback(self._lost)
             try:
-                self.pending = self.stream.read_into(self.buffer, partial=True)
-            except StreamClosedError as fault:
-                self.pending = asyncio.get_running_loop().create_future()
-                self.pending.set_exception(fault)
-        return self.pending
-
-    async def read(self, feed) -> Fault | None:
-        """Wait for bytes and hand them to `feed`, which must not keep what it is given."""
-        pending, self.awaited = self.reading(), True
-        try:
-            count = await pending
-            with memoryview(self.buffer) as whole, whole[:count] as part:
-                feed(part)
-            return None
-        except StreamClosedError as fault:
-            self.close()
-            return Fault(Stage.WRITTEN, self.why or str(fault.real_error or "ended by the peer"))
-        finally:
-            self.awaited = False
-            self._release()
-
-    def write(self, data: bytes) -> asyncio.Future:
-        """Done once the last byte is with the kernel; an exception if the connection ended before."""
-        try:
-            return self.stream.write(data)
-        except StreamClosedError as fault:
-            ended = asyncio.get_running_loop().create_future()
-            ended.set_exception(fault)
-            return ended
+                self.stream.read_bytes(1, partial=True)
+            except StreamClosedError:
+                self._lost()
+
+    def receive(self) -> None:
+        """Read what the kernel has, a few buffers at most: the loop comes back for the rest."""
+        for _ in range(READS_A_TURN):
+            if self.closed or self.took is None:
+                return
+            buffer = self.buffers.take()
+            try:
+                try:
+                    count, ancillary, _, _ = self.stream.socket.recvmsg_into([buffer], arrival.SPACE)
+                except BlockingIOError:
+                    return
+                except OSError as fault:
+                    return self.fail(str(fault))
+                if count:
+                    with memoryview(buffer) as whole, whole[:count] as part:
+                        self.took(part, arrival.late(ancillary) if ancillary else 0)
+            finally:
+                self.buffers.give(buffer)
+            if not count:
+                return self.fail("ended by the peer")
+            if count < self.buffers.size:
+                return
+
+    def write(self, parts: tuple[bytes, ...], wrote=None) -> bool:
+        """Whether the last byte is with the kernel; where not, `wrote()` is called once it is, if ever.
+
+        All parts go in one call; what the kernel does not take at once is kept by reference, and nothing may
+        follow before it is written.
+        """
+        if self.closed:
+            return False
+        sent = 0
+        if not self.stream.writing():
+            try:
+                sent = self.stream.socket.sendmsg(parts)
+            except BlockingIOError:
+                pass
+            except OSError as fault:
+                self.fail(str(fault))
+                return False
+        left = []
+        for part in parts:
+            if sent < len(part):
+                left.append(memoryview(part)[sent:])
+            sent = max(0, sent - len(part))
+        for part in left:
+            written = self.stream.write(part)
+        if left and self.paused:
+            self.pause()        # the stream looks for bytes again when it waits to write
+        if left and wrote is not None:
+            written.add_done_callback(
+                lambda done: None if done.cancelled() or done.exception() else wrote())
+        return not left
+
+    def pause(self) -> None:
+        """Read no more, so that the peer's writing comes to a halt."""
+        self.took, self.paused, loop = None, True, self.stream.io_loop
+        if not self.closed:
+            loop.update_handler(self.stream.socket, loop.ERROR | (loop.WRITE if self.stream.writing() else 0))
 
     def quiet(self) -> bool:
         """Guards against using a kept connection that the peer has ended or written to unasked."""
-        if self.closed or self.stream.closed() or self.pending is not None and self.pending.done():
+        if self.closed or self.stream.closed():
             return False
         try:
             self.stream.socket.recv(1, socket.MSG_PEEK)
@@ -114,26 +174,31 @@
         except OSError:
             return False
 
-    def close(self, why: str = "") -> None:
+    def fail(self, why: str) -> None:
+        """It ended, or was given up: whoever follows it, or waits for it to come up, is told."""
+        ended, up = self.ended, self.up
+        if not self.closed:
+            self.close()
+            if up is not None:
+                up(Fault(Stage.CONNECTING, why))
+            elif ended is not None:
+                ended(Fault(Stage.WRITTEN, why))
+
+    def close(self) -> None:
+        """Nobody is told of anything after this."""
         if self.closed:
             return
-        self.closed, self.why = True, why
+        self.closed = True
+        self.took = self.ended = self.up = None
         self.descriptors.give()
+        self.stream.set_close_callback(None)
         self.stream.close()
-        if not self.awaited:
-            if self.pending is not None and self.pending.done():
-                self.pending.exception()    # seen: an idle connection's end has nobody else to look at it
-            self._release()
-
-    def _release(self) -> None:
-        """Only once nothing is read into the buffer any more, and what was read has been handed on."""
-        self.pending = None
-        if self.buffer is not None:
-            self.buffers.give(self.buffer)
-            self.buffer = None
+
+    def _lost(self) -> None:
+        self.fail(str(self.stream.error or "ended by the peer"))
 
     def end_sending(self) -> None:
         try:
             self.stream.socket.shutdown(socket.SHUT_WR)
-        except OSError:
-            self.close()
+        except OSError as fault:
+            self.fail(str(fault))
--- a/basalthook/transport/hostpool.py
+++ b/basalthook/transport/hostpool.py
@@ -1,19 +1,20 @@
 """Connections to hosts: kept ones are used again, given up before the host would, and never when in doubt."""
-import asyncio
 import time
 from collections import OrderedDict
 
 from .buffers import BufferPool
 from .connection import Connection, Fault, Stage
 from .descriptors import Descriptors
+from .timers import Timers
 
 SETTLE = 0.01   # seconds after an answer before the connection is used again
 MARGIN = 0.8    # of the time after which a host closes an idle connection: what is older is not used
 
 
 class HostPool:
-    def __init__(self, buffers: BufferPool, descriptors: Descriptors, idle: float, connect: float) -> None:
-        self.buffers, self.descriptors = buffers, descriptors
+    def __init__(self, buffers: BufferPool, descriptors: Descriptors, timers: Timers, idle: float,
+                 connect: float) -> None:
+        self.buffers, self.descriptors, self.timers = buffers, descriptors, timers
         self.idle = self.patience = 0.0
         self.kept: OrderedDict[Connection, tuple] = OrderedDict()   # oldest first -> host, until
         self.by_host: dict[tuple, list[Connection]] = {}            # emptied as they are used, end or expire
@@ -30,7 +31,7 @@
     def kept_one(self, host: tuple) -> Connection | None:
         """The one used last that has settled, if it is surely still good."""
         now = time.monotonic()
-        for connection in reversed(self.by_host.get(host, [])[:]):
+        for connection in reversed(self.by_host.get(host, ())):
             _, until = self.kept[connection]
             if until - self.idle > now - SETTLE:
                 continue        # guards against taking what comes behind its answer for the next one
@@ -40,25 +41,30 @@
             connection.close()
         return None
 
-    async def fresh(self, address: tuple, opened) -> Connection | Fault:
-        """A new one; `opened` is told of it before it is up, so that whoever waits can close it."""
+    def fresh(self, address: tuple, up) -> Connection | Fault:
+        """A new one, not yet up: `up(None or fault)` is called when it is, or is not to be."""
         if not self.descriptors.room(self.descriptors.most_for_hosts):
             return Fault(Stage.UNTRIED, "no descriptor free")
         connection = Connection.towards(address, self.buffers, self.descriptors)
         if isinstance(connection, Fault):
             return connection
-        opened(connection)
-        with connection.within(self.patience):
-            return await connection.connect(address) or connection
+        late = self.timers.set(int(self.patience * self.timers.second), connection.fail,
+                               f"not within {self.patience:g} s")
+
+        def come(fault: Fault | None) -> None:
+            self.timers.cancel(late)
+            up(fault)
+        connection.connect(address, come)
+        return connection
 
     def keep(self, connection: Connection, host: tuple) -> None:
         if connection.closed or not self.idle:
             return connection.close()
         self.kept[connection] = host, time.monotonic() + self.idle
         self.by_host.setdefault(host, []).append(connection)
-        connection.reading().add_done_callback(lambda _: self._stirred(connection))
+        connection.follow(lambda *_: self._stirred(connection), lambda _: self._stirred(connection))
         if self.sweeping is None:
-            self.sweeping = asyncio.get_running_loop().call_later(self.idle, self._sweep)
+            self.sweeping = self.timers.set(int(self.idle * self.timers.second), self._sweep)
 
     def close_idle(self, host: tuple) -> None:
         for connection in list(self.by_host.get(host, ())):
@@ -76,8 +82,7 @@
     def close(self) -> None:
         while self.give_up_oldest():
             pass
-        if self.sweeping is not None:
-            self.sweeping.cancel()
+        self.timers.cancel(self.sweeping)
 
     def _drop(self, connection: Connection) -> None:
         host, _ = self.kept.pop(connection)
@@ -98,4 +103,4 @@
             self.give_up_oldest()
         if self.kept:
             wait = next(iter(self.kept.values()))[1] - now
-            self.sweeping = asyncio.get_running_loop().call_later(wait, self._sweep)
+            self.sweeping = self.timers.set(int(wait * self.timers.second) + 1, self._sweep)
--- a/basalthook/transport/listener.py
+++ b/basalthook/transport/listener.py
@@ -4,6 +4,8 @@
 
 from tornado.netutil import add_accept_handler, bind_sockets
 
+from . import arrival
+
 BACKLOG = 1024
 LOOK_AGAIN = 0.01       # seconds, while no descriptor is free
 
@@ -14,6 +16,7 @@
     def __init__(self, address: tuple[str, int], take) -> None:
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.socket, = bind_sockets(address[1], address[0], family, BACKLOG)    # SO_REUSEADDR is set there
+        arrival.stamp(self.socket)
         self.address, self.take, self.remove = self.socket.getsockname()[:2], take, None
 
     def open(self) -> None:
--- /dev/null
+++ b/basalthook/transport/timers.py
@@ -0,0 +1,70 @@
+"""One structure for every timer of the program: a heap with one wake-up of the event loop."""
+import asyncio
+from heapq import heapify, heappop, heappush
+
+COMPACT_FROM = 256      # cancelled ones are swept out once there are so many, and more than half of all
+
+
+class Timers:
+    """`now()` gives whole ticks, `second` is how many of them make one.
+
+    Emptied as they fall due; cancelled ones as their turn comes, or once they are more than half.
+    """
+
+    def __init__(self, now, second: int) -> None:
+        self.now, self.second = now, second
+        self.heap: list[list] = []              # due, order set, call (None: cancelled), what it is given
+        self.count = self.cancelled = 0
+        self.alarm: asyncio.TimerHandle | None = None
+        self.armed = 0                          # for when, while there is an alarm
+
+    def set(self, delay: int, call, *given) -> list:
+        """Call it that many ticks from now; what comes back can be cancelled."""
+        self.count += 1
+        entry = [self.now() + delay, self.count, call, given]
+        heappush(self.heap, entry)
+        if self.alarm is None or entry[0] < self.armed:
+            self._arm(entry[0])
+        return entry
+
+    def cancel(self, entry: list | None) -> None:
+        """No effect on one that is over, or cancelled already."""
+        if entry is not None and entry[2] is not None:
+            entry[2], entry[3] = None, ()
+            self.cancelled += 1
+            if self.cancelled > COMPACT_FROM and self.cancelled * 2 > len(self.heap):
+                self.heap = [kept for kept in self.heap if kept[2] is not None]
+                heapify(self.heap)
+                self.cancelled = 0
+
+    def run(self, overdue: int = 0) -> None:
+        """Call all that are due, in order; only those that are late by so many ticks, if told."""
+        now = self.now() - overdue
+        while self.heap and (self.heap[0][0] <= now or self.heap[0][2] is None):
+            entry = heappop(self.heap)
+            _, _, call, given = entry
+            if call is None:
+                self.cancelled -= 1
+            else:
+                entry[2] = None
+                call(*given)
+
+    def close(self) -> None:
+        if self.alarm is not None:
+            self.alarm.cancel()
+        self.heap.clear()
+
+    def _arm(self, due: int) -> None:
+        if self.alarm is not None:
+            self.alarm.cancel()
+        self.armed = due
+        wait = max(0.0, (due - self.now()) / self.second)
+        self.alarm = asyncio.get_running_loop().call_later(wait, self._ring)
+
+    def _ring(self) -> None:
+        self.alarm = None
+        try:
+            self.run()
+        finally:
+            if self.heap and self.alarm is None:
+                self._arm(self.heap[0][0])
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -133,13 +133,13 @@
             self.assertEqual(getattr(found, "status", None), status, new)
 
     def test_a_hop_carries_method_path_body_and_id_unchanged_and_our_own_time(self):
-        sent = parse(hosts.hop(parse(POST), 0.3))
+        sent = parse(b"".join(hosts.hop(parse(POST), 0.3)))
         self.assertEqual((sent.method, sent.target, sent.body), ("POST", "/survey-submit/a?b=1", b"hello"))
         self.assertEqual((sent.field("request-id"), sent.field("request-timeout")), ("7", "0.3000"))
         self.assertEqual((sent.field("x-own"), sent.field("connection")), (None, None))
 
     def test_a_commit_is_passed_on_unchanged_with_framing_of_its_own(self):
-        sent = parse(application.committed(parse(CHUNKED, True), keep=False), True)
+        sent = parse(b"".join(application.committed(parse(CHUNKED, True), keep=False)), True)
         self.assertEqual((sent.status, sent.body, sent.keep), (200, b"host!", False))
 
     def test_only_a_rollback_says_that_trying_again_is_harmless(self):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -61,7 +61,7 @@
         for connection in list(self.service.clients.open):
             connection.close()
         await asyncio.wait_for(self.until(lambda: not self.service.clients.descriptors.held), 5)
-        self.service.task.cancel()
+        self.service.timers.close()
         self.assertEqual([line for line in self.log.lines if line["event"] == "fault"], [])
 
     def settled(self, seconds):
@@ -211,11 +211,12 @@
         caller = await self.play(host)
         fresh = self.service.pool.fresh
 
-        async def gone_meanwhile(address, opened):
-            connection = await fresh(address, opened)
-            order, = self.service.owner.orders.values()
-            order.closed = True
-            return connection
+        def gone_meanwhile(address, up):
+            def come(fault):
+                order, = self.service.owner.orders.values()
+                order.closed = True
+                up(fault)
+            return fresh(address, come)
         self.service.pool.fresh = gone_meanwhile
         caller.ask("submit")
         await self.until(self.log.hops)
@@ -229,7 +230,7 @@
                 (Stage.ANSWERING, None, i.RESET), (Stage.CONNECTING, i.TIMED_OUT, i.UNSENT),
                 (Stage.WRITING, i.CANCELLED, i.UNSENT), (Stage.WRITTEN, i.TIMED_OUT, i.TIMED_OUT),
                 (Stage.ANSWERING, i.CANCELLED, i.CANCELLED)):
-            hop = Hop(None, 0, 0, None, 0, 1)
+            hop = Hop(None, None, 0, 0, None, 0, 1)
             hop.stage, hop.stopped = stage, stopped
             self.assertEqual(Hops.outcome(hop, None), outcome, (stage, stopped))
 
@@ -256,8 +257,8 @@
     async def test_a_connection_reset_as_it_comes_up_tells_of_no_dead_host(self):
         peer = socket.create_server(("127.0.0.1", 0))
         connection = Connection.towards(peer.getsockname(), BufferPool(64, 8), Descriptors(64))
-        coming = asyncio.create_task(connection.connect(peer.getsockname()))
-        await asyncio.sleep(0)
+        coming = asyncio.get_running_loop().create_future()
+        connection.connect(peer.getsockname(), coming.set_result)
         taken, _ = peer.accept()
         taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         taken.close()
@@ -270,7 +271,10 @@
         await self.hosts[0].got.get()
         order, = self.service.owner.orders.values()
         order.closed = True
-        self.service.owner.send(i.SendHop(order.number, 0, 5_000))
+        owner = self.service.owner
+        effects = [[i.SendHop(order.number, 0, 5_000)], []]
+        with unittest.mock.patch.object(owner.proxy, "handle", side_effect=effects):
+            owner.due(7)
         await self.until(self.log.hops)
         self.assertEqual(self.log.hops(), [("untried", i.UNSENT)])
         self.assertEqual(self.hosts[0].got.qsize(), 0)
@@ -491,12 +495,15 @@
         self.assertEqual(self.log.lines[-1], {"event": "ended", "unanswered": 0})
 
     async def test_a_buffer_goes_back_however_its_connection_ends(self):
-        host, pool, descriptors = await self.started(SocketHost()), BufferPool(64, 8), Descriptors(64)
-        _, writer = await asyncio.open_connection(*host.address.split(":"))
-        connection = Connection(writer.get_extra_info("socket").dup(), pool, descriptors)
-        connection.reading()
-        self.assertEqual(len(pool.free), 0)
-        connection.close()
-        self.assertEqual((len(pool.free), descriptors.held), (1, 0))
-        writer.close()
-        await writer.wait_closed()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            theirs = socket.create_connection(server.getsockname())
+            ours, _ = server.accept()
+        pool, descriptors, seen = BufferPool(64, 8), Descriptors(64), []
+        connection = Connection(ours, pool, descriptors)
+        connection.follow(lambda part, late: seen.append((bytes(part), len(pool.free))), seen.append)
+        theirs.send(b"x" * 100)
+        await self.until(lambda: len(seen) == 2)
+        self.assertEqual(seen, [(b"x" * 64, 0), (b"x" * 36, 0)])
+        theirs.close()
+        await self.until(lambda: len(seen) == 3)
+        self.assertEqual((len(pool.free), descriptors.held, seen[2].stage), (1, 0, Stage.WRITTEN))
