Single hops left unanswered hold no place, and late loops give up no sound connection

Cause, by the same trace with the loop's lateness kept out (0.2 ms for answers): hosts leave single hops unanswered for the whole hard limit of 500 to 840 ms; some five of these stood out at any time, each held one of the two places at its host and one of the six of the fleet, and raised its host's strain to 9 when given up, so that hosts rested or were left out by profile. And a connection that was up in the kernel was given up after 250 ms, as the timer came before the loop had looked, which bans its host for ten seconds.

Change: a hop that is late while its host has answered later ones is owed: it holds no place, and its end says nothing of a crowd; a connect timer looks at the socket first. The log gathers its lines, 50 ms at a time, worded in the writer's thread.

--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -69,6 +69,7 @@
 
     def __init__(self, line, span):
         self.id, self.heard, self.sent, self.used = line.host, 0, Window(span), None
+        self.passed, self.passed_by = 0, {}     # when the latest hop was sent that it answered; by profile
         self.out = {}               # the same of this host's hops; emptied as they end
         self.renew(line)
 
@@ -156,7 +157,9 @@
         del self.flying[tx.id, event.hop]
         effect, ran = SORTED[event.outcome]
         self.unread += (event.waited - self.unread) * 0.02
-        server.heard = self.now if event.outcome in SPOKEN else server.heard
+        if event.outcome in SPOKEN:
+            server.heard, server.passed = self.now, max(server.passed, sent_at)
+            server.passed_by[tx.kind] = max(server.passed_by.get(tx.kind, 0), sent_at)
         if ran and (tx.ran is None or sent_at < tx.ran[0]):
             tx.ran = sent_at, server.line
         busy = (event.load or {}).get("busy")
@@ -292,12 +295,12 @@
                 banned.append(server)
             if not ban and not self.doubtful(server, tx):
                 reach -= 1
-                if len(server.out) < self.budget(server):
+                if self.has_room(server):
                     best.append(server)
             if len(best) == 2 or not reach:
                 break
         if not best and not unbanned and not tx.out:    # all banned, or none proven since: ready ones count
-            best = [s for s in banned if len(s.out) < self.budget(s)][:2]
+            best = [s for s in banned if self.has_room(s)][:2]
         if len(best) == 2 and len(best[0].out) == len(best[1].out):
             return best[0] if self.busy() else self.chance.choice(best)
         return min(best, key=lambda s: len(s.out), default=None)
@@ -319,12 +322,22 @@
         own = share if loose else min(ROOMY * self.quiet_out(server.sent), share)
         return max(1.0, BEARABLE // self.terms.proxies, own)
 
+    def has_room(self, server):
+        """Guards against hosts that leave single hops unanswered: these hold no place of those they answer."""
+        most = self.budget(server)
+        return len(server.out) < most or len(server.out) - sum(map(self.owed, server.out.values())) < most
+
+    def owed(self, out):
+        """Late, and nothing heard since, or later ones are answered: it tells of no crowd at its host."""
+        server, sent_at, late_after = out
+        return self.now - sent_at >= late_after and (server.heard <= sent_at or sent_at < server.passed)
+
     def busy(self):
         """Answers are slow, or some wait: when they quicken the whole line must not go out at once."""
         return self.strain > BUSY and self.cores > SPARE or bool(self.first_line)
 
     def full(self):
-        """Guards against many proxies with a hop or two each; one owed by a silent host does not count."""
+        """Guards against many proxies with a hop or two each; one that is owed does not count."""
         if not self.busy():
             return False
         usual = self.quiet_out(self.sent)
@@ -332,8 +345,7 @@
         most = max(1.0, ROOMY * usual + spare * (1 + 2 * usual ** 0.5))
         if len(self.flying) < most:
             return False
-        owed = sum(self.now - at >= late and s.heard <= at for s, at, late in self.flying.values())
-        return len(self.flying) - spare * owed >= most
+        return len(self.flying) - spare * sum(map(self.owed, self.flying.values())) >= most
 
     def quiet_out(self, sent):
         """Hops that would be out, at the rate of these sends, if all were answered as in quiet times.
@@ -421,6 +433,8 @@
             self.warm_commits.add(self.now)
 
     def weigh(self, server, tx, event, strain=None):
+        if event.outcome != i.COMMITTED and self.now - event.elapsed < server.passed:
+            return      # guards against a crowd seen where single hops are left unanswered, and later ones not
         strain = strain or max(server.strain, min(10.0, event.elapsed / self.quiet[tx.kind]))
         # a proxy among more than there are hosts meets each seldom: what was given up on must tell at once
         lost = event.outcome != i.COMMITTED and self.terms.proxies > len(self.ready)
@@ -432,6 +446,8 @@
 
     def timed_out(self, server, tx, event):
         self.weigh(server, tx, event)
+        if self.now - event.elapsed < server.passed_by.get(tx.kind, 0):
+            return
         run, since = server.timeouts.get(tx.kind, (0, self.now - event.elapsed))
         server.timeouts[tx.kind] = run + 1, since
         # fewer where proxies outnumber hosts: a proxy that meets a host seldom sees no run in time
--- a/basalthook/program/log.py
+++ b/basalthook/program/log.py
@@ -1,45 +1,51 @@
 """The log: one JSON line an event on standard output. A slow reader never stalls the loop."""
 import os
-import queue
 import sys
 import threading
 import time
+from collections import deque
 
 import orjson
 
-WAITING_MOST = 8192     # lines; more are dropped and counted
+WAITING_MOST = 8192     # events; more are dropped and counted
+GATHER = 0.05           # seconds between two looks of the writer: a wake-up an event costs more than the event
 
 
 class Log:
+    """Events are handed over as they are; the writer's thread words and writes them, many in one call."""
+
     def __init__(self, name: str) -> None:
-        self.name, self.dropped = name, 0
-        self.lines: queue.Queue = queue.Queue(WAITING_MOST)
+        self.name, self.dropped, self.ending = name, 0, threading.Event()
+        self.events: deque[tuple] = deque()     # emptied by the writer
         self.writer = threading.Thread(target=self._write, name="log", daemon=True)
         self.writer.start()
 
     def say(self, event: str, **fields) -> None:
-        line = {"at": round(time.time(), 4), "proxy": self.name, "event": event, **fields}
-        if self.dropped:
-            line["dropped"] = self.dropped
-        try:
-            self.lines.put_nowait(orjson.dumps(line, default=str) + b"\n")
-            self.dropped = 0
-        except queue.Full:
+        if len(self.events) >= WAITING_MOST:
             self.dropped += 1
+            return
+        if self.dropped:
+            fields["dropped"], self.dropped = self.dropped, 0
+        self.events.append((time.time(), self.name, event, fields))
 
     def close(self, seconds: float = 0.3) -> None:
         """Give the writer a moment to finish, no more: its reader may have stopped reading."""
-        try:
-            self.lines.put_nowait(None)
-        except queue.Full:
-            return
+        self.ending.set()
         self.writer.join(seconds)
 
     def _write(self) -> None:
-        target = sys.stdout.fileno()
-        while (line := self.lines.get()) is not None:
+        target, ending = sys.stdout.fileno(), False
+        while not ending:
+            ending = self.ending.wait(GATHER)
+            lines = []
+            while self.events:
+                at, name, event, fields = self.events[0]
+                line = {"at": round(at, 4), "proxy": name, "event": event, **fields}
+                lines.append(orjson.dumps(line, default=str))
+                self.events.popleft()
+            data = b"\n".join([*lines, b""])
             try:
-                while line:
-                    line = line[os.write(target, line):]
+                while data:
+                    data = data[os.write(target, data):]
             except OSError:         # nobody reads the log: the service goes on
                 continue
--- a/basalthook/transport/arrival.py
+++ b/basalthook/transport/arrival.py
@@ -32,6 +32,15 @@
     return 0
 
 
+def connected(sock: socket.socket) -> bool:
+    """Whether a socket that was told to connect is up, or has failed."""
+    try:
+        sock.getpeername()
+        return True
+    except OSError:
+        return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+
 def connecting(sock: socket.socket) -> int | None:
     """Nanoseconds that the peer took to accept (tcpi_rtt); None where not known, or asked more than once."""
     try:
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -88,6 +88,14 @@
             self.noticed_late = max(0, time.monotonic_ns() - self.begun - took)
         up(None)
 
+    def give_up(self, why: str) -> None:
+        """It should be up by now; if it is, or was turned down, the loop is about to say so.
+
+        Guards against taking our own lateness for a peer that does not answer.
+        """
+        if not self.closed and not arrival.connected(self.stream.socket):
+            self.fail(why)
+
     def follow(self, took, ended) -> None:
         """From here on tell these; what is there already is told before this returns."""
         self.took, self.ended = took, ended
--- a/basalthook/transport/hostpool.py
+++ b/basalthook/transport/hostpool.py
@@ -48,7 +48,7 @@
         connection = Connection.towards(address, self.buffers, self.descriptors)
         if isinstance(connection, Fault):
             return connection
-        late = self.timers.set(int(self.patience * self.timers.second), connection.fail,
+        late = self.timers.set(int(self.patience * self.timers.second), connection.give_up,
                                f"not within {self.patience:g} s")
 
         def come(fault: Fault | None) -> None:
