--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -92,7 +92,7 @@
 
 class Proxy:
     def __init__(self, agreement, seed, now):
-        self.terms, self.chance, self.now, self.born = agreement, Random(seed), now, now
+        self.terms, self.chance, self.now, self.born, self.seen = agreement, Random(seed), now, now, now
         self.servers = {}           # listed hosts, and those gone with hops still out
         self.txs = {}               # open transactions, and those answered with hops still out
         self.first_line, self.further_line = [], []     # (give up, tx); emptied by answers and time
@@ -109,6 +109,7 @@
         self.usual_rate, self.lately = 0.0, deque(maxlen=64)    # commits of a warm host a fall window; keys
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
+        self.least, self.chosen = max(1.0, BEARABLE // agreement.proxies), None    # host of a waiting tx
         self.scarce_until = now     # when connections are no longer hard to get
         self.reset_rankings()
 
@@ -117,8 +118,9 @@
         wait = self.terms.ask_within / 2 * (self.terms.position + self.chance.random()) / self.terms.proxies
         return [] if self.watching else [i.SetTimer(int(wait), 0)]
 
-    def handle(self, now, event):
-        self.now, self.effects = now, []
+    def handle(self, now, event, seen=None):
+        """`seen`: up to then all that came in is told; a silence since may be that of the caller."""
+        self.now, self.seen, self.effects = now, now if seen is None else seen, []
         self.EVENTS[type(event)](self, event)
         return self.effects
 
@@ -200,7 +202,9 @@
 
     def place(self, tx):
         """Send; or hold in line if a turn comes soon; else give up, and tell the client when to come back."""
-        server = None if self.full() else self.pick(tx)
+        server, self.chosen = self.chosen, None
+        if server is None and not self.full():
+            server = self.pick(tx)
         if server is not None and self.send(tx, server):
             return "sent"
         tx.give_up = tx.goal - int(sum(self.usual[tx.kind]))    # kept: the estimate behind it moves
@@ -227,13 +231,20 @@
                 tx = self.txs.get(entry[1])
                 if tx is None or tx.state != "waiting":
                     line.remove(entry)
-                elif not self.full() and self.pick(tx) is not None:
+                elif not self.full() and (server := self.pick(tx)) is not None:
                     line.remove(entry)
+                    self.chosen = server
                     self.step(tx, "room")
 
     def second_look(self, tx):
         """Still out after the usual time: a copy. Moving the hop would lose its work in every crowd."""
-        if len(tx.out) == 1 and (other := self.pick(tx)) is not None:
+        if len(tx.out) > 1:
+            return
+        (hop, (server, sent_at)), = tx.out.items()
+        due = sent_at + self.flying[tx.id, hop][2]
+        if self.seen < due <= self.now:     # its answer may lie here unread
+            self.effects.append(i.SetTimer(max(1, due - self.seen), tx.id + 2))
+        elif (other := self.pick(tx)) is not None:
             self.send(tx, other)
 
     def settle(self, tx):
@@ -250,17 +261,33 @@
 
     def allowed(self, tx, server):
         """The rules: may this transaction go to this host now?"""
-        profile, line = tx.profile, server.line
-        if not line.ready or self.now >= tx.hard_limit or len(tx.tried) >= self.terms.max_hops:
+        return self.goes_on(tx) and self.admits(tx, server)
+
+    def goes_on(self, tx):
+        """Whether it may have a further hop at all."""
+        if self.now >= tx.hard_limit or len(tx.tried) >= self.terms.max_hops or tx.state == "done":
             return False
-        if tx.state == "done" or tx.out and not self.terms.second_copies:
+        if tx.out and not self.terms.second_copies:
             return False
-        if profile.kind != i.IDEMPOTENT and (tx.out or tx.ran):
-            since, ran = min([(at, s.line) for s, at in tx.out.values()] + ([tx.ran] if tx.ran else []))
-            if profile.kind == i.NON_IDEMPOTENT or self.now >= since + profile.repeat_window:
-                return False
-            if {i.ZONE: line.zone != ran.zone, i.CELL: line.cell != ran.cell}.get(profile.group):
+        if tx.profile.kind == i.IDEMPOTENT or not tx.out and not tx.ran:
+            return True
+        return tx.profile.kind == i.JOURNALLED and self.now < self.first_run(tx)[0] + tx.profile.repeat_window
+
+    def first_run(self, tx):
+        """When and where it may have run first."""
+        return min([(at, s.line) for s, at in tx.out.values()] + ([tx.ran] if tx.ran else []))
+
+    def admits(self, tx, server):
+        """Whether this host may have it, if it may have a hop."""
+        line = server.line
+        if not line.ready:
+            return False
+        if tx.profile.kind == i.JOURNALLED and (tx.out or tx.ran):
+            ran = self.first_run(tx)[1]
+            if {i.ZONE: line.zone != ran.zone, i.CELL: line.cell != ran.cell}.get(tx.profile.group):
                 return False
+        if server.fresh_from is None:
+            return True
         # a fresh host's share; luck guards against one hop each of hundreds of proxies with one hot key
         most = self.usual_rate * line.weight * self.warmth(server)
         return server.fresh_from is None or tx.luck <= COLD_KEYS * most and (
@@ -283,13 +310,15 @@
         return True
 
     def pick(self, tx):
-        best, banned, unbanned, reach = [], [], False, len(self.ready)
-        if tx.key is not None and self.terms.warm_keys and self.busy() and self.now < tx.give_up:
+        if not self.goes_on(tx):
+            return None
+        best, banned, unbanned, reach, now = [], [], False, len(self.ready), self.now
+        if tx.key is not None and self.terms.warm_keys and self.busy() and now < tx.give_up:
             reach = REACH       # guards against keys strewn over hosts that don't know them and work more
         for server in self.ranking(tx.key):
-            ban = server.banned_until > self.now
+            ban = server.banned_until > now
             unbanned |= server.proven and not ban
-            if server.id in tx.tried or not self.allowed(tx, server):
+            if server.id in tx.tried or not self.admits(tx, server):
                 continue
             if ban or not server.proven:
                 banned.append(server)
@@ -313,24 +342,27 @@
         if not server.out:
             return False        # else guards against hosts that went silent or stand still
         _, sent_at, late_after = next(iter(server.out.values()))   # by its own measure, not by this one's
-        return self.now - max(server.heard, sent_at) >= late_after
+        return self.seen - max(server.heard, sent_at) >= late_after
 
     def budget(self, server):
         """Little's law: our hops at a host whose answers take ROOMY times as long as in quiet."""
         share = FAIR * (len(self.flying) + 1) * server.line.weight * self.warmth(server) / self.weight
         loose = self.strain <= BUSY and not self.first_line or server.spare_until > self.now
         own = share if loose else min(ROOMY * self.quiet_out(server.sent), share)
-        return max(1.0, BEARABLE // self.terms.proxies, own)
+        return max(self.least, own)
 
     def has_room(self, server):
-        """Guards against hosts that leave single hops unanswered: these hold no place of those they answer."""
+        """Guards against hosts that leave single hops unanswered: these hold no place of others."""
+        held = len(server.out)
+        if held < self.least:
+            return True
         most = self.budget(server)
-        return len(server.out) < most or len(server.out) - sum(map(self.owed, server.out.values())) < most
+        return held < most or held - sum(map(self.owed, server.out.values())) < most
 
     def owed(self, out):
         """Late, and nothing heard since, or later ones are answered: it tells of no crowd at its host."""
         server, sent_at, late_after = out
-        return self.now - sent_at >= late_after and (server.heard <= sent_at or sent_at < server.passed)
+        return self.seen - sent_at >= late_after and (server.heard <= sent_at or sent_at < server.passed)
 
     def busy(self):
         """Answers are slow, or some wait: when they quicken the whole line must not go out at once."""
@@ -434,7 +466,7 @@
 
     def weigh(self, server, tx, event, strain=None):
         if event.outcome != i.COMMITTED and self.now - event.elapsed < server.passed:
-            return      # guards against a crowd seen where single hops are left unanswered, and later ones not
+            return      # guards against a crowd seen where single hops stay unanswered, later ones not
         strain = strain or max(server.strain, min(10.0, event.elapsed / self.quiet[tx.kind]))
         # a proxy among more than there are hosts meets each seldom: what was given up on must tell at once
         lost = event.outcome != i.COMMITTED and self.terms.proxies > len(self.ready)
--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -1,5 +1,4 @@
 """The command line."""
-import asyncio
 import http.client
 import os
 import sys
@@ -10,6 +9,8 @@
 from .. import VERSION
 from ..protocol import catalogue
 from ..protocol.application import HEALTH
+from ..transport.turns import Turns
+from ..transport.turns import run as run_loop
 from . import startup
 from .log import Log
 from .service import Service
@@ -30,14 +31,15 @@
     told = read(path)
     log = Log(told.name)
     try:
-        asyncio.run(run(told, log, lambda: startup.read(path, os.environ)))
+        turns = Turns()
+        run_loop(run(told, log, lambda: startup.read(path, os.environ), turns), turns)
     except startup.BadStart as fault:
         leave(fault)
     log.close()
 
 
-async def run(told: startup.StartUp, log: Log, reread) -> None:
-    await Service(told, log, reread).run()
+async def run(told: startup.StartUp, log: Log, reread, turns: Turns) -> None:
+    await Service(told, log, reread, turns.behind).run()
 
 
 @main.command()
--- a/basalthook/program/log.py
+++ b/basalthook/program/log.py
@@ -8,7 +8,7 @@
 import orjson
 
 WAITING_MOST = 8192     # events; more are dropped and counted
-GATHER = 0.05           # seconds between two looks of the writer: a wake-up an event costs more than the event
+GATHER = 0.05           # seconds between two looks of the writer: one wake-up an event costs more
 
 
 class Log:
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -25,13 +25,14 @@
 
 
 class Service:
-    def __init__(self, told: StartUp, log: Log, reread=None) -> None:
+    def __init__(self, told: StartUp, log: Log, reread=None, behind=lambda: 0) -> None:
+        """`behind()`: for how many nanoseconds bytes may have lain unread; 0 where the loop can't tell."""
         self.told, self.log, self.reread, self.ending = told, log, reread, asyncio.Event()
         clock, roster = Clock(), Roster()
         self.timers = timers = Timers(clock.now, TICKS)
         buffers, descriptors = BufferPool(BUFFER, BUFFERS_KEPT), Descriptors(told.sockets)
         self.descriptors = descriptors
-        self.owner = Owner(told.agreed, told.seed, clock, timers, roster, log.say)
+        self.owner = Owner(told.agreed, told.seed, clock, timers, roster, behind, log.say)
         self.pool = HostPool(buffers, descriptors, timers, told.idle_seconds, told.connect_seconds)
         self.hops = Hops(self.pool, clock, timers, roster, self.owner, told.answer_most, log.say)
         self.watch = Watch(told.discovery, 2 * told.agreed.ask_within / TICKS, told.known.version, self.owner,
--- a/basalthook/protocol/http1.py
+++ b/basalthook/protocol/http1.py
@@ -94,17 +94,17 @@
         self.started = bool(self.rest)
         self.body, self.need, self.seen, self.interims = bytearray(), 0, 0, 0
         self.head: tuple | None = None
-        self.state = self._head
+        self.state = Parser._head       # not bound: that would be a circle that holds the body
 
     def feed(self, data) -> None:
         self.rest += data
         self.started = self.started or bool(self.rest)
-        while self.found is None and self.state():
+        while self.found is None and self.state(self):
             pass
 
     def end(self) -> None:
         """The connection has ended."""
-        if self.found is None and self.head is not None and self.state == self._to_the_end:
+        if self.found is None and self.head is not None and self.state is Parser._to_the_end:
             self._finish(keep=False, delimited=False)
 
     @property
@@ -117,9 +117,10 @@
 
     def _head(self) -> bool:
         rest = self.rest
-        while rest[:2] == b"\r\n" and not self.responses:
+        if not self.responses and rest.startswith(b"\r\n"):
             del rest[:2]            # an empty line before a request is passed over
             self.seen = 0
+            return True
         at = rest.find(b"\r\n\r\n", max(0, self.seen - 3))
         if at < 0 or at + 4 > HEAD_MOST:
             if BARE_END.search(rest, max(0, self.seen - 1)):
@@ -133,9 +134,12 @@
         if line is None:
             return self._bad(400, "no start line" if self.whole.match(head) is None else "bad field line")
         marked: dict[str, list[str]] = {}
-        for field in self.finds.finditer(head):
-            name, value = field[1].lower().decode(), field[2].strip(b" \t").decode("latin-1")
-            marked.setdefault(name, []).append(value)
+        for name, value in self.finds.findall(head):
+            name = name.decode().lower()
+            if name in marked:
+                marked[name].append(value.decode("latin-1").strip(" \t"))
+            else:
+                marked[name] = [value.decode("latin-1").strip(" \t")]
         return self._start(line, head[head.index(b"\n") + 1:], marked)
 
     def _start(self, line, lines: bytes, marked: dict[str, list[str]]) -> bool:
@@ -166,14 +170,14 @@
         if self.responses and (status in NO_BODY or status == 101):
             return self._finish(keep=status != 101)
         if codings:
-            self.state = self._chunk_size
+            self.state = Parser._chunk_size
         elif lengths:
             self.need = int(lengths[0])
             if self.need > self.body_most:
                 return self._bad(413, f"body too long: {self.need}")
-            self.state = self._sized
+            self.state = Parser._sized
         elif self.responses:
-            self.state = self._to_the_end
+            self.state = Parser._to_the_end
         else:
             return self._finish()
         return True
@@ -200,7 +204,7 @@
         self.need = int(size[1], 16)
         if len(self.body) + self.need > self.body_most:
             return self._bad(413, "body too long")
-        self.state, self.seen = (self._chunk, 0) if self.need else (self._trailer, 0)
+        self.state, self.seen = (Parser._chunk, 0) if self.need else (Parser._trailer, 0)
         return True
 
     def _chunk(self) -> bool:
@@ -210,7 +214,7 @@
         if self.rest[:2] != b"\r\n":
             return self._bad(400, "chunk longer than its size")
         del self.rest[:2]
-        self.state = self._chunk_size
+        self.state = Parser._chunk_size
         return True
 
     def _trailer(self) -> bool:
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -9,7 +9,7 @@
 from ..protocol.catalogue import Listing
 from ..protocol.http1 import Message
 from ..transport.timers import Timers
-from .clock import Clock
+from .clock import TICK, Clock
 from .roster import Roster
 
 OVERDUE = 50            # tenths of a millisecond: timers later than this are told between two events
@@ -74,8 +74,9 @@
     """
 
     def __init__(self, agreed: i.Agreement, seed: int, clock: Clock, timers: Timers, roster: Roster,
-                 say) -> None:
+                 behind, say) -> None:
         self.agreed, self.clock, self.timers, self.roster, self.say = agreed, clock, timers, roster, say
+        self.behind = behind
         self.proxy = Proxy(agreed, seed, clock.now())
         self.queue: deque = deque()
         self.running, self.next = False, 0
@@ -114,7 +115,8 @@
             self.say("fault", where=type(given).__name__, error=repr(fault))
 
     def decide(self, event) -> None:
-        self.carry_out(self.proxy.handle(self.clock.now(), event))
+        now = self.clock.now()
+        self.carry_out(self.proxy.handle(now, event, now - self.behind() // TICK))
 
     # ---- what comes in
 
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -35,7 +35,8 @@
         super().__init__(sock, read_chunk_size=1)       # its own buffer stays empty
 
     def read_from_fd(self, buf) -> None:
-        self.connection.receive()
+        if self.connection is not None:
+            self.connection.receive()
 
 
 class Connection:
@@ -201,6 +202,7 @@
         self.descriptors.give()
         self.stream.set_close_callback(None)
         self.stream.close()
+        self.stream.connection = None       # no circle is left for the collector
 
     def _lost(self) -> None:
         self.fail(str(self.stream.error or "ended by the peer"))
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -2,9 +2,9 @@
 
 Run as `python -m benchmarks.load`, with one JSON line on standard input: address, connections, idle, seconds,
 warm, rate (transactions a second; 0: closed loop), body (bytes of a request), seed. Prints one JSON line:
-counts by status, transactions a second and latencies in milliseconds. In the open loop a latency counts from
-when the transaction was due, also where no connection was free then, so that a proxy that stalls can't slow its own
-measurement down.
+counts by status, transactions a second, latencies in milliseconds. In the open loop a latency counts from
+when its transaction was due, also where no connection was free then, so that a proxy that stalls can't slow
+its own measurement down.
 """
 import asyncio
 import gc
@@ -62,7 +62,8 @@
         name = profile.encode()
         words = (method, name, tx.encode(), name, key, PATIENCE, size, self.body)
         return (b"%b /%b/it HTTP/1.1\r\nHost: bench\r\nRequest-Id: %b\r\nRequest-Class: %b\r\n"
-                b"Cookie: k=key-%d\r\nRequest-Timeout: %.3f\r\nUser-Agent: load/1\r\nAccept: */*\r\n%b\r\n%b") % words
+                b"Cookie: k=key-%d\r\nRequest-Timeout: %.3f\r\nUser-Agent: load/1\r\nAccept: */*\r\n"
+                b"%b\r\n%b") % words
 
     def answered(self, caller: Caller, status: int, due: float) -> None:
         now = perf_counter()
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -4,8 +4,8 @@
 
 Starts `serve` of each tree on a core of its own, with stand-in hosts and load on two others, measures after a
 warm-up and prints a table of medians: transactions a second, CPU microseconds a transaction (the proxy's
-process, user and system), latency in milliseconds at p50, p99 and p99.9, and resident memory in MB. Ratios of one run
-count; absolute times drift with the machine.
+process, user and system), latency in milliseconds at p50, p99 and p99.9, and resident memory in MB. Ratios of
+one run count; absolute times drift with the machine.
 """
 import json
 import os
@@ -30,7 +30,8 @@
             "limits": {"sockets": sockets, "memory_mb": memory_mb},
             "known": {"version": 1, "full": True, "servers": lines},
             "settings": {
-                "position": 0, "balancers": 1, "zone": "north", "discovery": "on_request",
+                "family_info": {"warm_keys": True}, "position": 0, "balancers": 1,
+                "zone": "north", "discovery": "on_request",
                 "profiles": [{"name": n, "effect": e, "service_goal_ns": GOAL, "hard_limit_ns": LIMIT}
                              for n, e in (("read", "repeatable"), ("write", "once"))],
                 "allowed": {"max_hops": 3, "second_copies": True, "cancelling": True, "retry_after": True,
