--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -212,7 +212,9 @@
         if tx.tried:
             ahead = len(self.first_line) + bisect(self.further_line, (tx.give_up, tx.id))
         hope = not tx.tried or any(self.allowed(tx, s) for s in self.servers.values())
-        turn, left = ahead * self.pace, tx.give_up - self.now
+        # as they end now, or by Little's law: between bursts commits are as rare as arrivals
+        quickest = (max(1.0, self.strain) * self.quiet_mix + self.unread) / max(1, len(self.flying))
+        turn, left = ahead * min(self.pace, quickest), tx.give_up - self.now
         tx.come_back = int(turn) if turn < left else tx.profile.service_goal    # back when its turn would be
         return "held" if hope and PROMPT * turn < left else "hopeless"
 
--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -39,7 +39,7 @@
 
 
 async def run(told: startup.StartUp, log: Log, reread, turns: Turns) -> None:
-    await Service(told, log, reread, turns.behind).run()
+    await Service(told, log, reread, turns).run()
 
 
 @main.command()
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -2,7 +2,9 @@
 import asyncio
 import gc
 import signal
+from random import Random
 
+from ..recovery.door import Door
 from ..routing.clients import IDLE, NEW, Clients
 from ..routing.clock import TICKS, Clock
 from ..routing.hops import Hops
@@ -14,6 +16,7 @@
 from ..transport.hostpool import HostPool
 from ..transport.listener import Listener
 from ..transport.timers import Timers
+from ..transport.turns import Turns
 from .log import Log
 from .startup import BadStart, StartUp
 
@@ -21,25 +24,30 @@
 BUFFERS_KEPT = 128
 ACCEPT_ON = 0.6         # seconds after SIGTERM: new connections still come for up to 0.4 s
 AT_START_ONLY = ("listen", "agreed", "profiles")     # what a file taken over can't change
+DOOR = 0xD008           # sets the door's chance apart from the decisions', which must not follow it
 READ_ON = 0.1           # seconds for what the last of them carry
 
 
 class Service:
-    def __init__(self, told: StartUp, log: Log, reread=None, behind=lambda: 0) -> None:
-        """`behind()`: for how many nanoseconds bytes may have lain unread; 0 where the loop can't tell."""
+    def __init__(self, told: StartUp, log: Log, reread=None, turns: Turns | None = None) -> None:
+        """`turns`: of the loop this runs on; without them it can't tell its own lateness from silence."""
         self.told, self.log, self.reread, self.ending = told, log, reread, asyncio.Event()
         clock, roster = Clock(), Roster()
         self.timers = timers = Timers(clock.now, TICKS)
         buffers, descriptors = BufferPool(BUFFER, BUFFERS_KEPT), Descriptors(told.sockets)
         self.descriptors = descriptors
-        self.owner = Owner(told.agreed, told.seed, clock, timers, roster, behind, log.say)
+        self.owner = Owner(told.agreed, told.seed, clock, timers, roster,
+                           turns.behind if turns else lambda: 0, log.say)
+        if turns:
+            turns.first = descriptors.outgoing
+        door = Door(min(p.service_goal for p in told.agreed.profiles), Random(told.seed ^ DOOR))
         self.pool = HostPool(buffers, descriptors, timers, told.idle_seconds, told.connect_seconds)
         self.hops = Hops(self.pool, clock, timers, roster, self.owner, told.answer_most, log.say)
         self.watch = Watch(told.discovery, 2 * told.agreed.ask_within / TICKS, told.known.version, self.owner,
                            buffers, descriptors, timers, log.say)
         self.owner.begin_hop, self.owner.begin_watch = self.hops.begin, self.watch.begin
         self.owner.close_idle = roster.left = self.pool.close_idle
-        self.clients = Clients(self.owner, clock, timers, told.profiles, buffers, descriptors, log.say)
+        self.clients = Clients(self.owner, clock, timers, door, told.profiles, buffers, descriptors, log.say)
 
     async def run(self) -> None:
         """From start to SIGTERM, or SIGINT; a second one changes nothing."""
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -4,12 +4,13 @@
 from ..protocol import application, http1
 from ..protocol.application import Asked
 from ..protocol.http1 import Malformed, Message, Parser
+from ..recovery.door import Door
 from ..transport.buffers import BufferPool
 from ..transport.connection import Connection, Fault
 from ..transport.descriptors import Descriptors
 from ..transport.timers import Timers
 from .clock import TICK, TICKS, Clock
-from .owner import Answer, Arrived, Gone, Order, Owner
+from .owner import Answer, Arrived, Gone, Order, Overdue, Owner
 
 STALLED = 2.5       # seconds that a message may take to come in: the first from connecting, others once begun
 RESTED = 2.0        # seconds that a connection may idle where there are many
@@ -78,11 +79,21 @@
                 return self.write((clients.health(found),))
             else:
                 self.keep = found.keep
+                if not clients.door.admit(clients.clock.now(), -(-late // TICK)):
+                    return self.not_now()
                 found = application.asked(found, clients.profiles)
         if isinstance(found, Malformed):
             return self.turn_away(found)
         self.carry(found, late)
 
+    def not_now(self) -> None:
+        """This process can't keep up: rolled back before it costs more; nothing of it has run."""
+        clients, come_back = self.clients, min(self.clients.come_back_most, self.clients.door.come_back())
+        clients.sparingly("door", share=round(clients.door.share(), 3), mean_ms=clients.door.mean / 10,
+                          turned_away=clients.door.turned_away)
+        self.keep = self.keep and clients.ready and len(clients.open) <= clients.descriptors.at_ease
+        self.write((application.rolled_back(come_back / TICKS, self.keep),))
+
     def carry(self, asked: Asked, late: int) -> None:
         clients = self.clients
         if asked.id in clients.ids:     # guards against answering one client with what another asked
@@ -114,10 +125,7 @@
             self.broke(fault)
 
     def overdue(self) -> None:
-        self.clients.say("fault", where="owner", error="no answer in time")
-        order, self.keep = self.settled(), False
-        self.clients.owner.post(Gone(order))
-        self.write((application.abandoned(True, False),))
+        self.clients.owner.post(Overdue(self.order))    # in its turn: the answer may wait before it
 
     def write(self, parts: tuple[bytes, ...]) -> None:
         """An answer; then the next message, or the end."""
@@ -183,12 +191,13 @@
 
 
 class Clients:
-    def __init__(self, owner: Owner, clock: Clock, timers: Timers, profiles: dict[str, int],
+    def __init__(self, owner: Owner, clock: Clock, timers: Timers, door: Door, profiles: dict[str, int],
                  buffers: BufferPool, descriptors: Descriptors, say) -> None:
-        self.owner, self.clock, self.timers, self.profiles, self.say = owner, clock, timers, profiles, say
+        self.owner, self.clock, self.timers, self.door = owner, clock, timers, door
+        self.profiles, self.say = profiles, say
         self.buffers, self.descriptors = buffers, descriptors
         descriptors.givers.append(lambda: self.close_idle(1))
-        self.ready = False
+        self.ready, self.come_back_most = False, owner.agreed.come_back_max
         self.sweeping = False
         self.ids: set[str] = set()              # of transactions not yet answered
         self.loud: dict[str, list] = {}         # event -> second, lines said in it, and left out since
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -47,6 +47,11 @@
     order: Order
 
 
+class Overdue(NamedTuple):
+    """Past its hard limit, and no answer: there is a defect of ours somewhere."""
+    order: Order
+
+
 class HopOver(NamedTuple):
     order: Order
     hop: int
@@ -133,10 +138,18 @@
                                 waited))
 
     def gone(self, item: Gone) -> None:
+        self.end(item.order, None)
+
+    def overdue(self, item: Overdue) -> None:
         if not item.order.closed:
-            item.order.close(None)
-            self.decide(i.TxGone(item.order.number))
-            self.forget(item.order)
+            self.say("fault", where="owner", error="no answer in time")
+            self.end(item.order, Answer("abandoned"))
+
+    def end(self, order: Order, answer: Answer | None) -> None:
+        if not order.closed:
+            order.close(answer)
+            self.decide(i.TxGone(order.number))
+            self.forget(order)
 
     def hop_over(self, item: HopOver) -> None:
         order = item.order
@@ -151,7 +164,7 @@
     def listed(self, item: Listed) -> None:
         self.decide(self.roster.told(item.listing, item.answered))
 
-    TAKES = {Arrived: arrived, Gone: gone, HopOver: hop_over, Listed: listed,
+    TAKES = {Arrived: arrived, Gone: gone, Overdue: overdue, HopOver: hop_over, Listed: listed,
              ListLost: lambda self, _: self.decide(i.ListFailed()), i.TimerDue: decide}
 
     def forget(self, order: Order) -> None:
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -66,6 +66,7 @@
             sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
         except OSError as fault:
             return Fault(Stage.UNTRIED, str(fault))
+        descriptors.outgoing.add(sock.fileno())
         return cls(sock, buffers, descriptors)
 
     def connect(self, address: tuple[str, int], up) -> None:
@@ -200,6 +201,7 @@
         self.closed = True
         self.took = self.ended = self.up = None
         self.descriptors.give()
+        self.descriptors.outgoing.discard(self.stream.socket.fileno() if self.stream.socket else -1)
         self.stream.set_close_callback(None)
         self.stream.close()
         self.stream.connection = None       # no circle is left for the collector
--- a/basalthook/transport/descriptors.py
+++ b/basalthook/transport/descriptors.py
@@ -9,6 +9,7 @@
 
     def __init__(self, limit: int) -> None:
         self.held, self.givers = 0, []
+        self.outgoing: set[int] = set()         # of connections that this process opened
         self.bound(limit)
 
     def bound(self, limit: int) -> None:
