Answers within a sixty-fourth of the goal tell of no crowd and draw no copy

Cause: benchmarks/floor.py, the path in layers, shows at 64 connections 88 us for Tornado's streams alone, 53 for our connections, 117 with messages, 208 with the program and a stand-in for the decisions, 582 with the decisions: hosts that answer in 0.2 ms look crowded at 0.3, so that all waits in line, is looked at again with each answer, and gets a copy after 0.7 ms.

Change: the quiet latency and the time after which a hop is late are no less than a 64th of the profile's service goal.

--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -31,6 +31,7 @@
 REACH = 2               # while busy, a key waits for one of its first so many hosts before it goes elsewhere
 PROMPT = 8              # who would wait longer than this part of the time left is rolled back at once
 LOOK_AHEAD = 16         # waiting transactions tried when something has ended
+UNHURRIED = 64          # answers within this part of the goal are as good as any, and tell of no crowd
 BUSY = 1.25             # above this the fleet, or a zone against the others, is busy
 SPARE, SPARE_FOR = 0.7, 2_000   # a host that reports its cores less busy has room for this long
 ERRING = 0.3            # share of errors on several keys that makes them the host's own fault
@@ -457,7 +458,8 @@
         quiet, error = self.quiet[tx.kind], event.elapsed - mean
         self.level[tx.kind] += (event.elapsed - self.level[tx.kind]) * 0.01     # steady: few are very heavy
         gap = self.level[tx.kind] - quiet
-        self.quiet[tx.kind] += gap * (0.02 if gap < 0 else 0.00005)
+        quiet += gap * (0.02 if gap < 0 else 0.00005)
+        self.quiet[tx.kind] = quiet = max(quiet, tx.profile.service_goal / UNHURRIED)
         self.usual[tx.kind] = mean + error * 0.05, deviation + (abs(error) - deviation) * 0.05
         strain = min(10.0, event.elapsed / quiet)
         # by time, where answers are few; of commits only: what silent hosts owe is no crowd at the others
@@ -513,7 +515,8 @@
 
     def late_after(self, tx):
         mean, deviation = self.usual[tx.kind]
-        return int(min(mean + 4 * deviation, tx.profile.service_goal / 2))
+        goal = tx.profile.service_goal
+        return int(min(max(mean + 4 * deviation, goal / UNHURRIED), goal / 2))
 
     def key_at_fault(self, tx, server):
         """Failures of one key at several hosts are the transaction's own."""
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -147,6 +147,8 @@
         if not self.stream.writing():
             try:
                 sent = self.stream.socket.sendmsg(parts)
+                if sent == sum(map(len, parts)):
+                    return True
             except BlockingIOError:
                 pass
             except OSError as fault:
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -19,6 +19,7 @@
 
 TICK = os.sysconf("SC_CLK_TCK")
 HERE = Path(__file__).resolve().parent.parent
+LAYERS = ("streams", "connections", "messages", "program")
 GOAL, LIMIT = 500_000_000, 2_000_000_000
 
 
@@ -65,7 +66,7 @@
     """One `serve` of a tree, and the stand-ins it needs."""
 
     def __init__(self, tree: Path, hosts: int, body: int, delay_ms: float, sockets: int,
-                 memory_mb: int) -> None:
+                 memory_mb: int, layer: str = "") -> None:
         self.stubs = subprocess.Popen(
             [sys.executable, "-m", "benchmarks.stubs", str(hosts), str(body), str(delay_ms)], cwd=HERE,
             stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True, preexec_fn=on_core(1))
@@ -73,8 +74,9 @@
         self.folder = tempfile.TemporaryDirectory()
         file = Path(self.folder.name, "start-up.json")
         file.write_text(json.dumps(start_up(told["hosts"], told["discovery"], sockets, memory_mb)))
-        self.process = subprocess.Popen([sys.executable, "-m", "basalthook", "serve", "--file", str(file)],
-                                        cwd=tree, stdout=subprocess.PIPE, text=True, preexec_fn=on_core(0))
+        words = ["benchmarks.floor", layer] if layer else ["basalthook", "serve", "--file"]
+        self.process = subprocess.Popen([sys.executable, "-m", *words, str(file)], cwd=tree, text=True,
+                                        stdout=subprocess.PIPE, preexec_fn=on_core(0))
         while (line := json.loads(self.process.stdout.readline()))["event"] != "ready":
             pass
         self.address = line["listen"]
@@ -103,8 +105,12 @@
         return found
 
 
-def trees(words: tuple[str, ...]) -> dict[str, Path]:
-    return {name: Path(path).resolve() for name, _, path in (word.partition("=") for word in words)}
+def trees(words: tuple[str, ...], layers: bool) -> dict[str, tuple[Path, str]]:
+    """Name -> folder, and the layer to start there instead of `serve`."""
+    found = {layer: (HERE, layer) for layer in LAYERS} if layers else {}
+    for name, _, path in (word.partition("=") for word in words):
+        found[name] = Path(path).resolve(), ""
+    return found
 
 
 def table(rows: list[dict], columns: list[str]) -> str:
@@ -127,6 +133,7 @@
 
 @click.command()
 @click.option("--tree", "words", multiple=True, default=("new=.",), help="NAME=FOLDER of a state to measure.")
+@click.option("--layers", is_flag=True, help="Also the layers of benchmarks/floor.py.")
 @click.option("--connections", default="1,16,64,256", show_default=True)
 @click.option("--hosts", default="8", show_default=True, help="How many stand-in hosts; several with commas.")
 @click.option("--bodies", default="100", show_default=True, help="Bytes of an answer; several with commas.")
@@ -138,7 +145,7 @@
 @click.option("--seconds", default=3.0, show_default=True)
 @click.option("--sockets", default=4096, show_default=True)
 @click.option("--memory-mb", default=256, show_default=True)
-def main(words, connections, hosts, bodies, sent, idle, rate, delay_ms, rounds, seconds, sockets,
+def main(words, layers, connections, hosts, bodies, sent, idle, rate, delay_ms, rounds, seconds, sockets,
          memory_mb) -> None:
     """Measure trees in turn and print a table."""
     rows = []
@@ -146,10 +153,10 @@
         for body in map(int, bodies.split(",")):
             for idling in map(int, idle.split(",")):
                 for count in map(int, connections.split(",")):
-                    found = {name: [] for name in trees(words)}
+                    found = {name: [] for name in trees(words, layers)}
                     for turn in range(rounds):
-                        for name, tree in trees(words).items():
-                            with Proxy(tree, host_count, body, delay_ms, sockets, memory_mb) as proxy:
+                        for name, (tree, layer) in trees(words, layers).items():
+                            with Proxy(tree, host_count, body, delay_ms, sockets, memory_mb, layer) as proxy:
                                 found[name].append(proxy.measure(count, seconds, rate, idling, sent, turn))
                     for name, all_found in found.items():
                         rows.append({"state": name, "connections": count, "hosts": host_count, "body": body,
