--- /dev/null
+++ b/benchmarks/decisions.py
@@ -0,0 +1,76 @@
+"""What the decisions cost by kind of event, at 10, 50 and 500 hosts.
+
+    python -m benchmarks.decisions
+
+Plays transactions against hosts that answer after 20 ms, in made time and without any socket, and prints
+a table of microseconds a call: median of rounds, by event. Compare columns, and states, of one run.
+"""
+import statistics
+import sys
+from pathlib import Path
+from time import perf_counter_ns
+
+import click
+
+EVENTS = ("TxArrived", "HopEnded", "TimerDue")
+
+
+def play(count: int, transactions: int, waiting: bool) -> dict[str, float]:
+    """Mean microseconds a call for one proxy before `count` hosts; `waiting` keeps its line filled."""
+    from basalthook.policy import interface as i
+    from basalthook.policy.decide import Proxy
+    kinds = i.IDEMPOTENT, i.NON_IDEMPOTENT
+    profiles = tuple(i.Profile(kind, i.EVERYWHERE, 0, 5_000) for kind in kinds)
+    agreed = i.Agreement(profiles, 0, 4, "north", 0.01, 0.0, True, True, 100_000, 0.2, 200_000, 2.5, 30_000,
+                         3, True, True, 20_000)
+    now, spent, calls, due = 1_000_000, dict.fromkeys(EVENTS, 0), dict.fromkeys(EVENTS, 0), []
+    proxy = Proxy(agreed, 1, now)
+    hosts = tuple(i.Host(n, 7919 * (n + 1) ** 3, "north" if n % 2 else "south", n, True, 1.0, None)
+                  for n in range(count))
+    proxy.handle(now, i.HostsListed(hosts, True, True))
+    out, hops = [], {}
+
+    def handle(event) -> None:
+        begun = perf_counter_ns()
+        effects = proxy.handle(now, event)
+        spent[type(event).__name__] += perf_counter_ns() - begun
+        calls[type(event).__name__] += 1
+        for effect in effects:
+            if isinstance(effect, i.SendHop):
+                hop = hops[effect.tx] = hops.get(effect.tx, -1) + 1
+                out.append((now + 200, effect.tx, hop, effect.host, now))
+            elif isinstance(effect, i.SetTimer):
+                due.append((now + effect.delay, effect.mark))
+    for tx in range(transactions):
+        now += 4
+        if waiting:
+            proxy.strain = 2.0
+        handle(i.TxArrived(tx, tx % 2, tx * 31 % 2000, 20_000))
+        while out and out[0][0] <= now:
+            _, done, hop, host, sent = out.pop(0)
+            handle(i.HopEnded(done, hop, host, i.COMMITTED, now - sent, True, None))
+        while due and due[0][0] <= now:
+            handle(i.TimerDue(due.pop(0)[1]))
+    return {name: spent[name] / max(1, calls[name]) / 1000 for name in EVENTS}
+
+
+@click.command()
+@click.option("--tree", default=".", show_default=True, help="The state whose decisions are measured.")
+@click.option("--rounds", default=5, show_default=True)
+@click.option("--transactions", default=5_000, show_default=True)
+def main(tree: str, rounds: int, transactions: int) -> None:
+    """Measure the decisions by event and number of hosts."""
+    sys.path.insert(0, str(Path(tree).resolve()))
+    names = [name + more for more in ("", ", a line waits") for name in EVENTS]
+    click.echo("| hosts | " + " | ".join(names) + " |")
+    click.echo("| --- " * (1 + 2 * len(EVENTS)) + "|")
+    for count in (10, 50, 500):
+        cells = []
+        for waiting in (False, True):
+            found = [play(count, transactions, waiting) for _ in range(rounds)]
+            cells += [f"{statistics.median(f[name] for f in found):.1f}" for name in EVENTS]
+        click.echo(f"| {count} | " + " | ".join(cells) + " |")
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -95,8 +95,8 @@
         host, port = told["address"]
         idle = [await loop.create_connection(lambda: Caller(self), host, port) for _ in range(told["idle"])]
         self.until, self.begin = float("inf"), 0.0
-        callers = [(await loop.create_connection(lambda: Caller(self), host, port))[1]
-                   for _ in range(told["connections"])]
+        self.callers = callers = [(await loop.create_connection(lambda: Caller(self), host, port))[1]
+                                  for _ in range(told["connections"])]
         start = perf_counter()
         self.begin, self.until = start + told["warm"], start + told["warm"] + told["seconds"]
         if told["rate"]:
