--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -16,7 +16,7 @@
 
     def test_every_kind_of_event_is_timed(self):
         for waiting in (False, True):
-            found = decisions.play(10, 100, waiting)
+            found = decisions.play(10, 1_000, waiting)
             self.assertTrue(all(found[name] > 0 for name in decisions.EVENTS), found)
 
     def test_medians_are_of_the_rounds_and_counts_of_all(self):
