--- a/basalthook/recovery/door.py
+++ b/basalthook/recovery/door.py
@@ -11,8 +11,8 @@
 """
 from random import Random
 
-EASE = 0.08     # parts of the service goal that arrivals may wait unread, on average, with nobody turned away
-LOST = 0.60     # with all turned away; the rest of the goal is for the hop and the answer
+EASE = 0.12     # parts of the service goal that arrivals may wait unread, on average, with nobody turned away
+LOST = 0.50     # with all turned away; the rest of the goal is for the hop and the answer
 WEIGHT = 0.02   # of one arrival in the mean
 FADE = 1_000    # tenths of a millisecond without an arrival after which the mean is halved
 
