A connect timer that looks at the socket leaves its error to be read

Cause: found on reading the change: the look at SO_ERROR clears it, so a connection refused while the loop was late would have counted as up, and its host as one that drops (fails with the test's late timer). Change: tcpi_state, which clears nothing.

--- a/basalthook/transport/arrival.py
+++ b/basalthook/transport/arrival.py
@@ -12,6 +12,7 @@
 OPTION = getattr(socket, "SO_TIMESTAMPNS", 35) if sys.platform == "linux" else None
 SECONDS = struct.Struct("@ll")      # struct timespec
 SPACE = socket.CMSG_SPACE(SECONDS.size)
+SYN_SENT = 2        # tcpi_state of a connection that is still coming up (tcp_states.h)
 LATE_MOST = 10_000_000_000      # nanoseconds; more tells of a clock that was set, not of us
 
 
@@ -32,13 +33,12 @@
     return 0
 
 
-def connected(sock: socket.socket) -> bool:
-    """Whether a socket that was told to connect is up, or has failed."""
+def settled(sock: socket.socket) -> bool:
+    """Whether a socket that was told to connect is up, or has failed; its error is left to be read."""
     try:
-        sock.getpeername()
-        return True
-    except OSError:
-        return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != SYN_SENT
+    except (OSError, AttributeError):       # not known here: the timer's word holds
+        return False
 
 
 def connecting(sock: socket.socket) -> int | None:
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -95,7 +95,7 @@
 
         Guards against taking our own lateness for a peer that does not answer.
         """
-        if not self.closed and not arrival.connected(self.stream.socket):
+        if not self.closed and not arrival.settled(self.stream.socket):
             self.fail(why)
 
     def follow(self, took, ended) -> None:
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -16,6 +16,7 @@
 from basalthook.transport import arrival
 from basalthook.transport.buffers import BufferPool
 from basalthook.transport.connection import Connection
+from basalthook.transport.connection import Stage as Reached
 from basalthook.transport.descriptors import Descriptors
 from basalthook.transport.timers import COMPACT_FROM, Timers
 from basalthook.transport.turns import Turns, run
@@ -157,6 +158,17 @@
             connection.close()
 
 
+    async def test_a_connection_that_was_refused_is_no_sound_one_to_a_late_timer(self):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = server.getsockname()
+        connection, up = Connection.towards(address, BufferPool(64, 8), Descriptors(64)), []
+        connection.connect(address, up.append)
+        connection.give_up("not within 0.25 s")
+        while not up:
+            await asyncio.sleep(0)
+        self.assertEqual((up[0].stage, connection.closed), (Reached.CONNECTING, True))
+
+
 class Stalled(unittest.TestCase):
     """The whole proxy on a loop that another program holds up."""
 
