Who writes out of turn is read no further and still gets its answer: a test

Need: the path for clients that write while their transaction is open is new (reading paused, a lingering end) and had no test of its own.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -356,6 +356,19 @@
         with self.assertRaises(ConnectionError):        # closed with most of it unread
             await caller.writer.drain()
 
+    async def test_who_writes_out_of_turn_is_read_no_further_and_still_gets_its_answer(self):
+        caller = await self.play(SocketHost(SILENT))
+        caller.ask("submit")
+        await self.hosts[0].got.get()
+        caller.writer.write(b"x" * 3_000_000)
+        client, = self.service.clients.open
+        await self.until(lambda: client.connection.paused)
+        self.hosts[0].writers[0].write(OK)
+        status, body, head = await caller.answer()
+        self.assertEqual((status, body, "Connection: close" in head), (200, b"done", True))
+        await self.until(lambda: not self.service.clients.open)
+        self.assertEqual(self.hosts[0].got.qsize(), 0)
+
     async def test_a_flood_of_bad_input_does_not_flood_the_log(self):
         await self.play(SocketHost())
         for _ in range(100):
