--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -104,14 +104,13 @@
         self.level = list(self.quiet)       # the same, as of late
         self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
         self.pace, self.last_commit, self.cores = 0.0, now, 1.0     # time between commits; cores said busy
-        self.unread = 0.0           # how long answers lie here before this process looks at them
         self.flying = {}            # hops out: (tx, hop) -> server, sent at, late after; emptied as they end
         self.sent, self.warm_commits = Window(agreement.fall_time), Window(agreement.fall_time)
         self.usual_rate, self.lately = 0.0, deque(maxlen=64)    # commits of a warm host a fall window; keys
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
         self.least, self.chosen = max(1.0, BEARABLE // agreement.proxies), None    # host of a waiting tx
-        self.scarce_until = now     # when connections are no longer hard to get
+        self.scarce_until, self.unread = now, 0.0   # connections hard to get; how long answers lie unread
         self.reset_rankings()
 
     def begin(self):
@@ -203,9 +202,7 @@
 
     def place(self, tx):
         """Send; or hold in line if a turn comes soon; else give up, and tell the client when to come back."""
-        server, self.chosen = self.chosen, None
-        if server is None and not self.full():
-            server = self.pick(tx)
+        server, self.chosen = self.chosen or (None if self.full() else self.pick(tx)), None
         if server is not None and self.send(tx, server):
             return "sent"
         tx.give_up = tx.goal - int(sum(self.usual[tx.kind]))    # kept: the estimate behind it moves
@@ -213,7 +210,7 @@
         if tx.tried:
             ahead = len(self.first_line) + bisect(self.further_line, (tx.give_up, tx.id))
         hope = not tx.tried or any(self.allowed(tx, s) for s in self.servers.values())
-        # as they end now, or by Little's law: between bursts commits are as rare as arrivals
+        # by Little's law as well: between bursts commits are as rare as arrivals
         quickest = (max(1.0, self.strain) * self.quiet_mix + self.unread) / max(1, len(self.flying))
         turn, left = ahead * min(self.pace, quickest), tx.give_up - self.now
         tx.come_back = int(turn) if turn < left else tx.profile.service_goal    # back when its turn would be
@@ -241,13 +238,11 @@
 
     def second_look(self, tx):
         """Still out after the usual time: a copy. Moving the hop would lose its work in every crowd."""
-        if len(tx.out) > 1:
-            return
-        (hop, (server, sent_at)), = tx.out.items()
+        hop, (_, sent_at) = next(iter(tx.out.items()))
         due = sent_at + self.flying[tx.id, hop][2]
-        if self.seen < due <= self.now:     # its answer may lie here unread
+        if len(tx.out) == 1 and self.seen < due <= self.now:    # its answer may lie here unread
             self.effects.append(i.SetTimer(max(1, due - self.seen), tx.id + 2))
-        elif (other := self.pick(tx)) is not None:
+        elif len(tx.out) == 1 and (other := self.pick(tx)) is not None:
             self.send(tx, other)
 
     def settle(self, tx):
@@ -268,16 +263,14 @@
 
     def goes_on(self, tx):
         """Whether it may have a further hop at all."""
-        if self.now >= tx.hard_limit or len(tx.tried) >= self.terms.max_hops or tx.state == "done":
-            return False
-        if tx.out and not self.terms.second_copies:
+        if self.now >= tx.hard_limit or len(tx.tried) >= self.terms.max_hops or tx.state == "done" or (
+                tx.out and not self.terms.second_copies):
             return False
         if tx.profile.kind == i.IDEMPOTENT or not tx.out and not tx.ran:
             return True
         return tx.profile.kind == i.JOURNALLED and self.now < self.first_run(tx)[0] + tx.profile.repeat_window
 
     def first_run(self, tx):
-        """When and where it may have run first."""
         return min([(at, s.line) for s, at in tx.out.values()] + ([tx.ran] if tx.ran else []))
 
     def admits(self, tx, server):
@@ -289,8 +282,6 @@
             ran = self.first_run(tx)[1]
             if {i.ZONE: line.zone != ran.zone, i.CELL: line.cell != ran.cell}.get(tx.profile.group):
                 return False
-        if server.fresh_from is None:
-            return True
         # a fresh host's share; luck guards against one hop each of hundreds of proxies with one hot key
         most = self.usual_rate * line.weight * self.warmth(server)
         return server.fresh_from is None or tx.luck <= COLD_KEYS * most and (
@@ -357,10 +348,8 @@
     def has_room(self, server):
         """Guards against hosts that leave single hops unanswered: these hold no place of others."""
         held = len(server.out)
-        if held < self.least:
-            return True
-        most = self.budget(server)
-        return held < most or held - sum(map(self.owed, server.out.values())) < most
+        return held < self.least or held < (most := self.budget(server)) or (
+            held - sum(map(self.owed, server.out.values())) < most)
 
     def owed(self, out):
         """Late, and nothing heard since, or later ones are answered: it tells of no crowd at its host."""
@@ -378,15 +367,11 @@
         usual = self.quiet_out(self.sent)
         spare = max(0.0, min(1.0, (CROWDED - self.strain) / (CROWDED - BUSY)))
         most = max(1.0, ROOMY * usual + spare * (1 + 2 * usual ** 0.5))
-        if len(self.flying) < most:
-            return False
-        return len(self.flying) - spare * sum(map(self.owed, self.flying.values())) >= most
+        out = len(self.flying)
+        return out >= most and out - spare * sum(map(self.owed, self.flying.values())) >= most
 
     def quiet_out(self, sent):
-        """Hops that would be out, at the rate of these sends, if all were answered as in quiet times.
-
-        Guards against a late process that fills its own budget: what is answered but unread is out as well.
-        """
+        """Hops out at this rate in quiet times, those that lie here answered but unread included."""
         span = min(self.terms.fall_time, max(self.now - self.born, self.quiet_mix))
         return sent.count(self.now) / span * (self.quiet_mix + self.unread)
 
