--- a/basalthook/routing/__init__.py
+++ b/basalthook/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Between sockets and decisions: the owner task, hops, clients' connections, discovery's watch."""
+"""Between sockets and decisions: the owner, hops, clients' connections, discovery's watch."""
