--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -37,7 +37,8 @@
 ERRING = 0.3            # share of errors on several keys that makes them the host's own fault
 LEAN_EVERY = 10_000     # how often what changes slowly is looked at
 COLD_STEPS = 16         # steps in which the slice of a fresh host widens
-COLD_KEYS = 4           # a fresh host knows no key: a hop may cost it several times what a warm one pays
+COLD_KEYS = 2.5         # a fresh host knows no key: a hop may cost it several times what a warm one pays
+SELDOM, LEARN = 0.4, 3  # weight of a host's one answer in a fall time; over all, of answers as far apart
 
 # state, input -> next state, effect. An effect may return the next input. What is not here changes nothing.
 LIFE = {
@@ -69,7 +70,8 @@
     """What this proxy knows of one host; dropped when it has left the list and no hop is out."""
 
     def __init__(self, line, span):
-        self.id, self.heard, self.sent, self.used = line.host, 0, Window(span), None
+        self.id, self.heard, self.used = line.host, 0, None
+        self.sent, self.committed = Window(span), Window(span)      # hops, and answers
         self.passed, self.passed_by = 0, {}     # when the latest hop was sent that it answered; by profile
         self.out = {}               # the same of this host's hops; emptied as they end
         self.renew(line)
@@ -105,12 +107,12 @@
         self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
         self.pace, self.last_commit, self.cores = 0.0, now, 1.0     # time between commits; cores said busy
         self.flying = {}            # hops out: (tx, hop) -> server, sent at, late after; emptied as they end
-        self.sent, self.warm_commits = Window(agreement.fall_time), Window(agreement.fall_time)
-        self.usual_rate, self.lately = 0.0, deque(maxlen=64)    # commits of a warm host a fall window; keys
+        self.sent, self.lately = Window(agreement.fall_time), deque(maxlen=64)  # our hops; the latest keys
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
         self.least, self.chosen = max(1.0, BEARABLE // agreement.proxies), None    # host of a waiting tx
         self.scarce_until, self.unread = now, 0.0   # connections hard to get; how long answers lie unread
+        self.usual_rate = 0.0       # commits of a warm host a fall window
         self.reset_rankings()
 
     def begin(self):
@@ -403,8 +405,8 @@
             return
         self.lean_next = self.now + LEAN_EVERY
         known = [s for s in self.ready if s.banned_until <= self.now]
-        warm = [s.line.weight for s in known if s.fresh_from is None]
-        rate = self.warm_commits.count(self.now) / (sum(warm) or 1.0)
+        warm = [s for s in known if s.fresh_from is None]   # not what hosts gone or banned have committed
+        rate = sum(s.committed.count(self.now) for s in warm) / (sum(s.line.weight for s in warm) or 1.0)
         if rate > self.usual_rate or len(warm) * 2 >= len(self.ready) and not self.busy():
             self.usual_rate += (rate - self.usual_rate) * 0.3   # in a crowd they commit less than they could
         sends = max(1, self.sent.count(self.now)) * self.terms.proxies      # of all, as if each sent as we do
@@ -448,20 +450,19 @@
         self.usual[tx.kind] = mean + error * 0.05, deviation + (abs(error) - deviation) * 0.05
         strain = min(10.0, event.elapsed / quiet)
         # by time, where answers are few; of commits only: what silent hosts owe is no crowd at the others
-        self.strain += (strain - self.strain) * max(0.02, min(0.2, since / self.terms.fall_time))
         self.weigh(server, tx, event, strain)
-        if server.fresh_from is None:
-            self.warm_commits.add(self.now)
+        if not server.throttles:
+            self.strain += (strain - self.strain) * max(0.02, min(0.2, LEARN * since / self.terms.fall_time))
+        server.committed.add(self.now)
 
     def weigh(self, server, tx, event, strain=None):
         if event.outcome != i.COMMITTED and self.now - event.elapsed < server.passed:
             return      # guards against a crowd seen where single hops stay unanswered, later ones not
         strain = strain or max(server.strain, min(10.0, event.elapsed / self.quiet[tx.kind]))
-        # a proxy among more than there are hosts meets each seldom: what was given up on must tell at once
-        lost = event.outcome != i.COMMITTED and self.terms.proxies > len(self.ready)
-        server.strain += (strain - server.strain) * (0.5 if server.throttles or lost else 0.1)
+        often = max(1, server.sent.count(self.now))     # guards against jams that many proxies meet seldom
+        server.strain += (strain - server.strain) * (0.5 if server.throttles else max(0.1, SELDOM / often))
         if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
-            self.back_off(server, tx, event)
+            self.back_off(server, tx, event, self.terms.fall_time // often, COOLDOWN)
         else:
             server.throttles = 0
 
@@ -488,13 +489,12 @@
             self.ban(server, tx, event)
 
     def ban(self, server, tx, event):
-        server.banned_until, server.erring, server.timeouts = self.now + COOLDOWN, 0.0, {}
-        server.proven = False
+        server.banned_until, server.erring, server.timeouts, server.proven = self.now + COOLDOWN, 0, {}, False
         self.scarce_until = server.banned_until if event.outcome == i.UNREACHABLE else self.scarce_until
         self.effects.append(i.SetTimer(COOLDOWN, 1))
 
-    def back_off(self, server, tx, event):
-        wait = min(BACKOFF_MOST, BACKOFF * 2 ** server.throttles)
+    def back_off(self, server, tx, event, seldom=BACKOFF, most=BACKOFF_MOST):
+        wait = min(most, max(BACKOFF, seldom) * 2 ** server.throttles)
         server.throttles, server.shy_until = min(server.throttles + 1, 8), self.now + wait
         self.effects.append(i.SetTimer(wait, 1))
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -298,6 +298,28 @@
         stage.end(tx, 0, stage.sends()[0], i.TIMED_OUT, 20_000)
         self.assertEqual(stage.proxy.strain, 1.0)
 
+    def test_a_host_met_seldom_rests_on_one_slow_answer_and_long_and_one_met_often_does_not(self):
+        """Forty proxies met a jammed host each four seconds: it took three answers, and a rest was 50 ms."""
+        for before, rests in ((0, True), (30, False)):
+            stage = Stage(fleet(1), elapsed=100, proxies=40)
+            stage.many(before)
+            stage.turn(None)
+            slow, server = stage.arrive(), stage.proxy.servers[0]
+            stage.end(slow, 0, 0, i.COMMITTED, 6_000)
+            self.assertEqual(server.shy_until >= stage.now + 25_000, rests)
+
+    def test_the_jam_of_one_host_is_not_the_fleets(self):
+        """Six jammed hosts of sixty, and a fifth of all rolled back while the others had room."""
+        stage = Stage(fleet(1, outcome=None))
+        strains = []
+        for _ in range(4):
+            slow = stage.arrive()
+            stage.end(slow, 0, 0, i.COMMITTED, 6_000)
+            strains.append(stage.proxy.strain)
+            stage.wait(100_000)
+        self.assertEqual(len(stage.sends()), 4)
+        self.assertEqual(strains, [1.0] * 4)
+
     def test_connections_idle_for_longer_than_they_are_worth_are_closed(self):
         """303 proxies kept 94 connections a host, and popular hosts took no more: sound hosts were banned."""
         for worth, closed in ((0.0, 0), (100.0, 1)):
