Crowded hosts speak for the fleet once they are more than half of it

Where all hosts are crowded all are at rest, and no answer told of the crowd any more (lines at fault: the condition in sound).

--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -451,7 +451,7 @@
         strain = min(10.0, event.elapsed / quiet)
         # by time, where answers are few; of commits only: what silent hosts owe is no crowd at the others
         self.weigh(server, tx, event, strain)
-        if not server.throttles:
+        if not server.throttles or 2 * sum(bool(s.throttles) for s in self.ready) > len(self.ready):
             self.strain += (strain - self.strain) * max(0.02, min(0.2, LEARN * since / self.terms.fall_time))
         server.committed.add(self.now)
 
