--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -172,6 +172,13 @@
 class Stalled(unittest.TestCase):
     """The whole proxy on a loop that another program holds up."""
 
+    def setUp(self):
+        """The system begins to stamp a moment after the first socket that asks for it."""
+        asks = socket.socket()
+        self.addCleanup(asks.close)
+        arrival.stamp(asks)
+        time.sleep(0.05)
+
     def play(self, story, *hosts, **told):
         turns, log = Turns(), []
 
