--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -396,6 +396,17 @@
         stage.many(10)
         self.assertGreater(len(bad.got), before)
 
+    def test_clients_told_at_one_moment_do_not_come_back_at_one(self):
+        """Forty proxies told all they turned away to come after the same time: the next wave of a storm."""
+        stage = Stage(fleet(1, outcome=None))
+        stage.crowd(2.0)
+        stage.proxy.pace = 600
+        stage.many(60, key=9)
+        told = [e.come_back for e in stage.record if isinstance(e, i.RollBack)]
+        self.assertGreater(len(told), 40)
+        self.assertGreater(len(set(told)), len(told) / 2)
+        self.assertLess(1.4, max(told) / min(told))
+
     def test_no_turn_soon_is_told_at_once_and_when_to_come_back(self):
         """Long lines served everyone at the last moment; a stay of a whole goal made every retry late."""
         stage = Stage(fleet(1, outcome=None))
