Hosts ranked and shared by size; no guessed bound over all where the list tells load

Lines at fault: decide.py 288, 345, 390, 398, 409 (weight taken as size), 196 (all sorted anew at each list), 364 (`full`). Change: a host's size is the highest weight seen of its kind, in steps of two; rankings stay unless readiness, zone, start or size change; where weights are live `full` does not act; ids are hashed once.

--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -74,6 +74,7 @@
         self.sent, self.committed = Window(span), Window(span)      # hops, and answers
         self.passed, self.passed_by = 0, {}     # when the latest hop was sent that it answered; by profile
         self.out = {}               # the same of this host's hops; emptied as they end
+        self.size, self.held = 0.0, 0.0     # capacity against other hosts'; held a core, as last listed
         self.renew(line)
 
     def renew(self, line):
@@ -182,7 +183,7 @@
     def on_listed(self, event):
         if event.answered:
             self.watching, self.asked, self.list_failures = True, False, 0
-        named, span = {line.host for line in event.hosts}, self.terms.fall_time
+        named, span, before = {line.host for line in event.hosts}, self.terms.fall_time, self.standing()
         for server in self.servers.values():
             if event.complete and server.id not in named:
                 server.line = server.line._replace(ready=False)
@@ -191,10 +192,25 @@
             if line.started is not None and line.started != server.line.started:
                 server.renew(line)
             server.line = line
+            # a live weight only ever says too little; in steps, against one untrue tenfold
+            server.size = max(server.size, min(line.weight, 2 * server.size or line.weight)) if (
+                self.terms.live_weights) else line.weight
         self.servers = {n: s for n, s in self.servers.items() if s.line.ready or s.out}
-        self.reset_rankings()
+        if self.terms.live_weights:
+            sizes = {}
+            for server in self.servers.values():
+                kind = server.line.kind or server.id
+                sizes[kind] = max(server.size, sizes.get(kind, 0.0))
+            for server in self.servers.values():
+                server.size = sizes[server.line.kind or server.id]
+                server.held = server.size / server.line.weight - 1
+        if self.standing() != before:       # lists that only tell of load come several times a second
+            self.reset_rankings()
         self.fill()
 
+    def standing(self):
+        return [(s.id, s.size, s.line.zone, s.fresh_from) for s in self.servers.values() if s.line.ready]
+
     def on_list_failed(self, event):
         """It may also mean that the watch broke, so ask again, ever later, never all at once."""
         self.watching, self.asked = not self.terms.list_on_request, False
@@ -285,7 +301,7 @@
             if {i.ZONE: line.zone != ran.zone, i.CELL: line.cell != ran.cell}.get(tx.profile.group):
                 return False
         # a fresh host's share; luck guards against one hop each of hundreds of proxies with one hot key
-        most = self.usual_rate * line.weight * self.warmth(server)
+        most = self.usual_rate * server.size * self.warmth(server)
         return server.fresh_from is None or tx.luck <= COLD_KEYS * most and (
             server.sent.count(self.now) < max(1.0, most))
 
@@ -342,7 +358,7 @@
 
     def budget(self, server):
         """Little's law: our hops at a host whose answers take ROOMY times as long as in quiet."""
-        share = FAIR * (len(self.flying) + 1) * server.line.weight * self.warmth(server) / self.weight
+        share = FAIR * (len(self.flying) + 1) * server.size * self.warmth(server) / self.weight
         loose = self.strain <= BUSY and not self.first_line or server.spare_until > self.now
         own = share if loose else min(ROOMY * self.quiet_out(server.sent), share)
         return max(self.least, own)
@@ -364,7 +380,7 @@
 
     def full(self):
         """Guards against many proxies with a hop or two each; one that is owed does not count."""
-        if not self.busy():
+        if self.terms.live_weights or not self.busy():
             return False
         usual = self.quiet_out(self.sent)
         spare = max(0.0, min(1.0, (CROWDED - self.strain) / (CROWDED - BUSY)))
@@ -387,7 +403,7 @@
         if found is None:
             if len(self.rankings) >= KEYS_KEPT:
                 self.rankings.popitem(last=False)
-            claims = {s.id: claim(key, s.line.hash, s.line.weight * self.warmth(s) * (
+            claims = {s.id: claim(key, s.line.hash, s.size * self.warmth(s) * (
                 self.lean if s.line.zone == self.terms.zone else 1.0)) for s in self.ready}
             found = self.rankings[key] = sorted(self.ready, key=lambda s: claims[s.id])
         return found
@@ -395,7 +411,7 @@
     def reset_rankings(self):
         self.rankings.clear()
         self.ready = [s for s in self.servers.values() if s.line.ready]
-        self.weight = sum(s.line.weight * self.warmth(s) for s in self.ready)
+        self.weight = sum(s.size * self.warmth(s) for s in self.ready)
         cold = any(s.fresh_from is not None for s in self.ready)
         self.ranked_until = self.now + self.terms.cold_time // COLD_STEPS if cold else float("inf")
 
@@ -406,7 +422,7 @@
         self.lean_next = self.now + LEAN_EVERY
         known = [s for s in self.ready if s.banned_until <= self.now]
         warm = [s for s in known if s.fresh_from is None]   # not what hosts gone or banned have committed
-        rate = sum(s.committed.count(self.now) for s in warm) / (sum(s.line.weight for s in warm) or 1.0)
+        rate = sum(s.committed.count(self.now) for s in warm) / (sum(s.size for s in warm) or 1.0)
         if rate > self.usual_rate or len(warm) * 2 >= len(self.ready) and not self.busy():
             self.usual_rate += (rate - self.usual_rate) * 0.3   # in a crowd they commit less than they could
         sends = max(1, self.sent.count(self.now)) * self.terms.proxies      # of all, as if each sent as we do
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -46,6 +46,7 @@
     second_copies: bool
     cancelling: bool
     come_back_max: int              # longest come-back time that clients are told; 0: none
+    live_weights: bool = False      # listed weights are size / (1 + transactions held a core), and late
 
 
 class Host(NamedTuple):
@@ -55,8 +56,9 @@
     zone: str
     cell: int
     ready: bool                     # false: draining or gone
-    weight: float
+    weight: float                   # its size; or, by the agreement, what its load leaves of it
     started: int | None             # None: long ago
+    kind: str = ""                  # hosts of a kind are of one size; "": unlike any other
 
 
 # Events
--- a/basalthook/protocol/catalogue.py
+++ b/basalthook/protocol/catalogue.py
@@ -20,6 +20,7 @@
     removed: bool
     weight: float
     started_ns: int
+    kind: str = ""
 
 
 class Listing(NamedTuple):
@@ -46,7 +47,8 @@
     entry = {name: value for name, value in entry.items() if value is not None}
     return Line(str(entry["id"]), address(entry["addr"]), str(entry.get("zone", "")),
                 int(entry.get("cell", 0)), READY[entry["state"]], entry["state"] == "removed",
-                float(entry.get("weight", 1.0)), int(entry.get("started_ms", 0)) * 1_000_000)
+                float(entry.get("weight", 1.0)), int(entry.get("started_ms", 0)) * 1_000_000,
+                str(entry.get("kind", "")))
 
 
 def listing(found: dict) -> Listing | None:
--- a/basalthook/routing/roster.py
+++ b/basalthook/routing/roster.py
@@ -10,6 +10,7 @@
     id: str
     address: tuple[str, int]
     ready: bool
+    mark: int                       # the number that stands for its id at every proxy
 
     @property
     def door(self) -> tuple:
@@ -57,8 +58,11 @@
         if number is None:
             number = self.numbers[line.id] = self.next
             self.next += 1
-        self.places[number] = Place(line.id, line.address, line.ready)
-        return terms.host(number, line.id, line.zone, line.cell, line.ready, line.weight, line.started_ns)
+        known = self.places.get(number)     # hashed once: lists may come often
+        mark = known.mark if known else terms.number(line.id)
+        self.places[number] = Place(line.id, line.address, line.ready, mark)
+        return terms.host(number, mark, line.zone, line.cell, line.ready, line.weight, line.started_ns,
+                          line.kind)
 
     def _forget(self, number: int) -> None:
         """A host that comes back later is a new one to the decisions as well, which have dropped it."""
--- a/basalthook/terms.py
+++ b/basalthook/terms.py
@@ -34,7 +34,8 @@
         cold_share=rules["cold_from"], cold_time=up(rules["cold_ns"]), fall_multiple=rules["overload_factor"],
         fall_time=up(rules["fall_ns"]), max_hops=allowed["max_hops"],
         second_copies=bool(allowed.get("second_copies")), cancelling=bool(allowed.get("cancelling")),
-        come_back_max=allowed.get("max_retry_after_ns", 0) // TENTH if allowed.get("retry_after") else 0)
+        come_back_max=allowed.get("max_retry_after_ns", 0) // TENTH if allowed.get("retry_after") else 0,
+        live_weights=setup.get("weights") == "live")
 
 
 def profiles(setup: dict) -> dict[str, int]:
@@ -47,7 +48,9 @@
     return [LOAD.get(f) for f in setup.get("load_report", {}).get("fields", ())]
 
 
-def host(index: int, word: str, zone: str, cell: int, ready: bool, weight: float, started_ns: int) -> i.Host:
-    """A line of the host list. `word` is what every proxy calls the host."""
+def host(index: int, mark: int, zone: str, cell: int, ready: bool, weight: float | None, started_ns: int,
+         kind: str = "") -> i.Host:
+    """A line of the host list. `mark` is the number of what every proxy calls the host."""
     started = up(started_ns) if started_ns else None
-    return i.Host(index, number(word), zone, cell, ready, weight or 1.0, started)
+    # guards against a weight of nothing or less, which no share can be taken of
+    return i.Host(index, mark, zone, cell, ready, weight if weight and weight > 0 else 1.0, started, kind)
