--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -28,12 +28,15 @@
 BEARABLE = 4            # hops of all proxies that a host may always hold: else it idles between two of ours
 FAIR = 1.25             # nor more than this multiple of its share of all our hops
 CROWDED = 3.0           # answers this many times slower than in quiet times tell of a crowd
+OTHERS = 1.5            # the slowness of all others counts up to this
 REACH = 2               # while busy, a key waits for one of its first so many hosts before it goes elsewhere
 PROMPT = 8              # who would wait longer than this part of the time left is rolled back at once
 LOOK_AHEAD = 16         # waiting transactions tried when something has ended
 UNHURRIED = 64          # answers within this part of the goal are as good as any, and tell of no crowd
 BUSY = 1.25             # above this the fleet, or a zone against the others, is busy
 SPARE, SPARE_FOR = 0.7, 2_000   # a host that reports its cores less busy has room for this long
+SPARE_TOLD = 20_000     # the same where the list says that it holds fewer a core
+EARLY, STEEP = 0.4, 1.5 # some are rolled back where told holdings take this part of the time left
 ERRING = 0.3            # share of errors on several keys that makes them the host's own fault
 LEAN_EVERY = 10_000     # how often what changes slowly is looked at
 COLD_STEPS = 16         # steps in which the slice of a fresh host widens
@@ -204,6 +207,9 @@
             for server in self.servers.values():
                 server.size = sizes[server.line.kind or server.id]
                 server.held = server.size / server.line.weight - 1
+                server.spare_until = self.now + SPARE_TOLD if server.held < SPARE else 0
+            self.cores = sum(s.size * s.held for s in self.servers.values()) / sum(
+                s.size for s in self.servers.values()) if self.servers else 1.0
         if self.standing() != before:       # lists that only tell of load come several times a second
             self.reset_rankings()
         self.fill()
@@ -221,6 +227,11 @@
     def place(self, tx):
         """Send; or hold in line if a turn comes soon; else give up, and tell the client when to come back."""
         server, self.chosen = self.chosen or (None if self.full() else self.pick(tx)), None
+        if self.terms.live_weights and not tx.tried:    # guards against hosts that all answer too late
+            part = self.cores * self.quiet[tx.kind] / max(1, tx.goal - self.now)
+            if self.chance.random() < STEEP * (part - EARLY):
+                tx.come_back = tx.profile.service_goal
+                return "hopeless"
         if server is not None and self.send(tx, server):
             return "sent"
         tx.give_up = tx.goal - int(sum(self.usual[tx.kind]))    # kept: the estimate behind it moves
@@ -359,6 +370,8 @@
     def budget(self, server):
         """Little's law: our hops at a host whose answers take ROOMY times as long as in quiet."""
         share = FAIR * (len(self.flying) + 1) * server.size * self.warmth(server) / self.weight
+        if self.terms.live_weights and server.spare_until > self.now:
+            return share + 2 * share ** 0.5 + 1
         loose = self.strain <= BUSY and not self.first_line or server.spare_until > self.now
         own = share if loose else min(ROOMY * self.quiet_out(server.sent), share)
         return max(self.least, own)
@@ -477,7 +490,9 @@
         strain = strain or max(server.strain, min(10.0, event.elapsed / self.quiet[tx.kind]))
         often = max(1, server.sent.count(self.now))     # guards against jams that many proxies meet seldom
         server.strain += (strain - server.strain) * (0.5 if server.throttles else max(0.1, SELDOM / often))
-        if server.strain > CROWDED:     # guards against hosts that turn slower when crowded until they rest
+        # of a fleet that told of its load and is slow as a whole, only hosts that stand out from it
+        crowded = CROWDED * min(OTHERS, max(1.0, self.strain)) if self.terms.live_weights else CROWDED
+        if server.strain > crowded:     # guards against hosts that turn slower when crowded until they rest
             self.back_off(server, tx, event, self.terms.fall_time // often, COOLDOWN)
         else:
             server.throttles = 0
