News of faults among proxies through the one that counts; less lean while cores are busy

And where fleets are busy, hosts in the own zone split a key's warm hosts over zones. Change: an error met is told to the one proxy that counts for the host (host number modulo proxies), at most once a second; three different ones within a second, and three in ten of what goes there, and that one tells all to pass the host by for 3.3 s, never more than three in ten hosts at a time, and only on the word of the one that counts. The lean to the own zone is given up while the list tells of busy cores. Early rollbacks follow the told or the own slowness, up to 0.8, and hold for further hops.

--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -28,6 +28,8 @@
 BEARABLE = 4            # hops of all proxies that a host may always hold: else it idles between two of ours
 FAIR = 1.25             # nor more than this multiple of its share of all our hops
 CROWDED = 3.0           # answers this many times slower than in quiet times tell of a crowd
+NEWS, WITNESSES, TOLD_MOST = 10_000, 3, 0.3    # time that news counts, from so many, of this part of hosts
+KEPT_AWAY = 33_000      # on the word of the one who counts: asked again soon, as words may be old
 OTHERS = 1.5            # the slowness of all others counts up to this
 REACH = 2               # while busy, a key waits for one of its first so many hosts before it goes elsewhere
 PROMPT = 8              # who would wait longer than this part of the time left is rolled back at once
@@ -36,7 +38,7 @@
 BUSY = 1.25             # above this the fleet, or a zone against the others, is busy
 SPARE, SPARE_FOR = 0.7, 2_000   # a host that reports its cores less busy has room for this long
 SPARE_TOLD = 20_000     # the same where the list says that it holds fewer a core
-EARLY, STEEP = 0.4, 1.5 # some are rolled back where told holdings take this part of the time left
+EARLY, STEEP = 0.5, 3.0 # some are rolled back where told holdings take this part of the time left
 ERRING = 0.3            # share of errors on several keys that makes them the host's own fault
 LEAN_EVERY = 10_000     # how often what changes slowly is looked at
 COLD_STEPS = 16         # steps in which the slice of a fresh host widens
@@ -78,6 +80,8 @@
         self.passed, self.passed_by = 0, {}     # when the latest hop was sent that it answered; by profile
         self.out = {}               # the same of this host's hops; emptied as they end
         self.size, self.held = 0.0, 0.0     # capacity against other hosts'; held a core, as last listed
+        self.witnesses = {}         # proxies that told of a fault here -> when; at most all of them
+        self.witnessed = self.told_until = 0    # when we last told; until when all were told to keep away
         self.renew(line)
 
     def renew(self, line):
@@ -227,9 +231,9 @@
     def place(self, tx):
         """Send; or hold in line if a turn comes soon; else give up, and tell the client when to come back."""
         server, self.chosen = self.chosen or (None if self.full() else self.pick(tx)), None
-        if self.terms.live_weights and not tx.tried:    # guards against hosts that all answer too late
-            part = self.cores * self.quiet[tx.kind] / max(1, tx.goal - self.now)
-            if self.chance.random() < STEEP * (part - EARLY):
+        if self.terms.live_weights:     # guards against hosts that all answer too late
+            part = max(self.cores, self.strain) * self.quiet[tx.kind] / max(1, tx.goal - self.now)
+            if self.chance.random() < min(0.8, STEEP * (part - EARLY)):
                 tx.come_back = tx.profile.service_goal
                 return "hopeless"
         if server is not None and self.send(tx, server):
@@ -358,7 +362,7 @@
         return min(best, key=lambda s: len(s.out), default=None)
 
     def doubtful(self, server, tx):
-        if max(server.shy_until, server.mute_until.get(tx.kind, 0)) > self.now:
+        if max(server.shy_until, server.told_until, server.mute_until.get(tx.kind, 0)) > self.now:
             return True
         if server.throttles or not server.proven:       # back from a ban or rest: one hop at a time, and
             return bool(server.out) or tx.profile.kind == i.NON_IDEMPOTENT      # only what may be repeated
@@ -446,7 +450,9 @@
                 self.effects.append(i.CloseIdle(server.id))
         near = [s.strain for s in known if s.line.zone == self.terms.zone]
         far = [s.strain for s in known if s.line.zone != self.terms.zone]
-        slower = near and far and sum(near) / len(near) > BUSY * sum(far) / len(far)
+        slower = bool(near and far) and sum(near) / len(near) > BUSY * sum(far) / len(far)
+        # a key's warm hosts in all zones are worth more than a crossing while a fleet that tells is busy
+        slower |= self.terms.live_weights and self.cores > SPARE
         most = 1.0 + 100 * self.terms.cross_price if self.strain < CROWDED else self.lean
         lean, self.lean = self.lean, max(1.0, self.lean / 1.5) if slower else min(most, self.lean * 1.5)
         if lean != self.lean:
@@ -512,6 +518,7 @@
 
     def erred(self, server, tx, event):
         """Quick errors look like an idle host and draw more: those of several keys are the host's fault."""
+        self.witness(server)
         if tx.key is None or tx.key != server.erred_key:
             server.erring, server.erred_key = server.erring * 0.9 + 0.1, tx.key
         server.proven = server.proven and event.outcome == i.ERROR      # a reset: one repeatable looks
@@ -519,6 +526,42 @@
         if server.erring > ERRING + 2 * errings[(len(errings) - 1) // 2]:   # beyond what most share
             self.ban(server, tx, event)
 
+    def witness(self, server):
+        """A fault met at a host goes to the one proxy that counts for it: hundreds each meet it seldom."""
+        if self.terms.peers and self.now >= server.witnessed + NEWS:
+            server.witnessed, counts = self.now, server.line.hash % self.terms.proxies
+            if counts == self.terms.position:
+                self.count_witness(server, counts)
+            else:
+                self.effects.append(i.TellNews(counts, server.id, i.MET_FAULT))
+
+    def count_witness(self, server, sender):
+        seen = server.witnesses = {p: at for p, at in server.witnesses.items() if at > self.now - NEWS}
+        seen[sender] = self.now
+        span = self.now - min(seen.values()) + 1
+        hops = self.sent.count(self.now) * self.terms.proxies * server.size / self.weight    # there, of all
+        enough = min(ERRING * hops * span / self.terms.fall_time, self.terms.proxies / 3)
+        if len(seen) >= max(WITNESSES, enough):
+            seen.clear()
+            self.effects.append(i.TellNews(None, server.id, i.AT_FAULT))
+            self.keep_away(server)
+
+    def keep_away(self, server):
+        """The word of one other proxy: it expires, and never holds for more than a part of all hosts."""
+        if sum(s.told_until > self.now for s in self.ready) < TOLD_MOST * len(self.ready):
+            server.told_until = self.now + KEPT_AWAY
+            self.effects.append(i.SetTimer(COOLDOWN, 1))
+
+    def on_news(self, event):
+        server = self.servers.get(event.host)
+        if server is None or not self.terms.peers or event.sender == self.terms.position:
+            return
+        counts = server.line.hash % self.terms.proxies
+        if event.what == i.MET_FAULT and counts == self.terms.position:
+            self.count_witness(server, event.sender)
+        elif event.what == i.AT_FAULT and counts == event.sender:
+            self.keep_away(server)
+
     def ban(self, server, tx, event):
         server.banned_until, server.erring, server.timeouts, server.proven = self.now + COOLDOWN, 0, {}, False
         self.scarce_until = server.banned_until if event.outcome == i.UNREACHABLE else self.scarce_until
@@ -546,6 +589,7 @@
 
     EVENTS = {
         i.HostsListed: on_listed, i.ListFailed: on_list_failed, i.TxArrived: on_arrived, i.HopEnded: on_ended,
+        i.NewsCame: on_news,
         i.StreamBegan: lambda self, event: self.tell(event.tx, "began"), i.TimerDue: on_timer,
         i.TxGone: lambda self, event: self.tell(event.tx, "gone"),
     }
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -18,6 +18,9 @@
 DROPPED = "dropped"     # the host's machine took the connection, and it broke before all was written
 DECLINED = "declined"   # the host answered that the transaction itself is wrong: its last word, like a commit
 
+# News of a host: one proxy met a fault there, told to the one who counts; many did, told to all.
+MET_FAULT, AT_FAULT = "met fault", "at fault"
+
 
 class Profile(NamedTuple):
     kind: str                       # one of the three kinds
@@ -47,6 +50,7 @@
     cancelling: bool
     come_back_max: int              # longest come-back time that clients are told; 0: none
     live_weights: bool = False      # listed weights are size / (1 + transactions held a core), and late
+    peers: bool = False             # proxies may tell one another news, which may be lost
 
 
 class Host(NamedTuple):
@@ -105,6 +109,12 @@
     mark: int
 
 
+class NewsCame(NamedTuple):
+    sender: int                     # another proxy's position; whatever it says is no more than its word
+    host: int
+    what: str
+
+
 # Effects
 
 class SendHop(NamedTuple):
@@ -135,6 +145,12 @@
     pass
 
 
+class TellNews(NamedTuple):
+    peer: int | None                # a position; None: all
+    host: int
+    what: str
+
+
 class SetTimer(NamedTuple):
     delay: int
     mark: int
--- a/basalthook/simwire/codec.py
+++ b/basalthook/simwire/codec.py
@@ -2,6 +2,7 @@
 from .. import terms
 from ..policy import interface as i
 from ..policy.decide import Proxy
+from ..protocol import news
 from ..terms import TENTH
 
 OUTCOMES = {"success": i.COMMITTED, "failure": i.ERROR, "overloaded": i.REFUSED, "timed_out": i.TIMED_OUT,
@@ -17,6 +18,7 @@
         self.hosts: dict[str, int] = {}      # grows with hosts ever listed, emptied at restart
         self.addresses: list[str] = []
         self.marks: list[int] = []           # of the same: hashed once, as lists come often
+        self.marked: dict[int, int] = {}
         self.numbers: dict[str, int] = {}    # open transactions; emptied when one is closed and no hop is out
         self.words: dict[int, list] = {}     # number -> [word, hops out, closed]
         self.next = 0
@@ -27,6 +29,7 @@
             known = self.hosts[address] = len(self.addresses)
             self.addresses.append(address)
             self.marks.append(terms.number(address))
+            self.marked[self.marks[known]] = known
         return known
 
     def load(self, row: list | None) -> dict | None:
@@ -81,8 +84,11 @@
                 return i.ListFailed()
             return i.HostsListed(self.listed(lists[f["slot"]]), complete=f["scope"] != "update",
                                  answered=f["scope"] != "restored")
-        if name in ("INBOX", "PONG"):
-            return None                      # proxies share nothing, and nothing is probed
+        if name == "INBOX":
+            what, mark = news.decode(bytes.fromhex(f.get("payload", ""))) or (None, None)
+            return i.NewsCame(f["src"], self.marked[mark], what) if mark in self.marked else None
+        if name == "PONG":
+            return None                      # nothing is probed
         raise ValueError(f"unknown event {name}")
 
     def action(self, effect: tuple) -> dict:
@@ -106,6 +112,9 @@
             return {"REVOKE": {"corr": self.words[effect.tx][0], "hop": effect.hop}}
         if kind is i.CloseIdle:
             return {"LET_GO": {"host": self.addresses[effect.host]}}
+        if kind is i.TellNews:
+            return {"SIGNAL": {"recipient": "all" if effect.peer is None else effect.peer,
+                               "payload": news.encode(effect.what, self.marks[effect.host]).hex()}}
         return {"OBSERVE": {"on": True}}
 
 
--- a/basalthook/terms.py
+++ b/basalthook/terms.py
@@ -35,7 +35,7 @@
         fall_time=up(rules["fall_ns"]), max_hops=allowed["max_hops"],
         second_copies=bool(allowed.get("second_copies")), cancelling=bool(allowed.get("cancelling")),
         come_back_max=allowed.get("max_retry_after_ns", 0) // TENTH if allowed.get("retry_after") else 0,
-        live_weights=setup.get("weights") == "live")
+        live_weights=setup.get("weights") == "live", peers=bool(allowed.get("peers")))
 
 
 def profiles(setup: dict) -> dict[str, int]:
