A failed connection bans for half a second at first; settings checked; migrate command; load with answers gone

Latency and holdings told of no crowd, so bounds and rests are ruled out. Line at fault: decide.py `ban`. Change: the ban of a failed connection is half a second and doubles up to the cooldown until a commit; the design leaves cooldowns open. Copies are still not called back for a whole cooldown. Program: `settings.weights` and `settings.allowed.peers` are read and checked, `discovery`, `balancers`, `position` too, each wrong value named by its path; messages among proxies are refused, as the program carries out none yet.

--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -12,7 +12,6 @@
  3. Doubt: crowded hosts rest, silent ones are passed by, failing ones banned, returning ones tried out.
  4. Second look: a late hop that may be repeated gets a copy, where two at once are allowed.
  5. Cold slice: a fresh host gets the share of keys, and of our usual traffic, that it can surely carry.
- 6. Idle connections are closed once keeping them costs more than a new one.
 """
 from bisect import bisect, insort
 from collections import OrderedDict, deque
@@ -22,6 +21,7 @@
 from .measure import Window, claim
 
 COOLDOWN, BACKOFF, TIMEOUT_RUN, SPREAD, SPREAD_WINDOW = 100_000, 500, 3, 2, 100_000    # the design's
+FIRST_BAN = 5_000       # of a connection that failed; doubles up to the cooldown until a commit
 BACKOFF_MOST = COOLDOWN // 4    # backoffs double up to this
 KEYS_KEPT = 2_000       # rankings and failing keys held at once
 ROOMY = 1.5             # a host gets no more of our hops than make its answers this many times slower
@@ -36,8 +36,7 @@
 LOOK_AHEAD = 16         # waiting transactions tried when something has ended
 UNHURRIED = 64          # answers within this part of the goal are as good as any, and tell of no crowd
 BUSY = 1.25             # above this the fleet, or a zone against the others, is busy
-SPARE, SPARE_FOR = 0.7, 2_000   # a host that reports its cores less busy has room for this long
-SPARE_TOLD = 20_000     # the same where the list says that it holds fewer a core
+SPARE, SPARE_FOR = 0.7, 20_000  # a host that the list says holds fewer a core has room, for this long
 EARLY, STEEP = 0.5, 3.0 # some are rolled back where told holdings take this part of the time left
 ERRING = 0.3            # share of errors on several keys that makes them the host's own fault
 LEAN_EVERY = 10_000     # how often what changes slowly is looked at
@@ -75,7 +74,7 @@
     """What this proxy knows of one host; dropped when it has left the list and no hop is out."""
 
     def __init__(self, line, span):
-        self.id, self.heard, self.used = line.host, 0, None
+        self.id, self.heard = line.host, 0
         self.sent, self.committed = Window(span), Window(span)      # hops, and answers
         self.passed, self.passed_by = 0, {}     # when the latest hop was sent that it answered; by profile
         self.out = {}               # the same of this host's hops; emptied as they end
@@ -87,9 +86,9 @@
     def renew(self, line):
         """A new process: what was learned of an earlier one is void."""
         self.line, self.fresh_from, self.proven = line, line.started, True
-        self.banned_until = self.shy_until = self.spare_until = self.throttles = 0
+        self.banned_until = self.shy_until = self.spare_until = self.throttles = self.failures = 0
         self.timeouts, self.mute_until = {}, {}     # by profile: a run of time-outs, and what it led to
-        self.strain, self.erring, self.erred_key, self.proof = 1.0, 0.0, None, 1.0
+        self.strain, self.erring, self.erred_key = 1.0, 0.0, None
 
 
 class Tx:
@@ -174,12 +173,6 @@
             server.passed_by[tx.kind] = max(server.passed_by.get(tx.kind, 0), sent_at)
         if ran and (tx.ran is None or sent_at < tx.ran[0]):
             tx.ran = sent_at, server.line
-        busy = (event.load or {}).get("busy")
-        if busy is not None:        # a fresh host that says it is idle has warmed further than it must have
-            proof = server.proof * (1.05 if busy < SPARE else 0.95)
-            self.cores += (busy - self.cores) * 0.05
-            server.proof = max(1.0, min(self.terms.fall_multiple, proof))
-            server.spare_until = self.now + SPARE_FOR if busy < SPARE else server.spare_until
         at_fault = event.outcome in KEYED_FAILURES and self.key_at_fault(tx, server)
         if effect and not at_fault:
             getattr(self, effect)(server, tx, event)
@@ -211,7 +204,7 @@
             for server in self.servers.values():
                 server.size = sizes[server.line.kind or server.id]
                 server.held = server.size / server.line.weight - 1
-                server.spare_until = self.now + SPARE_TOLD if server.held < SPARE else 0
+                server.spare_until = self.now + SPARE_FOR if server.held < SPARE else 0
             self.cores = sum(s.size * s.held for s in self.servers.values()) / sum(
                 s.size for s in self.servers.values()) if self.servers else 1.0
         if self.standing() != before:       # lists that only tell of load come several times a second
@@ -328,7 +321,6 @@
         tx.out[hop] = (server, now)
         server.out[tx.id, hop] = self.flying[tx.id, hop] = server, now, self.late_after(tx)
         server.sent.add(now)
-        server.used = now
         self.sent.add(now)
         self.quiet_mix += (self.quiet[tx.kind] - self.quiet_mix) * 0.05
         self.effects.append(i.SendHop(tx.id, server.id, tx.hard_limit - now))
@@ -374,11 +366,10 @@
     def budget(self, server):
         """Little's law: our hops at a host whose answers take ROOMY times as long as in quiet."""
         share = FAIR * (len(self.flying) + 1) * server.size * self.warmth(server) / self.weight
-        if self.terms.live_weights and server.spare_until > self.now:
+        if server.spare_until > self.now:
             return share + 2 * share ** 0.5 + 1
-        loose = self.strain <= BUSY and not self.first_line or server.spare_until > self.now
-        own = share if loose else min(ROOMY * self.quiet_out(server.sent), share)
-        return max(self.least, own)
+        loose = self.strain <= BUSY and not self.first_line
+        return max(self.least, share if loose else min(ROOMY * self.quiet_out(server.sent), share))
 
     def has_room(self, server):
         """Guards against hosts that leave single hops unanswered: these hold no place of others."""
@@ -442,12 +433,6 @@
         rate = sum(s.committed.count(self.now) for s in warm) / (sum(s.size for s in warm) or 1.0)
         if rate > self.usual_rate or len(warm) * 2 >= len(self.ready) and not self.busy():
             self.usual_rate += (rate - self.usual_rate) * 0.3   # in a crowd they commit less than they could
-        sends = max(1, self.sent.count(self.now)) * self.terms.proxies      # of all, as if each sent as we do
-        keep = self.terms.open_worth * len(self.ready) * self.terms.fall_time / sends
-        for server in self.servers.values():
-            if self.terms.open_worth and server.used and not server.out and self.now > server.used + keep:
-                server.used = None      # guards against tables of open connections filled by many proxies
-                self.effects.append(i.CloseIdle(server.id))
         near = [s.strain for s in known if s.line.zone == self.terms.zone]
         far = [s.strain for s in known if s.line.zone != self.terms.zone]
         slower = bool(near and far) and sum(near) / len(near) > BUSY * sum(far) / len(far)
@@ -464,13 +449,13 @@
             return 1.0
         age = max(0, self.now - server.fresh_from) / self.terms.cold_time
         server.fresh_from = None if age >= 1.0 else server.fresh_from
-        share = (self.terms.cold_share + (1.0 - self.terms.cold_share) * age) * server.proof
+        share = self.terms.cold_share + (1.0 - self.terms.cold_share) * age
         return min(1.0, share * min(1.0, self.terms.fall_multiple / COLD_KEYS))
 
     # ---- health: what an outcome does to its host
 
     def sound(self, server, tx, event):
-        server.proven = True
+        server.proven, server.failures = True, 0
         server.timeouts.pop(tx.kind, None)
         server.erring *= 0.9
         self.failing.pop(tx.key, None)
@@ -563,9 +548,13 @@
             self.keep_away(server)
 
     def ban(self, server, tx, event):
-        server.banned_until, server.erring, server.timeouts, server.proven = self.now + COOLDOWN, 0, {}, False
-        self.scarce_until = server.banned_until if event.outcome == i.UNREACHABLE else self.scarce_until
-        self.effects.append(i.SetTimer(COOLDOWN, 1))
+        cooldown = COOLDOWN
+        if event.outcome == i.UNREACHABLE:      # guards against ten seconds without a host for one pause
+            cooldown = min(COOLDOWN, FIRST_BAN * 2 ** server.failures)
+            server.failures = min(server.failures + 1, 8)
+            self.scarce_until = self.now + COOLDOWN
+        server.banned_until, server.erring, server.timeouts, server.proven = self.now + cooldown, 0, {}, False
+        self.effects.append(i.SetTimer(cooldown, 1))
 
     def back_off(self, server, tx, event, seldom=BACKOFF, most=BACKOFF_MOST):
         wait = min(most, max(BACKOFF, seldom) * 2 ** server.throttles)
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -36,8 +36,6 @@
     proxies: int
     zone: str
     cross_price: float              # points lost where every transaction crosses zones once, of 1
-    open_worth: float               # open connections a host that cost what a new one for every transaction
-                                    # costs; 0: open ones are free
     warm_keys: bool                 # a host that met a key lately does less work for it
     list_on_request: bool           # the host list comes only to those who ask
     ask_within: int
@@ -92,7 +90,6 @@
     outcome: str
     elapsed: int
     closed: bool                    # the transaction has its final answer
-    load: dict[str, float] | None   # the host's own figures, where it reports any: "busy", share of its cores
     waited: int = 0                 # its answer lay here unread for this long; not in `elapsed`
 
 
@@ -137,10 +134,6 @@
     hop: int
 
 
-class CloseIdle(NamedTuple):
-    host: int                       # close the connections to it that carry no hop
-
-
 class WatchList(NamedTuple):
     pass
 
--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -5,12 +5,14 @@
 from typing import NoReturn
 
 import click
+import orjson
 
 from .. import VERSION
 from ..protocol import catalogue
 from ..protocol.application import HEALTH
 from ..transport.turns import Turns
 from ..transport.turns import run as run_loop
+from . import migrate as migration
 from . import startup
 from .log import Log
 from .service import Service
@@ -73,6 +75,55 @@
     sys.exit(0 if answer.status == 200 else 1)
 
 
+@main.command()
+@click.argument("old", type=click.Path(dir_okay=False))
+@click.option("--output", type=click.Path(dir_okay=False), help="Where to; else standard output.")
+@click.option("--replace", is_flag=True, help="Write even where the output exists, the old file included.")
+@click.option("--drop-unknown", is_flag=True, help="Leave out names that this program does not read.")
+@click.option("--dry-run", is_flag=True, help="Say what would be done, and change nothing.")
+@click.option("--listen", help="The address that the pool's clients reach.")
+@click.option("--balancers", type=int, help="How many proxies the pool has.")
+@click.option("--position", type=int, help="This proxy's place in the pool, from 0.")
+def migrate(old: str, output: str | None, replace: bool, drop_unknown: bool, dry_run: bool,
+            listen: str | None, balancers: int | None, position: int | None) -> None:
+    """Turn the start-up file OLD into one of the new shape: a pushed list, weights that move with load.
+
+    What was done and what could not be goes to standard error. Exit code 0: done; 1: something is to be
+    decided by hand; 2: nothing could be read or written.
+    """
+    given = {"listen": listen, "settings.balancers": balancers, "settings.position": position}
+    try:
+        done = migration.migrate(startup.load(old), {p: v for p, v in given.items() if v is not None})
+        startup.decode(done.new, os.environ, old)
+    except startup.BadStart as fault:
+        leave(fault)
+    except ValueError as fault:
+        leave(startup.BadStart(f"{old}: {fault}"))
+    for line in done.carried:
+        click.echo(f"changed  {line}", err=True)
+    for path in done.unknown:
+        gone = ", left out" if drop_unknown else ""
+        click.echo(f"unknown  {path}: not read by this program{gone}", err=True)
+    for path, why in done.by_hand.items():
+        click.echo(f"by hand  {path}: {why}", err=True)
+    if done.already:
+        click.echo(f"basalthook: {old} is of the new shape already; nothing is written", err=True)
+        sys.exit(1 if done.unknown else 0)
+    if done.unknown and not drop_unknown:
+        click.echo("basalthook: nothing is written; --drop-unknown leaves these out", err=True)
+        sys.exit(1)
+    if not dry_run and output is None:
+        click.echo(orjson.dumps(done.new, option=orjson.OPT_INDENT_2).decode())
+    elif not dry_run:
+        if os.path.exists(output) and not replace:
+            leave(startup.BadStart(f"{output} exists; --replace writes over it"))
+        try:
+            migration.write(output, done.new)
+        except OSError as fault:
+            leave(startup.BadStart(f"cannot write {output}: {fault.strerror}"))
+    sys.exit(1 if done.by_hand else 0)
+
+
 @main.command()
 def version() -> None:
     """Say which version this is."""
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -46,7 +46,7 @@
         self.watch = Watch(told.discovery, 2 * told.agreed.ask_within / TICKS, told.known.version, self.owner,
                            buffers, descriptors, timers, log.say)
         self.owner.begin_hop, self.owner.begin_watch = self.hops.begin, self.watch.begin
-        self.owner.close_idle = roster.left = self.pool.close_idle
+        roster.left = self.pool.close_idle
         self.clients = Clients(self.owner, clock, timers, door, told.profiles, buffers, descriptors, log.say)
 
     async def run(self) -> None:
--- a/basalthook/program/startup.py
+++ b/basalthook/program/startup.py
@@ -33,23 +33,33 @@
 
 
 def read(path: str, environ=os.environ) -> StartUp:
+    return decode(load(path), environ, path)
+
+
+def load(path: str):
     try:
         with open(path, "rb") as file:
-            told = orjson.loads(file.read())
+            return orjson.loads(file.read())
     except OSError as fault:
         raise BadStart(f"cannot read {path}: {fault.strerror}") from None
     except orjson.JSONDecodeError as fault:
         raise BadStart(f"{path} is no JSON: {fault}") from None
+
+
+def decode(told, environ, path: str = "start-up file") -> StartUp:
     try:
-        return decode(told, environ)
+        return _decode(told, environ)
     except KeyError as fault:
         raise BadStart(f"{path}: {fault.args[0]!r} is missing or not known") from None
     except (ValueError, TypeError, AttributeError) as fault:
         raise BadStart(f"{path}: {fault}") from None
 
 
-def decode(told: dict, environ) -> StartUp:
+def _decode(told: dict, environ) -> StartUp:
     setup, allowed = told["settings"], told["settings"]["allowed"]
+    agreed = terms.agreement(setup)
+    if agreed.peers:        # guards against promises that nothing here keeps
+        raise ValueError("settings.allowed.peers: this program carries out no messages among proxies yet")
     listed = told.get("known") or {"version": 0, "full": True, "servers": []}
     known = catalogue.listing(listed)
     if known is None:
@@ -63,7 +73,7 @@
         seed=int(seed, 16) if isinstance(seed, str) else int(seed),
         sockets=min(ours, int(told.get("limits", {}).get("sockets") or ours)),
         answer_most=int(told.get("limits", {}).get("memory_mb") or MEMORY) * 2**20 // ANSWERS,
-        agreed=terms.agreement(setup), profiles=terms.profiles(setup),
+        agreed=agreed, profiles=terms.profiles(setup),
         connect_seconds=allowed["connect_timeout_ns"] / 1e9,
         idle_seconds=allowed.get("keepalive_ns", 0) / 1e9,
         longest_patience=max(p["hard_limit_ns"] for p in setup["profiles"]) / 1e9, known=known)
--- a/basalthook/protocol/news.py
+++ b/basalthook/protocol/news.py
@@ -15,3 +15,11 @@
     if len(payload) != LENGTH or payload[0] not in WORDS:
         return None
     return WORDS[payload[0]], int.from_bytes(payload[1:], "big")
+
+
+def read(digits: str) -> tuple[str, int] | None:
+    """The same from hex digits."""
+    try:
+        return decode(bytes.fromhex(digits))
+    except (ValueError, TypeError):
+        return None
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -86,7 +86,7 @@
         self.queue: deque = deque()
         self.running, self.next = False, 0
         self.orders: dict[int, Order] = {}
-        self.begin_hop = self.begin_watch = self.close_idle = None      # set by whoever builds the program
+        self.begin_hop = self.begin_watch = None      # set by whoever builds the program
 
     def start(self, known: Listing) -> None:
         self.carry_out(self.proxy.begin())
@@ -158,7 +158,7 @@
         if item.message is not None and not order.closed:
             order.close(Answer(item.outcome, item.message))
         self.decide(i.HopEnded(order.number, item.hop, item.host, item.outcome, item.elapsed, order.closed,
-                               None, item.waited))
+                               item.waited))
         self.forget(order)
 
     def listed(self, item: Listed) -> None:
@@ -204,5 +204,4 @@
         self.timers.set(effect.delay, self.due, effect.mark)
 
     GIVES = {i.SendHop: send, i.RollBack: roll_back, i.Abandon: abandon, i.CancelHop: cancel,
-             i.SetTimer: set_timer, i.WatchList: lambda self, _: self.begin_watch(),
-             i.CloseIdle: lambda self, effect: self.close_idle(self.roster.places[effect.host].door)}
+             i.SetTimer: set_timer, i.WatchList: lambda self, _: self.begin_watch()}
--- a/basalthook/terms.py
+++ b/basalthook/terms.py
@@ -7,7 +7,6 @@
 
 KINDS = {"repeatable": i.IDEMPOTENT, "by_key": i.JOURNALLED, "once": i.NON_IDEMPOTENT}
 GROUPS = {"all": i.EVERYWHERE, "zone": i.ZONE, "cell": i.CELL}
-LOAD = {"cpu": "busy"}
 
 
 def number(word: str) -> int:
@@ -19,6 +18,27 @@
     return -(-ns // TENTH)
 
 
+def word(setup: dict, name: str, words: tuple[str, ...], default: str | None = None) -> str:
+    found = setup[name] if default is None else setup.get(name, default)
+    if not isinstance(found, str) or found not in words:
+        raise ValueError(f"settings.{name}: {found!r} is none of {', '.join(words)}")
+    return found
+
+
+def whole(setup: dict, name: str, least: int) -> int:
+    found = setup[name]
+    if isinstance(found, bool) or not isinstance(found, int) or found < least:
+        raise ValueError(f"settings.{name}: {found!r} is no whole number from {least} up")
+    return found
+
+
+def yes(allowed: dict, name: str) -> bool:
+    found = allowed.get(name, False)
+    if not isinstance(found, bool):
+        raise ValueError(f"settings.allowed.{name}: {found!r} is neither true nor false")
+    return found
+
+
 def agreement(setup: dict) -> i.Agreement:
     rules, allowed, prices = setup["rules"], setup["allowed"], setup.get("prices", {})
     profiles = tuple(
@@ -26,16 +46,18 @@
                   p["service_goal_ns"] // TENTH)
         for p in setup["profiles"])
     return i.Agreement(
-        profiles=profiles, position=setup["position"], proxies=setup["balancers"], zone=setup.get("zone", ""),
+        profiles=profiles, position=whole(setup, "position", 0),
+        proxies=whole(setup, "balancers", 1), zone=setup.get("zone", ""),
         warm_keys=bool((setup.get("family_info") or {}).get("warm_keys")),
         cross_price=prices.get("cross_zone", 0.0),
-        open_worth=100 * prices.get("handshake", 0.0) / (prices.get("connection") or float("inf")),
-        list_on_request=setup["discovery"] == "on_request", ask_within=rules["ask_within_ns"] // TENTH,
+        list_on_request=word(setup, "discovery", ("on_request", "pushed")) == "on_request",
+        ask_within=rules["ask_within_ns"] // TENTH,
         cold_share=rules["cold_from"], cold_time=up(rules["cold_ns"]), fall_multiple=rules["overload_factor"],
         fall_time=up(rules["fall_ns"]), max_hops=allowed["max_hops"],
         second_copies=bool(allowed.get("second_copies")), cancelling=bool(allowed.get("cancelling")),
         come_back_max=allowed.get("max_retry_after_ns", 0) // TENTH if allowed.get("retry_after") else 0,
-        live_weights=setup.get("weights") == "live", peers=bool(allowed.get("peers")))
+        live_weights=word(setup, "weights", ("nominal", "off", "rough", "live"), "nominal") == "live",
+        peers=yes(allowed, "peers"))
 
 
 def profiles(setup: dict) -> dict[str, int]:
@@ -43,11 +65,6 @@
     return {p["name"]: n for n, p in enumerate(setup["profiles"])}
 
 
-def load_fields(setup: dict) -> list[str | None]:
-    """What the figures of a host's report are called here, in their order; None for those not read."""
-    return [LOAD.get(f) for f in setup.get("load_report", {}).get("fields", ())]
-
-
 def host(index: int, mark: int, zone: str, cell: int, ready: bool, weight: float | None, started_ns: int,
          kind: str = "") -> i.Host:
     """A line of the host list. `mark` is the number of what every proxy calls the host."""
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -48,7 +48,7 @@
         handle(i.TxArrived(tx, tx % 2, tx * 31 % 2000, 20_000))
         while out and out[0][0] <= now:
             _, done, hop, host, sent = out.pop(0)
-            handle(i.HopEnded(done, hop, host, i.COMMITTED, now - sent, True, None))
+            handle(i.HopEnded(done, hop, host, i.COMMITTED, now - sent, True))
         while due and due[0][0] <= now:
             handle(i.TimerDue(due.pop(0)[1]))
     return {name: spent[name] / max(1, calls[name]) / 1000 for name in EVENTS}
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -5,7 +5,7 @@
 import orjson
 
 from basalthook.policy import interface as i
-from basalthook.protocol import application, catalogue, hosts
+from basalthook.protocol import application, catalogue, hosts, news
 from basalthook.protocol.http1 import HEAD_MOST, Malformed, Message, Parser
 
 POST = (b"POST /survey-submit/a?b=1 HTTP/1.1\r\nHost: svc\r\nRequest-Id: 7\r\nCookie: j=1; k=ab\r\n"
@@ -189,3 +189,15 @@
         for body in (b"", b"{", b"[]", b"7", b'{"version":1,"full":true}', b'{"full":true,"servers":[]}',
                      b'{"version":1,"full":true,"servers":[3]}'):
             self.assertIsNone(catalogue.read(body), body)
+
+
+class News(unittest.TestCase):
+    def test_there_and_back(self):
+        for what in (i.MET_FAULT, i.AT_FAULT):
+            self.assertEqual(news.decode(news.encode(what, 2**48 - 1)), (what, 2**48 - 1))
+
+    def test_what_is_not_ours_is_nothing(self):
+        for payload in (b"", b"\x01", b"\x00" * 7, b"\x03" + b"1" * 6, b"\x01" * 8, b"\x01" * 300):
+            self.assertIsNone(news.decode(payload))
+        for digits in (None, "", "0", "zz", "01" * 8):
+            self.assertIsNone(news.read(digits))
--- a/tests/test_simwire.py
+++ b/tests/test_simwire.py
@@ -52,6 +52,11 @@
         terms = self.desk.seats["proxy_0"].proxy.terms
         self.assertEqual((terms.profiles[0].service_goal, terms.cold_time), (2_000, 83_001))
 
+    def test_news_of_a_host_not_listed_or_not_ours_is_passed_over(self):
+        for payload in ("", "68692037", "02" + "00" * 6, "02" * 300, "x"):
+            self.assertEqual(self.ask({"INBOX": {"src": 1, "payload": payload}}), [])
+        self.assertEqual(self.ask({"INBOX": {"src": 1}}), [])
+
     def test_an_unknown_event_is_not_swallowed(self):
         with self.assertRaises(ValueError):
             self.ask({"NEWS": {}})
