--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -28,8 +28,8 @@
 BEARABLE = 4            # hops of all proxies that a host may always hold: else it idles between two of ours
 FAIR = 1.25             # nor more than this multiple of its share of all our hops
 CROWDED = 3.0           # answers this many times slower than in quiet times tell of a crowd
-NEWS, WITNESSES, TOLD_MOST = 10_000, 3, 0.3    # time that news counts, from so many, of this part of hosts
-KEPT_AWAY = 33_000      # on the word of the one who counts: asked again soon, as words may be old
+NEWS, WITNESSES = 10_000, 3     # news counts for this long; so many must have met a fault
+KEPT_AWAY, TOLD_MOST = 33_000, 0.3      # on the word of the one who counts; of all hosts at a time
 OTHERS = 1.5            # the slowness of all others counts up to this
 REACH = 2               # while busy, a key waits for one of its first so many hosts before it goes elsewhere
 PROMPT = 8              # who would wait longer than this part of the time left is rolled back at once
@@ -37,7 +37,7 @@
 UNHURRIED = 64          # answers within this part of the goal are as good as any, and tell of no crowd
 BUSY = 1.25             # above this the fleet, or a zone against the others, is busy
 SPARE, SPARE_FOR = 0.7, 20_000  # a host that the list says holds fewer a core has room, for this long
-EARLY, STEEP = 0.5, 3.0 # some are rolled back where told holdings take this part of the time left
+EARLY, STEEP, MOST = 0.5, 3.0, 0.8  # from this part of the time left on; by its excess; at most
 ERRING = 0.3            # share of errors on several keys that makes them the host's own fault
 LEAN_EVERY = 10_000     # how often what changes slowly is looked at
 COLD_STEPS = 16         # steps in which the slice of a fresh host widens
@@ -173,6 +173,8 @@
             server.passed_by[tx.kind] = max(server.passed_by.get(tx.kind, 0), sent_at)
         if ran and (tx.ran is None or sent_at < tx.ran[0]):
             tx.ran = sent_at, server.line
+        if event.outcome == i.REFUSED and self.terms.live_weights:  # its answer would have taken longest
+            self.strain += (10.0 - self.strain) * 0.1
         at_fault = event.outcome in KEYED_FAILURES and self.key_at_fault(tx, server)
         if effect and not at_fault:
             getattr(self, effect)(server, tx, event)
@@ -197,16 +199,13 @@
                 self.terms.live_weights) else line.weight
         self.servers = {n: s for n, s in self.servers.items() if s.line.ready or s.out}
         if self.terms.live_weights:
-            sizes = {}
-            for server in self.servers.values():
-                kind = server.line.kind or server.id
-                sizes[kind] = max(server.size, sizes.get(kind, 0.0))
-            for server in self.servers.values():
+            by_size = sorted(self.servers.values(), key=lambda s: s.size)
+            sizes = {s.line.kind or s.id: s.size for s in by_size}      # the highest of each kind
+            for server in by_size:
                 server.size = sizes[server.line.kind or server.id]
                 server.held = server.size / server.line.weight - 1
                 server.spare_until = self.now + SPARE_FOR if server.held < SPARE else 0
-            self.cores = sum(s.size * s.held for s in self.servers.values()) / sum(
-                s.size for s in self.servers.values()) if self.servers else 1.0
+            self.cores = sum(s.size * s.held for s in by_size) / (sum(s.size for s in by_size) or 1.0)
         if self.standing() != before:       # lists that only tell of load come several times a second
             self.reset_rankings()
         self.fill()
@@ -226,7 +225,7 @@
         server, self.chosen = self.chosen or (None if self.full() else self.pick(tx)), None
         if self.terms.live_weights:     # guards against hosts that all answer too late
             part = max(self.cores, self.strain) * self.quiet[tx.kind] / max(1, tx.goal - self.now)
-            if self.chance.random() < min(0.8, STEEP * (part - EARLY)):
+            if self.chance.random() < min(MOST, STEEP * (part - EARLY)):
                 tx.come_back = tx.profile.service_goal
                 return "hopeless"
         if server is not None and self.send(tx, server):
@@ -366,7 +365,7 @@
     def budget(self, server):
         """Little's law: our hops at a host whose answers take ROOMY times as long as in quiet."""
         share = FAIR * (len(self.flying) + 1) * server.size * self.warmth(server) / self.weight
-        if server.spare_until > self.now:
+        if server.spare_until > self.now and server.strain <= CROWDED:
             return share + 2 * share ** 0.5 + 1
         loose = self.strain <= BUSY and not self.first_line
         return max(self.least, share if loose else min(ROOMY * self.quiet_out(server.sent), share))
@@ -481,9 +480,8 @@
         strain = strain or max(server.strain, min(10.0, event.elapsed / self.quiet[tx.kind]))
         often = max(1, server.sent.count(self.now))     # guards against jams that many proxies meet seldom
         server.strain += (strain - server.strain) * (0.5 if server.throttles else max(0.1, SELDOM / often))
-        # of a fleet that told of its load and is slow as a whole, only hosts that stand out from it
-        crowded = CROWDED * min(OTHERS, max(1.0, self.strain)) if self.terms.live_weights else CROWDED
-        if server.strain > crowded:     # guards against hosts that turn slower when crowded until they rest
+        # guards against hosts that turn slower when crowded until they rest; not all, where all are slow
+        if server.strain > CROWDED * (min(OTHERS, max(1.0, self.strain)) if self.terms.live_weights else 1):
             self.back_off(server, tx, event, self.terms.fall_time // often, COOLDOWN)
         else:
             server.throttles = 0
@@ -523,10 +521,10 @@
     def count_witness(self, server, sender):
         seen = server.witnesses = {p: at for p, at in server.witnesses.items() if at > self.now - NEWS}
         seen[sender] = self.now
-        span = self.now - min(seen.values()) + 1
-        hops = self.sent.count(self.now) * self.terms.proxies * server.size / self.weight    # there, of all
-        enough = min(ERRING * hops * span / self.terms.fall_time, self.terms.proxies / 3)
-        if len(seen) >= max(WITNESSES, enough):
+        span = (self.now - min(seen.values()) + 1) / self.terms.fall_time
+        # of all proxies there, as if each sent as we do
+        hops = self.sent.count(self.now) * self.terms.proxies * server.size / (self.weight or 1.0)
+        if len(seen) >= max(WITNESSES, min(ERRING * hops * span, self.terms.proxies / 3)):
             seen.clear()
             self.effects.append(i.TellNews(None, server.id, i.AT_FAULT))
             self.keep_away(server)
@@ -535,11 +533,12 @@
         """The word of one other proxy: it expires, and never holds for more than a part of all hosts."""
         if sum(s.told_until > self.now for s in self.ready) < TOLD_MOST * len(self.ready):
             server.told_until = self.now + KEPT_AWAY
-            self.effects.append(i.SetTimer(COOLDOWN, 1))
+            self.effects.append(i.SetTimer(KEPT_AWAY, 1))
 
     def on_news(self, event):
         server = self.servers.get(event.host)
-        if server is None or not self.terms.peers or event.sender == self.terms.position:
+        if server is None or event.sender not in range(self.terms.proxies) or not self.terms.peers or (
+                event.sender == self.terms.position):
             return
         counts = server.line.hash % self.terms.proxies
         if event.what == i.MET_FAULT and counts == self.terms.position:
@@ -550,9 +549,8 @@
     def ban(self, server, tx, event):
         cooldown = COOLDOWN
         if event.outcome == i.UNREACHABLE:      # guards against ten seconds without a host for one pause
-            cooldown = min(COOLDOWN, FIRST_BAN * 2 ** server.failures)
+            self.scarce_until, cooldown = self.now + COOLDOWN, min(COOLDOWN, FIRST_BAN * 2 ** server.failures)
             server.failures = min(server.failures + 1, 8)
-            self.scarce_until = self.now + COOLDOWN
         server.banned_until, server.erring, server.timeouts, server.proven = self.now + cooldown, 0, {}, False
         self.effects.append(i.SetTimer(cooldown, 1))
 
--- a/basalthook/simwire/codec.py
+++ b/basalthook/simwire/codec.py
@@ -18,7 +18,7 @@
         self.hosts: dict[str, int] = {}      # grows with hosts ever listed, emptied at restart
         self.addresses: list[str] = []
         self.marks: list[int] = []           # of the same: hashed once, as lists come often
-        self.marked: dict[int, int] = {}
+        self.marked: dict[int, int] = {}     # and back; news name hosts by them
         self.numbers: dict[str, int] = {}    # open transactions; emptied when one is closed and no hop is out
         self.words: dict[int, list] = {}     # number -> [word, hops out, closed]
         self.next = 0
--- a/tests/test_simwire.py
+++ b/tests/test_simwire.py
@@ -57,6 +57,16 @@
             self.assertEqual(self.ask({"INBOX": {"src": 1, "payload": payload}}), [])
         self.assertEqual(self.ask({"INBOX": {"src": 1}}), [])
 
+    def test_lists_with_odd_weights_are_taken_and_shares_stay_whole(self):
+        odd = [{"host": f"10.0.0.{n}:1", "area": "north", "status": "in_service", "capacity_hint": weight}
+               for n, weight in enumerate((0, None, -3.0, 1e-9, 10.0))]
+        for _ in range(2):          # the same twice
+            self.ask({"DIRECTORY": {"slot": 1, "records": odd}},
+                     {"VIEW": {"scope": "update", "revision": 2, "slot": 1}})
+        servers = self.desk.seats["proxy_0"].proxy.servers.values()
+        self.assertTrue(all(s.size > 0 for s in servers))
+        self.assertIn("FORWARD", self.ask(self.query())[0])
+
     def test_an_unknown_event_is_not_swallowed(self):
         with self.assertRaises(ValueError):
             self.ask({"NEWS": {}})
