--- a/basalthook/program/migrate.py
+++ b/basalthook/program/migrate.py
@@ -51,7 +51,8 @@
     new["settings"].update(CHANGED)
     for path, value in given.items():
         place, name = (new["settings"], path.split(".")[1]) if "." in path else (new, path)
-        carried.append(f"{path}: {place.get(name)!r} becomes {value!r}, as told")
+        if place.get(name) != value:
+            carried.append(f"{path}: {place.get(name)!r} becomes {value!r}, as told")
         place[name] = value
     return Migration(new, carried, unknown, {p: why for p, why in BY_HAND.items() if p not in given}, already)
 
