--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -1,28 +1,22 @@
 """Every decision of one client proxy.
 
-How to call: `proxy = Proxy(agreement, seed, now)`, carry out `proxy.begin()`, then for each event in order
-carry out `proxy.handle(now, event)`. interface.py beside this file defines what goes in and out.
+interface.py beside this file says how to call it, and what goes in and out.
 
 The design: an outcome is sorted into host fault (ban), throttle (backoff) or transaction fault (nothing),
 apart from whether another hop is permitted; a key picks the less used by us of its two candidate hosts.
 
-Beside the design stand these mechanisms (docs/design.md says when each acts):
- 1. Ranking: hosts by a key's claims; it leans to the own zone and, when busy, to the first candidate.
- 2. Budget: a host, or the fleet, that holds its budget of our hops gets no more; transactions wait in line.
- 3. Doubt: crowded hosts rest, silent ones are passed by, failing ones banned, returning ones tried out.
- 4. Second look: a late hop that may be repeated gets a copy, where two at once are allowed.
- 5. Cold slice: a fresh host gets the share of keys, and of our usual traffic, that it can surely carry.
+Beside it stand ranking, budget, doubt, second look, cold slice, and what is told (docs/design.md).
 """
 from bisect import bisect, insort
 from collections import OrderedDict, deque
 from random import Random
 
 from . import interface as i
-from .measure import Window, claim
+from .measure import Latency, Spread, Window, claim
+from .records import Server, Tx, even_out
 
 COOLDOWN, BACKOFF, TIMEOUT_RUN, SPREAD, SPREAD_WINDOW = 100_000, 500, 3, 2, 100_000    # the design's
-FIRST_BAN = 5_000       # of a connection that failed; doubles up to the cooldown until a commit
-BACKOFF_MOST = COOLDOWN // 4    # backoffs double up to this
+FIRST_BAN, BACKOFF_MOST = 5_000, 25_000     # bans of failed connections double from one, backoffs up to one
 KEYS_KEPT = 2_000       # rankings and failing keys held at once
 ROOMY = 1.5             # a host gets no more of our hops than make its answers this many times slower
 BEARABLE = 4            # hops of all proxies that a host may always hold: else it idles between two of ours
@@ -64,62 +58,31 @@
 # outcome -> what it does to the host, and whether the transaction may have run
 SORTED = {
     i.COMMITTED: ("sound", True), i.ERROR: ("erred", True), i.TIMED_OUT: ("timed_out", True),
-    i.RESET: ("erred", True), i.CANCELLED: ("weigh", True), i.REFUSED: ("back_off", False),
+    i.RESET: ("erred", True), i.CANCELLED: ("weigh", True), i.REFUSED: ("refused", False),
     i.UNREACHABLE: ("ban", False), i.UNSENT: (None, False), i.DECLINED: (None, True),
     i.DROPPED: ("erred", False)}
 SPOKEN, KEYED_FAILURES = {i.COMMITTED, i.ERROR, i.REFUSED, i.DECLINED}, {i.ERROR, i.TIMED_OUT, i.RESET}
 
 
-class Server:
-    """What this proxy knows of one host; dropped when it has left the list and no hop is out."""
-
-    def __init__(self, line, span):
-        self.id, self.heard = line.host, 0
-        self.sent, self.committed = Window(span), Window(span)      # hops, and answers
-        self.passed, self.passed_by = 0, {}     # when the latest hop was sent that it answered; by profile
-        self.out = {}               # the same of this host's hops; emptied as they end
-        self.size, self.held = 0.0, 0.0     # capacity against other hosts'; held a core, as last listed
-        self.witnesses = {}         # proxies that told of a fault here -> when; at most all of them
-        self.witnessed = self.told_until = 0    # when we last told; until when all were told to keep away
-        self.renew(line)
-
-    def renew(self, line):
-        """A new process: what was learned of an earlier one is void."""
-        self.line, self.fresh_from, self.proven = line, line.started, True
-        self.banned_until = self.shy_until = self.spare_until = self.throttles = self.failures = 0
-        self.timeouts, self.mute_until = {}, {}     # by profile: a run of time-outs, and what it led to
-        self.strain, self.erring, self.erred_key = 1.0, 0.0, None
-
-
-class Tx:
-    def __init__(self, event, now, profile):
-        self.id, self.key, self.kind, self.profile = event.tx, event.key, event.profile, profile
-        self.hard_limit = now + event.patience
-        self.goal = min(self.hard_limit, now - event.waited + profile.service_goal)
-        self.state, self.tried, self.give_up, self.come_back = "waiting", [], self.goal, profile.service_goal
-        self.out, self.ran = {}, None   # hop -> (server, sent at); the same, as a line, of what may have run
-
-
 class Proxy:
     def __init__(self, agreement, seed, now):
         self.terms, self.chance, self.now, self.born, self.seen = agreement, Random(seed), now, now, now
         self.servers = {}           # listed hosts, and those gone with hops still out
         self.txs = {}               # open transactions, and those answered with hops still out
         self.first_line, self.further_line = [], []     # (give up, tx); emptied by answers and time
-        self.failing = OrderedDict()    # key -> {host: when}; aged by the window, bounded by KEYS_KEPT
+        self.failing = Spread(SPREAD_WINDOW, KEYS_KEPT)     # keys, and the hosts at which they failed
+        self.faults = Spread(NEWS, KEYS_KEPT)   # hosts, and the proxies that told of a fault there
         self.rankings = OrderedDict()   # key -> servers; bounded, cleared by the list, a step or a lean
-        self.usual = [(p.service_goal / 8,) * 2 for p in agreement.profiles]    # latency, its deviation
-        self.quiet = [p.service_goal / 8 for p in agreement.profiles]   # latency with little waiting
-        self.level = list(self.quiet)       # the same, as of late
-        self.quiet_mix, self.strain = min(self.quiet), 1.0      # over our hops; answers against quiet ones
-        self.pace, self.last_commit, self.cores = 0.0, now, 1.0     # time between commits; cores said busy
+        self.latency = [Latency(p.service_goal / 8, p.service_goal / UNHURRIED) for p in agreement.profiles]
+        self.quiet_mix, self.strain = min(k.quiet for k in self.latency), 1.0   # over our hops; against it
+        self.cores, self.told_until = 1.0, 0        # held a core by the list, and how long that counts
+        self.pace, self.last_commit, self.usual_rate = 0.0, now, 0.0    # time between commits; a warm host's
         self.flying = {}            # hops out: (tx, hop) -> server, sent at, late after; emptied as they end
         self.sent, self.lately = Window(agreement.fall_time), deque(maxlen=64)  # our hops; the latest keys
         self.lean, self.lean_next = 1.0 + 100 * agreement.cross_price, now
         self.watching, self.asked, self.list_failures = not agreement.list_on_request, False, 0
         self.least, self.chosen = max(1.0, BEARABLE // agreement.proxies), None    # host of a waiting tx
         self.scarce_until, self.unread = now, 0.0   # connections hard to get; how long answers lie unread
-        self.usual_rate = 0.0       # commits of a warm host a fall window
         self.reset_rankings()
 
     def begin(self):
@@ -164,8 +127,7 @@
         if tx is None or event.hop not in tx.out:
             return
         server, sent_at = tx.out.pop(event.hop)
-        del server.out[tx.id, event.hop]
-        del self.flying[tx.id, event.hop]
+        del server.out[tx.id, event.hop], self.flying[tx.id, event.hop]
         effect, ran = SORTED[event.outcome]
         self.unread += (event.waited - self.unread) * 0.02
         if event.outcome in SPOKEN:
@@ -173,8 +135,6 @@
             server.passed_by[tx.kind] = max(server.passed_by.get(tx.kind, 0), sent_at)
         if ran and (tx.ran is None or sent_at < tx.ran[0]):
             tx.ran = sent_at, server.line
-        if event.outcome == i.REFUSED and self.terms.live_weights:  # its answer would have taken longest
-            self.strain += (10.0 - self.strain) * 0.1
         at_fault = event.outcome in KEYED_FAILURES and self.key_at_fault(tx, server)
         if effect and not at_fault:
             getattr(self, effect)(server, tx, event)
@@ -191,21 +151,10 @@
                 server.line = server.line._replace(ready=False)
         for line in event.hosts:
             server = self.servers.get(line.host) or self.servers.setdefault(line.host, Server(line, span))
-            if line.started is not None and line.started != server.line.started:
-                server.renew(line)
-            server.line = line
-            # a live weight only ever says too little; in steps, against one untrue tenfold
-            server.size = max(server.size, min(line.weight, 2 * server.size or line.weight)) if (
-                self.terms.live_weights) else line.weight
+            server.told(line, self.terms.live_weights)
         self.servers = {n: s for n, s in self.servers.items() if s.line.ready or s.out}
         if self.terms.live_weights:
-            by_size = sorted(self.servers.values(), key=lambda s: s.size)
-            sizes = {s.line.kind or s.id: s.size for s in by_size}      # the highest of each kind
-            for server in by_size:
-                server.size = sizes[server.line.kind or server.id]
-                server.held = server.size / server.line.weight - 1
-                server.spare_until = self.now + SPARE_FOR if server.held < SPARE else 0
-            self.cores = sum(s.size * s.held for s in by_size) / (sum(s.size for s in by_size) or 1.0)
+            self.cores, self.told_until = even_out(self.servers.values()), self.now + SPARE_FOR
         if self.standing() != before:       # lists that only tell of load come several times a second
             self.reset_rankings()
         self.fill()
@@ -224,13 +173,13 @@
         """Send; or hold in line if a turn comes soon; else give up, and tell the client when to come back."""
         server, self.chosen = self.chosen or (None if self.full() else self.pick(tx)), None
         if self.terms.live_weights:     # guards against hosts that all answer too late
-            part = max(self.cores, self.strain) * self.quiet[tx.kind] / max(1, tx.goal - self.now)
+            part = max(self.cores, self.strain) * self.latency[tx.kind].quiet / max(1, tx.goal - self.now)
             if self.chance.random() < min(MOST, STEEP * (part - EARLY)):
                 tx.come_back = tx.profile.service_goal
                 return "hopeless"
         if server is not None and self.send(tx, server):
             return "sent"
-        tx.give_up = tx.goal - int(sum(self.usual[tx.kind]))    # kept: the estimate behind it moves
+        tx.give_up = tx.goal - int(self.latency[tx.kind].usual)     # kept: the estimate behind it moves
         ahead = bisect(self.first_line, (tx.give_up, tx.id))
         if tx.tried:
             ahead = len(self.first_line) + bisect(self.further_line, (tx.give_up, tx.id))
@@ -321,7 +270,7 @@
         server.out[tx.id, hop] = self.flying[tx.id, hop] = server, now, self.late_after(tx)
         server.sent.add(now)
         self.sent.add(now)
-        self.quiet_mix += (self.quiet[tx.kind] - self.quiet_mix) * 0.05
+        self.quiet_mix += (self.latency[tx.kind].quiet - self.quiet_mix) * 0.05
         self.effects.append(i.SendHop(tx.id, server.id, tx.hard_limit - now))
         if self.terms.second_copies and tx.profile.kind != i.NON_IDEMPOTENT:
             self.effects.append(i.SetTimer(self.late_after(tx), tx.id + 2))
@@ -365,7 +314,7 @@
     def budget(self, server):
         """Little's law: our hops at a host whose answers take ROOMY times as long as in quiet."""
         share = FAIR * (len(self.flying) + 1) * server.size * self.warmth(server) / self.weight
-        if server.spare_until > self.now and server.strain <= CROWDED:
+        if self.told_until > self.now and server.held < SPARE and server.strain <= CROWDED:
             return share + 2 * share ** 0.5 + 1
         loose = self.strain <= BUSY and not self.first_line
         return max(self.least, share if loose else min(ROOMY * self.quiet_out(server.sent), share))
@@ -457,17 +406,11 @@
         server.proven, server.failures = True, 0
         server.timeouts.pop(tx.kind, None)
         server.erring *= 0.9
-        self.failing.pop(tx.key, None)
+        self.failing.drop(tx.key)
         since, self.last_commit = self.now - self.last_commit, self.now
         self.pace += (since - self.pace) * 0.1
-        mean, deviation = self.usual[tx.kind]
-        quiet, error = self.quiet[tx.kind], event.elapsed - mean
-        self.level[tx.kind] += (event.elapsed - self.level[tx.kind]) * 0.01     # steady: few are very heavy
-        gap = self.level[tx.kind] - quiet
-        quiet += gap * (0.02 if gap < 0 else 0.00005)
-        self.quiet[tx.kind] = quiet = max(quiet, tx.profile.service_goal / UNHURRIED)
-        self.usual[tx.kind] = mean + error * 0.05, deviation + (abs(error) - deviation) * 0.05
-        strain = min(10.0, event.elapsed / quiet)
+        self.latency[tx.kind].add(event.elapsed)
+        strain = min(10.0, event.elapsed / self.latency[tx.kind].quiet)
         # by time, where answers are few; of commits only: what silent hosts owe is no crowd at the others
         self.weigh(server, tx, event, strain)
         if not server.throttles or 2 * sum(bool(s.throttles) for s in self.ready) > len(self.ready):
@@ -477,12 +420,12 @@
     def weigh(self, server, tx, event, strain=None):
         if event.outcome != i.COMMITTED and self.now - event.elapsed < server.passed:
             return      # guards against a crowd seen where single hops stay unanswered, later ones not
-        strain = strain or max(server.strain, min(10.0, event.elapsed / self.quiet[tx.kind]))
+        strain = strain or max(server.strain, min(10.0, event.elapsed / self.latency[tx.kind].quiet))
         often = max(1, server.sent.count(self.now))     # guards against jams that many proxies meet seldom
         server.strain += (strain - server.strain) * (0.5 if server.throttles else max(0.1, SELDOM / often))
         # guards against hosts that turn slower when crowded until they rest; not all, where all are slow
         if server.strain > CROWDED * (min(OTHERS, max(1.0, self.strain)) if self.terms.live_weights else 1):
-            self.back_off(server, tx, event, self.terms.fall_time // often, COOLDOWN)
+            self.back_off(server, self.terms.fall_time // often, COOLDOWN)
         else:
             server.throttles = 0
 
@@ -514,18 +457,16 @@
         if self.terms.peers and self.now >= server.witnessed + NEWS:
             server.witnessed, counts = self.now, server.line.hash % self.terms.proxies
             if counts == self.terms.position:
-                self.count_witness(server, counts)
-            else:
-                self.effects.append(i.TellNews(counts, server.id, i.MET_FAULT))
+                return self.count_witness(server, counts)
+            self.effects.append(i.TellNews(counts, server.id, i.MET_FAULT))
 
     def count_witness(self, server, sender):
-        seen = server.witnesses = {p: at for p, at in server.witnesses.items() if at > self.now - NEWS}
-        seen[sender] = self.now
+        seen = self.faults.add(server.id, sender, self.now)
         span = (self.now - min(seen.values()) + 1) / self.terms.fall_time
         # of all proxies there, as if each sent as we do
         hops = self.sent.count(self.now) * self.terms.proxies * server.size / (self.weight or 1.0)
         if len(seen) >= max(WITNESSES, min(ERRING * hops * span, self.terms.proxies / 3)):
-            seen.clear()
+            self.faults.drop(server.id)
             self.effects.append(i.TellNews(None, server.id, i.AT_FAULT))
             self.keep_away(server)
 
@@ -536,14 +477,13 @@
             self.effects.append(i.SetTimer(KEPT_AWAY, 1))
 
     def on_news(self, event):
-        server = self.servers.get(event.host)
-        if server is None or event.sender not in range(self.terms.proxies) or not self.terms.peers or (
-                event.sender == self.terms.position):
+        server, sender, mine = self.servers.get(event.host), event.sender, self.terms.position
+        if server is None or not self.terms.peers or sender == mine or not 0 <= sender < self.terms.proxies:
             return
         counts = server.line.hash % self.terms.proxies
-        if event.what == i.MET_FAULT and counts == self.terms.position:
-            self.count_witness(server, event.sender)
-        elif event.what == i.AT_FAULT and counts == event.sender:
+        if event.what == i.MET_FAULT and counts == mine:
+            self.count_witness(server, sender)
+        elif event.what == i.AT_FAULT and counts == sender:
             self.keep_away(server)
 
     def ban(self, server, tx, event):
@@ -554,29 +494,27 @@
         server.banned_until, server.erring, server.timeouts, server.proven = self.now + cooldown, 0, {}, False
         self.effects.append(i.SetTimer(cooldown, 1))
 
-    def back_off(self, server, tx, event, seldom=BACKOFF, most=BACKOFF_MOST):
+    def refused(self, server, tx, event):
+        if self.terms.live_weights:     # its answer would have taken longest
+            self.strain += (10.0 - self.strain) * 0.1
+        self.back_off(server)
+
+    def back_off(self, server, seldom=BACKOFF, most=BACKOFF_MOST):
         wait = min(most, max(BACKOFF, seldom) * 2 ** server.throttles)
         server.throttles, server.shy_until = min(server.throttles + 1, 8), self.now + wait
         self.effects.append(i.SetTimer(wait, 1))
 
     def late_after(self, tx):
-        mean, deviation = self.usual[tx.kind]
-        goal = tx.profile.service_goal
-        return int(min(max(mean + 4 * deviation, goal / UNHURRIED), goal / 2))
+        known, goal = self.latency[tx.kind], tx.profile.service_goal
+        return int(min(max(known.mean + 4 * known.deviation, goal / UNHURRIED), goal / 2))
 
     def key_at_fault(self, tx, server):
         """Failures of one key at several hosts are the transaction's own."""
-        if tx.key is None:
-            return False
-        seen = {h: at for h, at in self.failing.pop(tx.key, {}).items() if at > self.now - SPREAD_WINDOW}
-        seen[server.id], self.failing[tx.key] = self.now, seen
-        if len(self.failing) > KEYS_KEPT:
-            self.failing.popitem(last=False)
-        return len(seen) >= SPREAD
+        return tx.key is not None and len(self.failing.add(tx.key, server.id, self.now)) >= SPREAD
 
     EVENTS = {
         i.HostsListed: on_listed, i.ListFailed: on_list_failed, i.TxArrived: on_arrived, i.HopEnded: on_ended,
-        i.NewsCame: on_news,
-        i.StreamBegan: lambda self, event: self.tell(event.tx, "began"), i.TimerDue: on_timer,
+        i.NewsCame: on_news, i.TimerDue: on_timer,
+        i.StreamBegan: lambda self, event: self.tell(event.tx, "began"),
         i.TxGone: lambda self, event: self.tell(event.tx, "gone"),
     }
--- a/basalthook/policy/measure.py
+++ b/basalthook/policy/measure.py
@@ -1,5 +1,5 @@
 """Counting and hashing for the decisions; nothing is decided here."""
-from collections import deque
+from collections import OrderedDict, deque
 from math import log
 
 
@@ -27,3 +27,40 @@
     x = (key ^ host) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
     x = (x ^ x >> 29) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
     return -log(((x ^ x >> 32) + 1) / 2 ** 64) / weight
+
+
+class Latency:
+    """Of one profile: its mean and deviation, and what it is with little waiting, never under `least`."""
+
+    def __init__(self, guess: float, least: float) -> None:
+        self.mean = self.deviation = self.quiet = self.level = guess
+        self.least = least
+
+    def add(self, elapsed: int) -> None:
+        error = elapsed - self.mean
+        self.mean += error * 0.05
+        self.deviation += (abs(error) - self.deviation) * 0.05
+        self.level += (elapsed - self.level) * 0.01     # steady: few are very heavy
+        gap = self.level - self.quiet
+        self.quiet = max(self.quiet + gap * (0.02 if gap < 0 else 0.00005), self.least)
+
+    @property
+    def usual(self) -> float:
+        return self.mean + self.deviation
+
+
+class Spread:
+    """Where each key was met lately: aged by the span, and the oldest keys let go beyond so many."""
+
+    def __init__(self, span: int, most: int) -> None:
+        self.span, self.most, self.met = span, most, OrderedDict()
+
+    def add(self, key, place, now: int) -> dict:
+        seen = {p: at for p, at in self.met.pop(key, {}).items() if at > now - self.span}
+        seen[place], self.met[key] = now, seen
+        if len(self.met) > self.most:
+            self.met.popitem(last=False)
+        return seen
+
+    def drop(self, key) -> None:
+        self.met.pop(key, None)
--- /dev/null
+++ b/basalthook/policy/records.py
@@ -0,0 +1,52 @@
+"""What is kept of one host and of one transaction; nothing is decided here."""
+from .measure import Window
+
+
+class Server:
+    """What this proxy knows of one host; dropped when it has left the list and no hop is out."""
+
+    def __init__(self, line, span):
+        self.id, self.heard = line.host, 0
+        self.sent, self.committed = Window(span), Window(span)      # hops, and answers
+        self.passed, self.passed_by = 0, {}     # when the latest hop was sent that it answered; by profile
+        self.out = {}               # the same of this host's hops; emptied as they end
+        self.size = 0.0             # capacity against other hosts'
+        self.witnessed = self.told_until = 0    # when we last told of a fault; until when all keep away
+        self.renew(line)
+
+    @property
+    def held(self):
+        """A core, as last listed where weights are live."""
+        return self.size / self.line.weight - 1
+
+    def told(self, line, live):
+        """A line of the list. A live weight only says too little; in steps, against an untrue tenfold."""
+        if line.started is not None and line.started != self.line.started:
+            self.renew(line)
+        self.line = line
+        self.size = max(self.size, min(line.weight, 2 * self.size or line.weight)) if live else line.weight
+
+    def renew(self, line):
+        """A new process: what was learned of an earlier one is void."""
+        self.line, self.fresh_from, self.proven = line, line.started, True
+        self.banned_until = self.shy_until = self.throttles = self.failures = 0
+        self.timeouts, self.mute_until = {}, {}     # by profile: a run of time-outs, and what it led to
+        self.strain, self.erring, self.erred_key = 1.0, 0.0, None
+
+
+class Tx:
+    def __init__(self, event, now, profile):
+        self.id, self.key, self.kind, self.profile = event.tx, event.key, event.profile, profile
+        self.hard_limit = now + event.patience
+        self.goal = min(self.hard_limit, now - event.waited + profile.service_goal)
+        self.state, self.tried, self.give_up, self.come_back = "waiting", [], self.goal, profile.service_goal
+        self.out, self.ran = {}, None   # hop -> (server, sent at); the same, as a line, of what may have run
+
+
+def even_out(servers):
+    """Hosts of a kind are of one size, the highest seen; returns what is held a core over all."""
+    by_size = sorted(servers, key=lambda s: s.size)
+    sizes = {s.line.kind or s.id: s.size for s in by_size}      # the last, so the highest
+    for server in by_size:
+        server.size = sizes[server.line.kind or server.id]
+    return sum(s.size * s.held for s in by_size) / (sum(s.size for s in by_size) or 1.0)
--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -5,7 +5,6 @@
 from typing import NoReturn
 
 import click
-import orjson
 
 from .. import VERSION
 from ..protocol import catalogue
@@ -113,7 +112,7 @@
         click.echo("basalthook: nothing is written; --drop-unknown leaves these out", err=True)
         sys.exit(1)
     if not dry_run and output is None:
-        click.echo(orjson.dumps(done.new, option=orjson.OPT_INDENT_2).decode())
+        click.echo(migration.worded(done.new), nl=False)
     elif not dry_run:
         if os.path.exists(output) and not replace:
             leave(startup.BadStart(f"{output} exists; --replace writes over it"))
--- a/basalthook/program/migrate.py
+++ b/basalthook/program/migrate.py
@@ -54,7 +54,8 @@
         if place.get(name) != value:
             carried.append(f"{path}: {place.get(name)!r} becomes {value!r}, as told")
         place[name] = value
-    return Migration(new, carried, unknown, {p: why for p, why in BY_HAND.items() if p not in given}, already)
+    by_hand = {} if already else {path: why for path, why in BY_HAND.items() if path not in given}
+    return Migration(new, carried, unknown, by_hand, already)
 
 
 def _known(value, read, path: str, unknown: list[str]):
@@ -68,12 +69,16 @@
             for name, each in value.items() if name in read}
 
 
+def worded(new: dict) -> bytes:
+    return orjson.dumps(new, option=orjson.OPT_INDENT_2) + b"\n"
+
+
 def write(path: str, new: dict) -> None:
     """Whole or not at all: beside it first, then renamed."""
     handle, beside = tempfile.mkstemp(dir=os.path.dirname(os.path.abspath(path)), prefix=".migrate-")
     try:
         with os.fdopen(handle, "wb") as file:
-            file.write(orjson.dumps(new, option=orjson.OPT_INDENT_2) + b"\n")
+            file.write(worded(new))
             file.flush()
             os.fsync(file.fileno())
         os.replace(beside, path)
