Members, shared facts and the fleet's verdicts on hosts, in virtual time

Lab: faults cut, lossy, kill_proxy, stop_proxy, clock, and [fleet]; depth decisions plays members with real datagrams.

--- a/basalthook/lab/decisions.py
+++ b/basalthook/lab/decisions.py
@@ -12,14 +12,17 @@
 from random import Random
 
 from .. import terms
+from ..fleet.counting import Counting
 from ..policy import interface as i
 from ..policy.decide import Proxy
 from ..protocol.catalogue import Line
+from .links import Links
 from .model import machines
 from .result import Result, found
-from .scenario import BadScenario, LongWay, Maintain, Scenario
+from .scenario import BadScenario, ClockFault, LongWay, Maintain, Scenario, moments
 from .start import settings
-from .wire import Answered, Asked, Called, Got, Told
+from .talking import Talking
+from .wire import Answered, Asked, Called, Excused, Got, Told
 
 TICKS = 10_000          # the decisions' time: so many a second
 BORN = 100.0            # seconds on the virtual clock when everything starts
@@ -49,17 +52,44 @@
         self.schedule, self.manners = Random(f"schedule of {seed}"), Random(f"manners of {seed}")
         self.weights = list(accumulate(rank ** -told.load.zipf for rank in range(1, told.load.keys + 1)))
         self.tx, self.long = count(), [f for f in told.faults if isinstance(f, LongWay)]
-        self.proxies, zones = [], sorted(set(self.zones))
+        self.links = Links(seed, told.proxies, size)
+        self.proxies: list[Proxy | None] = [None] * told.proxies
+        self.minds: list = [None] * told.proxies        # the decisions, with whoever stands beside them
+        self.lives, self.stopped = [0] * told.proxies, {}       # stopped -> what waits; emptied as it goes on
+        self.clocks = [(BORN, BORN, 1.0)] * told.proxies        # (then, what it showed then, its rate)
+        for fault in told.faults:
+            if isinstance(fault, ClockFault) and fault.at == 0:     # set before they started
+                for n in fault.proxies:
+                    self.clocks[n] = BORN, BORN + fault.ahead, fault.rate
+        self.talking = Talking(self, told.proxies) if told.fleet else None
         for n in range(told.proxies):
-            agreed = terms.agreement(settings(told, n, zones[n % len(zones)]))
-            proxy = Proxy(agreed, terms.number(f"proxy {n} of {seed}"), self.ticks)
-            self.proxies.append(proxy)
-            self.carry_out(n, proxy.begin())
-            self.tell(n, i.HostsListed(tuple(map(self.line, range(size))), True, False))
-
-    @property
-    def ticks(self) -> int:
-        return int(self.now * TICKS)
+            self.start(n, True)
+
+    def start(self, n: int, first: bool) -> None:
+        """A new process of this proxy, that knows the list as discovery has it."""
+        self.lives[n] += 1
+        zones = sorted(set(self.zones))
+        agreed = terms.agreement(settings(self.told, n, zones[n % len(zones)]))
+        again = "" if first else f", life {self.lives[n]}"
+        proxy = Proxy(agreed, terms.number(f"proxy {n} of {self.seed}{again}"), self.ticks_of(n))
+        self.proxies[n] = proxy
+        self.minds[n] = Counting(proxy)
+        if self.talking is not None:
+            self.minds[n] = self.talking.start(n, proxy, agreed.zone, first)
+        self.carry_out(n, proxy.begin())
+        listed = [host for host in range(len(self.machines)) if self.states[host] != "removed"]
+        self.tell(n, i.HostsListed(tuple(map(self.line, listed)), True, False))
+
+    def wall(self, n: int) -> float:
+        """What this proxy's clock shows, in seconds."""
+        then, shown, rate = self.clocks[n]
+        return shown + (self.now - then) * rate
+
+    def ticks_of(self, n: int) -> int:
+        return int(self.wall(n) * TICKS)
+
+    def rate(self, n: int) -> float:
+        return self.clocks[n][2]
 
     def clock(self) -> float:
         return self.now
@@ -70,10 +100,8 @@
     def run(self) -> None:
         told = self.told
         until = BORN + told.seconds
-        for fault in told.faults:
-            for host in fault.hosts:
-                self.later(fault.at, fault.begin, self, host)
-                self.later(fault.at + fault.lasts, fault.end, self, host)
+        for at, act, given in moments(told.faults):
+            self.later(at, act, self, *given)
         self.later(self.schedule.expovariate(told.rate(0.0)), self.arrive, until)
         longest = max(p.hard_limit for p in told.load.profiles)
         over = until + (longest + AFTER) * (1 + told.load.retries)
@@ -91,11 +119,17 @@
         load = self.told.load
         profile, = self.draws.choices(load.profiles, [p.share for p in load.profiles])
         key = f"key-{self.draws.choices(range(load.keys), cum_weights=self.weights)[0]}"
-        proxy = self.draws.randrange(len(self.proxies))
+        proxy = self.up_from(self.draws.randrange(len(self.proxies)))
         self.ask(proxy, profile, key, self.draws.expovariate(1 / profile.work), self.now, None, 0)
         if (due := self.now + self.schedule.expovariate(self.told.rate(self.now - BORN))) < until:
             self.later(due - self.now, self.arrive, until)
 
+    def up_from(self, proxy: int) -> int:
+        """This one; or, as its client has gone with it or stands still, the next one that runs."""
+        count = len(self.proxies)
+        return next((n % count for n in range(proxy, proxy + count)
+                     if self.proxies[n % count] is not None and n % count not in self.stopped), proxy)
+
     def ask(self, proxy: int, profile, key: str, work: float, due: float, first: str | None, tries: int):
         tx = next(self.tx)
         name, limit = f"tx-{tx}", self.now + profile.hard_limit
@@ -114,7 +148,8 @@
         load = self.told.load
         if status == 503 and again[-1] < load.retries:
             wait = come_back if self.manners.random() < load.obey else 0.0
-            self.later(wait, self.ask, self.draws.randrange(len(self.proxies)), *again[:-1], again[-1] + 1)
+            another = self.up_from(self.draws.randrange(len(self.proxies)))
+            self.later(wait, self.ask, another, *again[:-1], again[-1] + 1)
 
     def forget(self, proxy: int, tx: int) -> None:
         if (proxy, tx) not in self.open and not self.hops.get((proxy, tx), (0, 1))[1]:
@@ -122,15 +157,21 @@
 
     # ---- a proxy's effects
 
-    def tell(self, proxy: int, event) -> None:
-        self.carry_out(proxy, self.proxies[proxy].handle(self.ticks, event))
+    def tell(self, proxy: int, event, life: int | None = None) -> None:
+        if self.proxies[proxy] is None or life is not None and life != self.lives[proxy]:
+            return
+        if proxy in self.stopped:
+            self.stopped[proxy].append(event)
+        else:
+            self.carry_out(proxy, self.minds[proxy].handle(self.ticks_of(proxy), event))
 
     def carry_out(self, proxy: int, effects) -> None:
         for effect in effects:
             self.CARRIED[type(effect)](self, proxy, effect)
 
     def set_timer(self, proxy: int, effect) -> None:
-        self.later(effect.delay / TICKS, self.tell, proxy, i.TimerDue(effect.mark))
+        self.later(effect.delay / TICKS / self.rate(proxy), self.tell, proxy, i.TimerDue(effect.mark),
+                   self.lives[proxy])
 
     def roll_back(self, proxy: int, effect) -> None:
         self.answered(proxy, effect.tx, 503, effect.come_back / TICKS)
@@ -164,9 +205,11 @@
         asked, given = self.open[proxy, tx], self.given[proxy, tx]
         here, there = self.proxies[proxy].terms.zone, self.zones[host]
         way, lost = self.way(here, there), self.lost(here, there)
-        if not lost:
+        more = self.links.stream(f"p{proxy}", f"h{host}")
+        if not lost and more is not None:
+            way += more
             self.later(way, self.got, proxy, tx, hop, host, asked.tx, given[1], given[2], way)
-        self.later(effect.time_limit / TICKS, self.end, proxy, tx, hop, i.TIMED_OUT)
+        self.later(effect.time_limit / TICKS / self.rate(proxy), self.end, proxy, tx, hop, i.TIMED_OUT)
 
     def way(self, here: str, there: str) -> float:
         network, since = self.told.network, self.now - BORN
@@ -187,11 +230,12 @@
             self.answered(proxy, tx, 200)
         self.hops[proxy, tx][1] -= 1
         self.forget(proxy, tx)
-        elapsed = max(1, int((self.now - sent_at) * TICKS))
+        elapsed = max(1, int((self.now - sent_at) * self.rate(proxy) * TICKS))
         self.tell(proxy, i.HopEnded(tx, hop, host, outcome, elapsed, closed))
 
     CARRIED = {i.SetTimer: set_timer, i.RollBack: roll_back, i.Abandon: abandon, i.WatchList: watch_list,
-               i.TellNews: tell_news, i.CancelHop: cancel_hop, i.SendHop: send_hop}
+               i.TellNews: tell_news, i.CancelHop: cancel_hop, i.SendHop: send_hop,
+               i.MetFault: lambda self, proxy, effect: None}
 
     # ---- machines
 
@@ -217,10 +261,47 @@
         machine.done(life)
         here, there = self.proxies[proxy].terms.zone, self.zones[host]
         lost = any(self.chance[host].random() < share for share in machine.losing) or self.lost(here, there)
-        if life == machine.life and not machine.silent and not machine.gone and not lost:
-            self.later(way, self.end, proxy, tx, hop, i.COMMITTED)
-
-    # ---- what faults do, and discovery
+        more = self.links.stream(f"h{host}", f"p{proxy}")
+        if life == machine.life and not machine.silent and not machine.gone and not lost and more is not None:
+            self.later(way + more, self.end, proxy, tx, hop, i.COMMITTED)
+
+    # ---- what faults do to proxies
+
+    def kill_proxy(self, n: int) -> None:
+        """What it had open is gone with it; machines go on with its hops."""
+        self.excuse(n)
+        for table in (self.open, self.given, self.hops, self.out):
+            for known in [known for known in table if known[0] == n]:
+                del table[known]
+        self.proxies[n] = self.minds[n] = None
+        self.stopped.pop(n, None)
+        if self.talking is not None:
+            self.talking.end(n)
+
+    def start_proxy(self, n: int, forgets: bool) -> None:
+        """Nothing is kept between two lives yet, so it always forgets."""
+        self.start(n, False)
+
+    def stop_proxy(self, n: int) -> None:
+        self.excuse(n)
+        self.stopped[n] = []
+
+    def go_on_proxy(self, n: int) -> None:
+        """First what lay in its sockets, then its timers: a process reads before it looks at the clock."""
+        waited = self.stopped.pop(n, [])
+        if self.talking is not None and self.talking.talks[n] is not None:
+            self.talking.go_on(n)
+        for event in waited:
+            self.tell(n, event)
+
+    def excuse(self, n: int) -> None:
+        self.wire += [Excused(self.now, asked.tx) for (proxy, _), asked in self.open.items() if proxy == n]
+
+    def set_clock(self, n: int, ahead: float, rate: float) -> None:
+        """What a running process reads never jumps, it counts on a monotonic clock; its rate may change."""
+        self.clocks[n] = self.now, self.wall(n), rate
+
+    # ---- what faults do to hosts, and discovery
 
     def kill(self, host: int) -> None:
         self.up[host] = False
@@ -246,6 +327,8 @@
     def list_to(self, proxy: int, host: int | None) -> None:
         """A change of one host, or all of them; what is told is what holds by now."""
         hosts = range(len(self.machines)) if host is None else [host]
+        if self.proxies[proxy] is None or self.links.stream("d", f"p{proxy}") is None:
+            return
         self.wire.extend(Told(self.now, n, self.states[n], proxy) for n in hosts)
         listed = tuple(self.line(n) for n in hosts if host is not None or self.states[n] != "removed")
         self.tell(proxy, i.HostsListed(listed, host is None, True))
@@ -264,4 +347,5 @@
         raise BadScenario(f"{told.name}: maintain is played on sockets alone, see --depth")
     fleet = Fleet(told, told.seed)
     fleet.run()
-    return found(told, fleet.wire, BORN, "decisions", digest=fleet.digest.hexdigest())
+    talk = fleet.talking.figures(told, BORN) if fleet.talking else None
+    return found(told, fleet.wire, BORN, "decisions", digest=fleet.digest.hexdigest(), talk=talk)
--- a/basalthook/lab/judge.py
+++ b/basalthook/lab/judge.py
@@ -2,7 +2,7 @@
 from collections import defaultdict, deque
 from typing import NamedTuple
 
-from .wire import Answered, Asked, Got, Ordered, Told
+from .wire import Answered, Asked, Excused, Got, Ordered, Told
 
 SLACK = 0.05            # seconds that a socket may take more than a rule's time
 ROLLED_BACK = (429, 503)
@@ -34,13 +34,14 @@
 def judge(wire: list, rules, goals: dict[str, float]) -> Verdict:
     """`goals`: service goal in seconds by profile; a latency counts from when the transaction was due."""
     asked = {e.tx: e for e in wire if isinstance(e, Asked)}
+    excused = {e.tx for e in wire if isinstance(e, Excused)}
     answered, hops = defaultdict(list), defaultdict(list)
     for e in wire:
         if isinstance(e, Answered):
             answered[e.tx].append(e)
         elif isinstance(e, Got):
             hops[e.tx].append(e)
-    offences = sorted([*lost(asked, answered, hops), *doubled(asked, answered, hops),
+    offences = sorted([*lost(asked, answered, hops, excused), *doubled(asked, answered, hops),
                        *drains(wire, rules), *pushed_over(wire, rules)], key=lambda o: o.at)
     counts = dict.fromkeys(("lost", "doubled", "drains", "pushed_over"), 0)
     for offence in offences:
@@ -48,6 +49,8 @@
     tries, kinds = {}, dict.fromkeys(("committed", "rolled_back", "abandoned"), 0)
     for tx, e in asked.items():         # a client's retries belong to its first try
         last = answered[tx][0] if answered[tx] else None
+        if tx in excused:
+            continue
         good = bool(last and last.status == 200 and last.at - e.due <= goals[e.profile])
         tries[e.first] = e.due, e.profile, good or e.first in tries and tries[e.first][2]
         if last:
@@ -88,10 +91,12 @@
     return next((n + 1.0 for n in sorted(seconds) if share(seconds[n]) >= enough), None)
 
 
-def lost(asked, answered, hops):
+def lost(asked, answered, hops, excused=frozenset()):
     """One final answer before the hard limit, made by a host if it is a commit; nothing goes out after it."""
     for tx, e in asked.items():
         got = answered[tx]
+        if tx in excused:
+            continue
         if not got or got[0].at > e.limit + SLACK:
             yield Offence("lost", e.limit, None, tx, "no answer before the hard limit")
         elif got[0].status == 0:
--- a/basalthook/lab/result.py
+++ b/basalthook/lab/result.py
@@ -22,6 +22,7 @@
     hops: dict[int, int]            # by host
     faults: list                    # what the program's own log called one
     digest: str                     # of all that crossed; the same for the same seed, in virtual time
+    talk: dict | None = None        # what the members' talk came to, where there is any
 
     def told(self) -> dict:
         """As JSON has it."""
@@ -30,10 +31,11 @@
                 "first": verdict.first and verdict.first._asdict(), "service": verdict.service,
                 "worst_10s": verdict.worst_10s, "by_profile": verdict.by_profile, "answers": verdict.answers,
                 "recovery_s": self.recovery, "wasted": verdict.wasted, "latency_ms": self.latency,
-                "hops": self.hops, "faults": self.faults, "digest": self.digest}
+                "hops": self.hops, "faults": self.faults, "digest": self.digest, **(self.talk or {})}
 
 
-def found(told: Scenario, wire: list, begin: float, depth: str, faults=(), digest: str = "") -> Result:
+def found(told: Scenario, wire: list, begin: float, depth: str, faults=(), digest: str = "",
+          talk: dict | None = None) -> Result:
     """`begin`: the moment, on the wire's clock, at which the scenario began."""
     histogram, asked = HdrHistogram(1, LONGEST * MICROSECOND, 3), {}
     for e in wire:
@@ -49,4 +51,4 @@
     back = [recovery(verdict.whole, begin + fault.at + fault.lasts) for fault in told.faults]
     hops = Counter(e.host for e in wire if isinstance(e, Got))
     return Result(verdict, told.seed, depth, told.seconds, latency, back, dict(sorted(hops.items())),
-                  list(faults), digest)
+                  list(faults), digest, talk)
--- a/basalthook/lab/scenario.py
+++ b/basalthook/lab/scenario.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from . import links
+
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Seconds = Annotated[float, msgspec.Meta(ge=0)]
@@ -162,6 +164,99 @@
         return self.at <= at < self.at + self.lasts and {here, there} == set(self.zones)
 
 
+class Between(msgspec.Struct, tag_field="what", forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """A fault of ways, not of hosts; `links` says what becomes of what goes there."""
+    at: Seconds
+    lasts: Positive
+    between: tuple[list[str], list[str]]
+    one_way: bool = False
+    hosts: tuple[()] = ()
+
+    cuts = False
+    loses = doubles = reorders = delay = spoils = 0.0
+
+    def begin(self, fleet) -> None:
+        fleet.links.begin(self)
+
+    def end(self, fleet) -> None:
+        fleet.links.end(self)
+
+
+class Cut(Between, tag="cut"):
+    """Nothing comes through."""
+
+    cuts = True
+
+
+class Lossy(Between, tag="lossy"):
+    """Datagrams are lost, doubled, reordered, held up, spoilt; messages on connections lost or held up."""
+    loses: Share = 0.0
+    doubles: Share = 0.0
+    reorders: Share = 0.0
+    delay: Seconds = 0.0
+    spoils: Share = 0.0
+
+
+class OfProxies(msgspec.Struct, tag_field="what", forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """A fault of whole processes, not of hosts."""
+    at: Seconds
+    lasts: Positive
+    proxies: Annotated[list[Annotated[int, msgspec.Meta(ge=0)]], msgspec.Meta(min_length=1)]
+    hosts: tuple[()] = ()
+
+    def begin(self, fleet) -> None:
+        for proxy in self.proxies:
+            self.strike(fleet, proxy)
+
+    def end(self, fleet) -> None:
+        for proxy in self.proxies:
+            self.mend(fleet, proxy)
+
+    def strike(self, fleet, proxy: int) -> None:
+        raise NotImplementedError
+
+    def mend(self, fleet, proxy: int) -> None:
+        raise NotImplementedError
+
+
+class KillProxy(OfProxies, tag="kill_proxy"):
+    """SIGKILL; it is started again afterwards, in an emptied folder if it forgets."""
+    forgets: bool = True
+
+    def strike(self, fleet, proxy):
+        fleet.kill_proxy(proxy)
+
+    def mend(self, fleet, proxy):
+        fleet.start_proxy(proxy, self.forgets)
+
+
+class StopProxy(OfProxies, tag="stop_proxy"):
+    """SIGSTOP, then SIGCONT."""
+
+    def strike(self, fleet, proxy):
+        fleet.stop_proxy(proxy)
+
+    def mend(self, fleet, proxy):
+        fleet.go_on_proxy(proxy)
+
+
+class ClockFault(OfProxies, tag="clock"):
+    """Its clocks are ahead, and run at another rate, from then until the end of the fault."""
+    ahead: float = 0.0
+    rate: Annotated[float, msgspec.Meta(gt=0.5, lt=2)] = 1.0
+
+    def strike(self, fleet, proxy):
+        fleet.set_clock(proxy, self.ahead, self.rate)
+
+    def mend(self, fleet, proxy):
+        fleet.set_clock(proxy, 0.0, 1.0)
+
+
+class Shares(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """What the proxies hold together; without it nobody talks."""
+    shares: Annotated[list[Annotated[str, msgspec.Meta(pattern="^verdicts$")]], msgspec.Meta(min_length=1)]
+
+
 class Vanish(Fault, tag="vanish"):
     """The machine is cut off and says nothing; in virtual time alone, as loopback can't lose a connection."""
 
@@ -199,8 +294,9 @@
     hosts: Annotated[list[Kind], msgspec.Meta(min_length=1)]
     load: Load
     rules: Rules = msgspec.field(default_factory=Rules)
-    faults: list[Kill | Slow | Silent | Errors | LoseAnswers | Vanish | Drain | Maintain | Burst |
-                 LongWay] = msgspec.field(default_factory=list)
+    faults: list[Kill | Slow | Silent | Errors | LoseAnswers | Vanish | Drain | Maintain | Burst | LongWay |
+                 Cut | Lossy | KillProxy | StopProxy | ClockFault] = msgspec.field(default_factory=list)
+    fleet: Shares | None = None
     network: Network = msgspec.field(default_factory=Network)
     proxies: Count = 1              # at depth `sockets` there is one
     discovery: Discovery = msgspec.field(default_factory=Discovery)
@@ -217,6 +313,17 @@
         return sum(kind.count for kind in self.hosts)
 
 
+def moments(faults) -> list[tuple]:
+    """(seconds from the start, act, what it is given after the fleet) of every beginning and end."""
+    found = []
+    for fault in faults:
+        if hasattr(fault, "begin"):
+            given = [(host,) for host in fault.hosts] or [()]
+            found += [(at, act, one) for one in given
+                      for at, act in ((fault.at, fault.begin), (fault.at + fault.lasts, fault.end))]
+    return found
+
+
 def load(path: str | Path) -> Scenario:
     """The scenario in this file, or BadScenario; a half-valid one is none."""
     try:
@@ -238,6 +345,17 @@
             if number >= found.size:
                 raise BadScenario(f"{path}: Expected a host from 0 to {found.size - 1}, got {number} - at "
                                   f"`$.faults[{n}].hosts[{which}]`")
+        for which, number in enumerate(getattr(fault, "proxies", ())):
+            if number >= found.proxies:
+                raise BadScenario(f"{path}: Expected a proxy from 0 to {found.proxies - 1}, got {number} - "
+                                  f"at `$.faults[{n}].proxies[{which}]`")
+        for side, ends in enumerate(getattr(fault, "between", ())):
+            for which, name in enumerate(ends):
+                try:
+                    links.ends(name, found.proxies, found.size)
+                except links.BadName as wrong:
+                    at = f"$.faults[{n}].between[{side}][{which}]"
+                    raise BadScenario(f"{path}: {wrong} - at `{at}`") from None
     names = [profile.name for profile in found.load.profiles]
     for n, profile in enumerate(found.load.profiles):
         if profile.name in names[:n]:
@@ -247,3 +365,4 @@
             raise BadScenario(f"{path}: Expected no less than the service goal, got {profile.hard_limit} - "
                               f"at `$.load.profiles[{n}].hard_limit`")
     return found
+
--- /dev/null
+++ b/basalthook/lab/talking.py
@@ -0,0 +1,155 @@
+"""The members of a virtual fleet: what they send one another, and what the lab reads off them."""
+from collections import Counter
+from random import Random
+
+from ..fleet.talk import Talk
+from ..fleet.verdicts import LIVES, OUT, Verdicts
+from ..membership.member import ALIVE, Update
+
+TICK = 0.05             # seconds between two looks of a member, as the program does
+KEY = b"the lab's own key, known to all of its members"
+SEEDS = 3               # the first so many members are told to all as seeds
+BACKLOG = 256           # datagrams that wait at a stopped process, as in a kernel's buffer
+DRIFT = 0.03            # part by which a fact's age may be read off too low: clocks run up to 2 in 100 apart
+
+
+class Talking:
+    """`fleet`: the run that they are part of, with its heap, clocks and links."""
+
+    def __init__(self, fleet, count: int) -> None:
+        self.fleet, self.count = fleet, count
+        self.talks: list[Talk | None] = [None] * count
+        self.minds: list[Verdicts | None] = [None] * count
+        self.ways = Random(f"datagrams of {fleet.seed}")
+        self.waiting: dict[int, list] = {}      # stopped proxy -> datagrams; emptied as it goes on
+        self.said: list[tuple] = []             # (when, proxy, event, fields)
+        self.told_at: dict[tuple, float] = {}   # (author, life, sequence) -> when it was told
+        self.staleness = {kind: 0.0 for kind in LIVES}
+        self.over_age: list[tuple] = []         # facts acted on past their kind's life: a defect
+        self.lives = [0] * count
+        self.sent, self.sent_bytes = Counter(), Counter()
+        self.false = 0
+
+    def start(self, n: int, proxy, zone: str, first: bool) -> Verdicts:
+        """`first`: with the whole fleet, whose members know one another; else with the seeds alone."""
+        fleet, name = self.fleet, f"p{n}"
+        self.lives[n] += 1
+        life = max(1, int(fleet.wall(n) * 1000))
+        seeds = [(f"p{seed}", 1) for seed in range(min(SEEDS, self.count))]
+        chance = Random(f"member {n} of {fleet.seed}, life {self.lives[n]}")
+        talk = Talk(name, (name, 1), life, seeds, KEY, LIVES, chance,
+                    lambda address, data: self.send(n, address, data),
+                    lambda event, **fields: self.said.append((fleet.now, n, event, fields)))
+        tell = talk.table.tell
+
+        def noted(*given):
+            fact = tell(*given)
+            self.told_at[fact.author, fact.life, fact.sequence] = self.fleet.now
+            return fact
+        talk.table.tell = noted
+        mind = Verdicts(proxy, talk.table, zone, talk.live,
+                        lambda event, **fields: self.said.append((fleet.now, n, event, fields)))
+        mind.hurry = talk.rumours
+        mind.acted = lambda name, kind, words: self.acted(n, kind, words)
+        known = [Update(f"p{k}", f"p{k}", 1, max(1, int(fleet.wall(k) * 1000)), 0, ALIVE)
+                 for k in range(self.count)] if first else []
+        talk.begin(fleet.ticks_of(n), known)
+        self.talks[n], self.minds[n] = talk, mind
+        fleet.later(TICK * self.ways.random(), self.tick, n, self.lives[n])
+        return mind
+
+    def end(self, n: int) -> None:
+        self.close_books(n)
+        self.talks[n] = self.minds[n] = None
+        self.waiting.pop(n, None)
+
+    def close_books(self, n: int) -> None:
+        talk = self.talks[n]
+        if talk is not None:
+            self.sent[n] += talk.sent
+            self.sent_bytes[n] += talk.sent_bytes
+            self.false += talk.member.false_suspicions
+
+    def tick(self, n: int, life: int) -> None:
+        fleet, talk = self.fleet, self.talks[n]
+        if talk is None or life != self.lives[n]:
+            return
+        fleet.later(TICK, self.tick, n, life)
+        if n in fleet.stopped:
+            return
+        now = fleet.ticks_of(n)
+        talk.tick(now)
+        judged = self.minds[n].look(now, now)
+        if judged is not None:
+            fleet.tell(n, judged)
+
+    def send(self, n: int, address: tuple[str, int], data: bytes) -> None:
+        fleet, target = self.fleet, int(address[0][1:])
+        way = fleet.links.datagram(f"p{n}", address[0])
+        for late in way.copies:
+            through = spoilt(data, self.ways) if way.spoilt else data
+            fleet.later(fleet.way("", "") + late, self.arrives, target, through, (f"p{n}", 1))
+
+    def arrives(self, n: int, data: bytes, source: tuple[str, int]) -> None:
+        talk = self.talks[n]
+        if talk is None:
+            return
+        if n in self.fleet.stopped:
+            waiting = self.waiting.setdefault(n, [])
+            if len(waiting) < BACKLOG:
+                waiting.append((data, source))
+            return
+        talk.received(self.fleet.ticks_of(n), data, source)
+
+    def go_on(self, n: int) -> None:
+        for data, source in self.waiting.pop(n, ()):
+            self.talks[n].received(self.fleet.ticks_of(n), data, source)
+
+    def acted(self, n: int, kind: str, words) -> None:
+        """By the lab's clock, not the proxy's: how old was the oldest fact that it acts on."""
+        held = self.talks[n].table.marks
+        for word in words:
+            fact = held[word.mark].fact
+            age = self.fleet.now - self.told_at[fact.author, fact.life, fact.sequence]
+            self.staleness[kind] = max(self.staleness[kind], age)
+            if age * 10_000 > LIVES[kind] * (1 + DRIFT):
+                self.over_age.append((self.fleet.now, n, kind, age))
+
+    # ---- what a run comes to
+
+    def figures(self, told, begin: float) -> dict:
+        for n in range(self.count):
+            self.close_books(n)
+        rates = [self.sent_bytes[n] / told.seconds for n in range(self.count)]
+        sent = [self.sent[n] / told.seconds for n in range(self.count)]
+        return {"staleness": {kind: round(age, 3) for kind, age in self.staleness.items()},
+                "over_age": len(self.over_age), **self.spread(told, begin),
+                "false_suspicions": self.false,
+                "messages": {"datagrams_s": mean_and_most(sent), "bytes_s": mean_and_most(rates)}}
+
+    def spread(self, told, begin: float) -> dict:
+        """For each fault of hosts: seconds until the first and the last live member had one of them out."""
+        detect, agree = [], []
+        marks = {f"{mark:x}": n for n, mark in enumerate(self.fleet.marks)}
+        for fault in told.faults:
+            first = {}
+            for at, n, event, fields in self.said:
+                host = marks.get(fields.get("host", "").split(".")[0]) if event == "verdict" else None
+                if host in fault.hosts and fields["state"] == OUT and at >= begin + fault.at:
+                    first.setdefault(host, {}).setdefault(n, at - begin - fault.at)
+            whole = [max(seen.values()) for seen in first.values() if len(seen) >= self.living()]
+            detect.append(round(min(min(seen.values()) for seen in first.values()), 3) if first else None)
+            agree.append(round(max(whole), 3) if whole and len(whole) == len(first) else None)
+        return {"detect_s": detect, "agree_s": agree}
+
+    def living(self) -> int:
+        return sum(talk is not None for talk in self.talks)
+
+
+def mean_and_most(figures: list[float]) -> dict[str, float]:
+    return {"mean": round(sum(figures) / len(figures), 1), "most": round(max(figures), 1)}
+
+
+def spoilt(data: bytes, chance: Random) -> bytes:
+    place = chance.randrange(len(data))
+    return data[:place] + bytes([data[place] ^ (1 << chance.randrange(8))]) + data[place + 1:]
--- a/basalthook/lab/wire.py
+++ b/basalthook/lab/wire.py
@@ -36,6 +36,12 @@
     proxy: int = 0
 
 
+class Excused(NamedTuple):
+    """Its proxy was killed or stopped under it: nobody could answer."""
+    at: float
+    tx: str
+
+
 class Called(NamedTuple):
     """A proxy has asked discovery for the list."""
     at: float
--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -2,7 +2,7 @@
 from bisect import bisect, insort
 
 from . import interface as i
-from .hosts import Hosts
+from .hosts import TRIAL, Hosts
 from .records import Server, Tx
 
 PROMPT, LOOK_AHEAD = 8, 16  # who would wait longer than this part of the time left goes; tried at each end
@@ -101,7 +101,8 @@
 
     def place(self, tx):
         """Send; or hold in line if a turn comes soon; else give up, and tell the client when to come back."""
-        server, self.chosen = self.chosen or (None if self.full() else self.pick(tx)), None
+        server = self.chosen or self.tried(tx) or (None if self.full() else self.pick(tx))
+        self.chosen = None
         if self.drags(tx) and any(t.out and t.groups == tx.groups for t in self.txs.values()):
             return "hopeless"       # one at a time looks whether that is over: more would fill the hosts
         if self.terms.live_weights:     # guards against hosts that all answer too late
@@ -158,12 +159,23 @@
         server.sent.add(now)
         self.sent.add(now)
         self.quiet_mix += (self.latency[tx.kind].quiet - self.quiet_mix) * 0.05
-        self.effects.append(i.SendHop(tx.id, server.id, tx.hard_limit - now))
+        limit = tx.hard_limit - now
+        if server.id == self.trying:
+            limit, self.trying = (tx.goal - now) // TRIAL, None
+        self.effects.append(i.SendHop(tx.id, server.id, limit))
         return True
 
+    def on_judged(self, event):
+        """The fleet's verdicts, beside all that is known here: they make more wary, never less."""
+        self.trying = event.trial
+        for host, shut, whole in event.hosts:
+            if host in self.servers:
+                self.servers[host].shut, self.servers[host].whole = shut, whole
+                self.effects.append(i.SetTimer(max(0, shut - self.now), 1))
+
     EVENTS = {
         i.HostsListed: on_listed, i.ListFailed: on_list_failed, i.TxArrived: on_arrived, i.HopEnded: on_ended,
-        i.NewsCame: Hosts.on_news, i.Shared: lambda self, event: vars(self).update(event._asdict()),
+        i.Judged: on_judged, i.Shared: lambda self, event: vars(self).update(event._asdict()),
         i.StreamBegan: lambda self, event: self.tell(event.tx, "began"), i.TimerDue: on_timer,
         i.TxGone: lambda self, event: self.tell(event.tx, "gone"),
     }
--- a/basalthook/policy/hosts.py
+++ b/basalthook/policy/hosts.py
@@ -17,8 +17,7 @@
 SELDOM, LEARN = 0.4, 3  # weight of a host's one answer in a fall time; over all, of answers as far apart
 LEARN_EVERY, COLD_STEPS = 10_000, 16    # how often slow changes are looked at; steps of a fresh slice
 LEFT_OUT, KEPT = 600_000, 2_000     # a host that the list leaves out goes after such silence; bound of tables
-NEWS, KEPT_AWAY, TOLD_MOST = 10_000, 33_000, 0.3    # news counts for; a host is kept away; so many of all
-WITNESSES, SHARE = 3, 0.03  # so many, or so much of all proxies, must have met a fault
+TRIAL = 3               # part of the time left that the fleet's trial of a host may take
 
 # outcome -> what it does to the host, and whether the transaction may have run
 SORTED = {
@@ -39,7 +38,7 @@
         self.sent = Window(agreement.fall_time)     # our hops
         self.rankings = {}          # key -> first servers; bounded, cleared by the list, a ban or a step
         self.latency = [Latency(p.service_goal, p.service_goal / UNHURRIED) for p in agreement.profiles]
-        self.failing, self.faults = Spread(COOLDOWN, KEPT), Spread(NEWS, KEPT)  # keys, hosts; hosts, peers
+        self.failing, self.trying = Spread(COOLDOWN, KEPT), None    # keys, hosts; which one to try
         self.quiet_mix, self.strain, self.cores = min(k.quiet for k in self.latency), 1.0, 1.0  # held a core
         self.drag, self.usual_rate, self.unread, self.processes = Drag(COOLDOWN, KEPT, KNOWN), 0.0, 0.0, 1
         self.learn_next, self.least = now, max(1.0, BEARABLE // agreement.proxies)
@@ -90,8 +89,8 @@
             ban = self.away(server, "ban")
             if server.id in tx.tried or not self.admits(tx, server):
                 continue
-            unbanned |= server.proven and not ban
-            if ban or not server.proven:
+            unbanned |= server.proven and not ban and self.now >= server.shut
+            if ban or not server.proven or self.now < server.shut:
                 banned.append(server)
             if not ban and not self.doubtful(server, tx):
                 reach -= 1
@@ -109,7 +108,9 @@
         return any(server.away.get(reason, 0) > self.now for reason in reasons)
 
     def doubtful(self, server, tx):
-        if server.away and self.away(server, "rest", "told", tx.kind):
+        if server.away and self.away(server, "rest", tx.kind):
+            return True
+        if self.now < server.whole and self.judged(server):
             return True
         if server.throttles or not server.proven:       # back from a ban or rest: one hop at a time, and
             return bool(server.out) or tx.profile.kind == i.NON_IDEMPOTENT      # only what may be repeated
@@ -118,6 +119,19 @@
         _, sent_at, late_after = next(iter(server.out.values()))   # by its own measure, not by this one's
         return self.seen - max(server.heard, sent_at) >= late_after
 
+    def judged(self, server):
+        """By the fleet's verdict: none of ours while it is shut, then a part that grows till it is whole."""
+        ramp = max(1, server.whole - server.shut)
+        return self.now < server.shut or self.chance.random() > (self.now - server.shut) / ramp
+
+    def tried(self, tx):
+        """The fleet's trial of a host that it keeps away: of what can still go on elsewhere in time."""
+        server = self.servers.get(self.trying)
+        if server is None or tx.profile.kind != i.IDEMPOTENT or tx.tried or not self.goes_on(tx):
+            return None
+        free = not server.out and not self.away(server, "ban", "rest") and self.admits(tx, server)
+        return server if free and TRIAL * (tx.goal - self.now) > 2 * tx.profile.service_goal else None
+
     def drags(self, tx):
         """Its profile, or its party, is slow at all hosts, and others are not: no fault of the hosts."""
         return self.drag.of(tx.groups, self.now) > DRAGS
@@ -297,7 +311,7 @@
 
     def erred(self, server, tx, event):
         """Quick errors look like an idle host and draw more: those of several keys are the host's fault."""
-        self.met_fault(server)
+        self.effects += [i.MetFault(server.id)] * self.terms.peers
         if tx.key is None or tx.key != server.erred_key:
             server.erring, server.erred_key = server.erring * 0.9 + 0.1, tx.key
         server.proven = server.proven and event.outcome == i.ERROR      # a reset: one repeatable looks
@@ -316,36 +330,3 @@
     def back_off(self, server, tx, event, first=BACKOFF, most=BACKOFF_MOST):
         self.keep_away(server, "rest", min(most, first * 2 ** server.throttles))
         server.throttles = min(server.throttles + 1, 8)
-
-    def met_fault(self, server):
-        """Told to the one proxy that counts for this host: hundreds each meet it seldom."""
-        if not self.terms.peers or self.now < server.witnessed + NEWS:
-            return
-        server.witnessed, counts = self.now, server.line.hash % self.terms.proxies
-        if counts == self.terms.position:
-            self.witness(server, counts)
-        else:
-            self.effects.append(i.TellNews(counts, server.id, i.MET_FAULT))
-
-    def on_news(self, event):
-        """Only the one that counts is believed, and nothing is passed on."""
-        server, sender, mine = self.servers.get(event.host), event.sender, self.terms.position
-        if not self.terms.peers or not server or sender == mine or not 0 <= sender < self.terms.proxies:
-            return
-        counts = server.line.hash % self.terms.proxies
-        if event.what == i.MET_FAULT and counts == mine:
-            self.witness(server, sender)
-        elif event.what == i.AT_FAULT and counts == sender:
-            self.told(server)
-
-    def witness(self, server, sender):
-        """Told to all if enough met one lately."""
-        if len(self.faults.add(server.id, sender, self.now)) >= max(WITNESSES, SHARE * self.terms.proxies):
-            self.faults.drop(server.id)
-            self.effects.append(i.TellNews(None, server.id, i.AT_FAULT))
-            self.told(server)
-
-    def told(self, server):
-        """Others' word expires, never holds for more than a part of all."""
-        if sum(self.away(s, "told") for s in self.ready) < TOLD_MOST * len(self.ready):
-            self.keep_away(server, "told", KEPT_AWAY)
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -114,7 +114,14 @@
     processes: int                  # so many of this proxy live at present, within the limits of one
 
 
+class Judged(NamedTuple):
+    """What whoever speaks for the fleet holds of hosts, beside what this proxy knows itself."""
+    hosts: tuple                    # (host, kept away until, a growing part of all until)
+    trial: int | None = None        # one of these that this proxy is to try once; None: none
+
+
 class NewsCame(NamedTuple):
+    """For the decider beside the decisions that counts news (`fleet.counting`)."""
     sender: int                     # another proxy's position; whatever it says is no more than its word
     host: int
     what: str
@@ -146,7 +153,12 @@
     pass
 
 
+class MetFault(NamedTuple):
+    host: int                       # a host fault, not a transaction's own; given where `peers` allows news
+
+
 class TellNews(NamedTuple):
+    """Of the decider that counts news."""
     peer: int | None                # a position; None: all
     host: int
     what: str
--- a/basalthook/policy/records.py
+++ b/basalthook/policy/records.py
@@ -11,16 +11,15 @@
         self.passed, self.passed_by = 0, {}     # when the latest hop was sent that it answered; by profile
         self.out = {}               # (tx, hop) -> server, sent at, late after; emptied as they end
         self.size = 0.0             # capacity against other hosts'
-        self.witnessed = 0          # when we last told others of a fault
+        self.shut = self.whole = 0  # by the fleet's verdict: kept away until, then a growing part until
         self.luck, self.redraw = 0.0, 0     # while fresh: drawn anew once a fall time
-        self.away = {}              # reason, or profile -> until when it is kept away; as many as there are
         self.renew(line)
 
     def renew(self, line):
         """A new process: what was learned of an earlier one is void."""
         self.line, self.fresh_from, self.proven, self.doubted = line, line.started, True, False
         self.throttles = self.failures = 0
-        self.away = {reason: until for reason, until in self.away.items() if reason == "told"}
+        self.away = {}              # reason, or profile -> until when it is kept away; as many as there are
         self.timeouts = {}          # by profile: a run of time-outs, and since when
         self.strain, self.erring, self.erred_key = 1.0, 0.0, None
 
--- a/basalthook/recovery/knowledge.py
+++ b/basalthook/recovery/knowledge.py
@@ -9,7 +9,7 @@
 
 WHOLE = ("quiet_mix", "usual_rate", "cores", "unread")      # as they were
 OF_LATENCY = ("mean", "deviation", "quiet", "level")
-OF_SERVER = ("size", "proven", "throttles", "failures", "heard", "passed", "witnessed", "erring")
+OF_SERVER = ("size", "proven", "throttles", "failures", "heard", "passed", "erring")
 WINDOWS = ("sent", "committed")
 
 
--- a/basalthook/simwire/codec.py
+++ b/basalthook/simwire/codec.py
@@ -1,5 +1,6 @@
 """Words, units and ids of the bench's wire, turned into the events and effects of the decisions."""
 from .. import terms
+from ..fleet.counting import Counting
 from ..policy import interface as i
 from ..policy.decide import Proxy
 from ..protocol import news
@@ -14,6 +15,7 @@
 
     def __init__(self, seed: int, setup: dict, now: int) -> None:
         self.proxy = Proxy(terms.agreement(setup), seed, now)
+        self.counting = Counting(self.proxy)
         self.profiles = terms.profiles(setup)
         self.hosts: dict[str, int] = {}      # grows with hosts ever listed, emptied at restart
         self.addresses: list[str] = []
@@ -138,7 +140,7 @@
                     seat = self.seats[who]
                     told = seat.event(name, fields, self.lists)
                     if told is not None:
-                        decisions += map(seat.action, seat.proxy.handle(now, told))
+                        decisions += map(seat.action, seat.counting.handle(now, told))
             if decisions:
                 parts.append({"who": who, "decisions": decisions})
         return {"parts": parts}
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -3,6 +3,7 @@
 import itertools
 import json
 
+from basalthook.fleet.counting import Counting
 from basalthook.policy import interface as i
 from basalthook.policy.decide import Proxy
 
@@ -35,12 +36,13 @@
         self.now, self.next, self.elapsed = 1_000_000, 0, elapsed
         self.hosts = {h.line.host: h for h in hosts}
         self.proxy = Proxy(i.Agreement(**agreed), seed, self.now)
+        self.mind = Counting(self.proxy)
         self.record, self.answers, self.hops, self.timers = [], {}, {}, []
         self.run(self.proxy.begin())
         self.tell(i.HostsListed(tuple(h.line for h in hosts), True, True))
 
     def tell(self, event):
-        self.run(self.proxy.handle(self.now, event))
+        self.run(self.mind.handle(self.now, event))
 
     def run(self, effects):
         for effect in effects:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -552,5 +552,5 @@
                 for sender in range(-1, 12):
                     if server is None or believed == (sender == server.line.hash % 10):
                         stage.tell(i.NewsCame(sender, host, i.AT_FAULT))
-            away = sum(stage.proxy.away(s, "told") for s in stage.proxy.servers.values())
+            away = sum(stage.now < s.shut for s in stage.proxy.servers.values())
             self.assertIn(away, (1, 2, 3) if believed else (0,))
