--- a/basalthook/fleet/verdicts.py
+++ b/basalthook/fleet/verdicts.py
@@ -297,9 +297,10 @@
         if state.state == OUT and by:
             state.by = tuple(sorted({word.who for word in by}))
             state.known = max(state.known, *(word.told for word in by))
-            state.late_sent = max(state.late_sent, *(word.late_sent for word in by if word.late), 0)
-            state.stalest = max(now - word.told for word in by)
             kind = TRIAL if isinstance(by[0], Trial) else HOST
+            if kind == HOST:
+                state.late_sent = max(state.late_sent, max((w.late_sent for w in by if w.late), default=0))
+            state.stalest = max(now - word.told for word in by)
             self.stalest[kind] = max(self.stalest[kind], state.stalest)
             self.acted(name, kind, by)
         if name in self.states and (name not in self.numbers or state.state == OPEN and (
@@ -316,7 +317,7 @@
             if reason:
                 return "blamed", by, reason
             failed = trial is not None and trial.phase == BAD and trial.told > state.since
-            if state.state == OPEN and failed and not any(w.heard > trial.began and w.answers for w in words):
+            if state.state == OPEN and failed and not any(w.heard > trial.began for w in words):
                 return "blamed", [trial], trial.reason      # a newcomer: others have it out, and saw it fail
             return ("ramp over" if state.state == BACK and now - state.since >= RAMP else ""), [], ""
         if trial is not None and trial.phase == BAD:
--- a/basalthook/membership/member.py
+++ b/basalthook/membership/member.py
@@ -166,6 +166,7 @@
             name, nonce, asked, since = self.probe
             if not asked and now - since >= TIMEOUT * slower:
                 self.probe[2] = True
+                self.send(self.known[name].address, [PING, self.name, nonce, name, self.ride(name)])
                 for other in self.some(ASKED, name):
                     self.send(self.known[other].address,
                               [PING_REQUEST, self.name, nonce, list(self.known[name])])
@@ -301,6 +302,8 @@
                 suspicion.witnesses.add(by)     # an independent witness: told on
                 self.tell(update)
         if old is not None and update.rank <= old.rank:
+            if update.state != ALIVE and old.state == ALIVE:
+                self.tell(old)      # guards against one that missed the refutation and suspects till death
             return
         if old is None and len(self.known) >= MEMBERS_MOST:
             return
@@ -324,7 +327,9 @@
     def of_me(self, update: Update) -> None:
         """Rumours of its own past, or that it is dead: it lives, and says so louder."""
         mine = self.me
-        if update.rank <= mine.rank or update == mine:
+        if update.rank <= mine.rank:
+            if update.state != ALIVE:
+                self.tell(mine)
             return
         if update.life > mine.life:     # guards against a process that a clock set back makes older
             self.me = mine._replace(life=update.life + 1, incarnation=0)
