--- /dev/null
+++ b/basalthook/config/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' own files: typed, checked whole, one error with its path. Loaded only where one is named."""
--- /dev/null
+++ b/basalthook/config/fleet.py
@@ -0,0 +1,89 @@
+"""The fleet file: how this process talks with its fellows. TOML, typed; times are seconds.
+
+Without it nothing is opened, and nothing of `membership` or `fleet` that speaks is imported.
+"""
+import os
+import stat
+import tomllib
+from typing import Annotated
+
+import msgspec
+
+from ..protocol import catalogue
+
+KEY_LEAST, KEY_MOST = 16, 64    # bytes
+Life = Annotated[float, msgspec.Meta(ge=1, le=600)]
+Address = Annotated[str, msgspec.Meta(min_length=3, max_length=64)]
+
+
+class BadFleet(Exception):
+    """Says file, place and what was expected, in one line."""
+
+
+class Lives(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Nothing told is acted on when it is older than this, by kind."""
+    host: Life = 3.0                # evidence on a host
+    trial: Life = 10.0              # the outcome of a trial of a host
+
+
+class FleetFile(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    listen: Address                 # host:port of this member's datagrams
+    seeds: list[Address]            # told addresses of some members; this one's may be among them
+    key_file: Annotated[str, msgspec.Meta(min_length=1)]    # the same key at all; this user's alone
+    shares: Annotated[list[Annotated[str, msgspec.Meta(pattern="^verdicts$")]], msgspec.Meta(min_length=1)]
+    address: Address | None = None  # what others are told, where it differs from `listen`
+    name: Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,64}$")] | None = None     # else the start-up file's
+    lives: Lives = msgspec.field(default_factory=Lives)
+
+
+class Told(msgspec.Struct, frozen=True):
+    """The same, decoded."""
+    listen: tuple[str, int]
+    address: tuple[str, int]
+    seeds: tuple[tuple[str, int], ...]
+    key: bytes
+    name: str | None
+    lives: dict[str, float]         # seconds by kind
+
+
+def read(path: str) -> Told:
+    """BadFleet: file, place and what was expected."""
+    try:
+        with open(path, "rb") as file:
+            found = msgspec.convert(tomllib.load(file), FleetFile)
+    except OSError as fault:
+        raise BadFleet(f"cannot read {path}: {fault.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
+        raise BadFleet(f"{path} is no TOML: {fault}") from None
+    except msgspec.ValidationError as fault:
+        raise BadFleet(f"{path}: {fault}") from None
+    listen = address(path, "$.listen", found.listen)
+    told = address(path, "$.address", found.address) if found.address else listen
+    if told[0] in ("0.0.0.0", "::"):
+        raise BadFleet(f"{path}: Expected what others can reach, got {told[0]!r} - at `$.address`")
+    seeds = tuple(address(path, f"$.seeds[{n}]", seed) for n, seed in enumerate(found.seeds))
+    if found.lives.trial < found.lives.host:
+        raise BadFleet(f"{path}: Expected `host` or more, got {found.lives.trial:g} - at `$.lives.trial`")
+    key = read_key(path, os.path.join(os.path.dirname(path), found.key_file))
+    return Told(listen, told, seeds, key, found.name, msgspec.to_builtins(found.lives))
+
+
+def address(path: str, where: str, told: str) -> tuple[str, int]:
+    try:
+        return catalogue.address(told)
+    except ValueError as fault:
+        raise BadFleet(f"{path}: Expected host:port, got {told!r}: {fault} - at `{where}`") from None
+
+
+def read_key(path: str, key_path: str) -> bytes:
+    try:
+        with open(key_path, "rb") as file:
+            mode, key = os.fstat(file.fileno()).st_mode, file.read(KEY_MOST + 2).strip()
+    except OSError as fault:
+        raise BadFleet(f"{path}: cannot read {key_path}: {fault.strerror} - at `$.key_file`") from None
+    if not stat.S_ISREG(mode) or mode & 0o077:
+        raise BadFleet(f"{path}: {key_path} is open to others than its owner - at `$.key_file`")
+    if not KEY_LEAST <= len(key) <= KEY_MOST:
+        raise BadFleet(f"{path}: Expected {KEY_LEAST} to {KEY_MOST} bytes in {key_path}, got {len(key)} - at "
+                       "`$.key_file`")
+    return key
--- a/basalthook/console/callers.py
+++ b/basalthook/console/callers.py
@@ -86,7 +86,7 @@
             return calls.refused(found)
         call = calls.read(found)
         reply = self.carry_out(call) if isinstance(call, calls.Call) else call
-        if not isinstance(call, calls.Call) or call.what not in (calls.READY, calls.HOSTS):
+        if not isinstance(call, calls.Call) or call.what not in calls.READ_ONLY:
             self.say("call", method=found.method, path=found.target[:200], status=reply.status,
                      text=reply.text)
         return reply
--- a/basalthook/console/calls.py
+++ b/basalthook/console/calls.py
@@ -8,6 +8,8 @@
 from ..protocol.http1 import Malformed, Message
 
 READY, HOSTS, DISABLE, ENABLE, DRAIN, RESUME = "ready", "hosts", "disable", "enable", "drain", "resume"
+MEMBERS, VERDICTS = "members", "verdicts"
+READ_ONLY = READY, HOSTS, MEMBERS, VERDICTS     # not worth a line in the log
 PREFIX = "/-/"
 ID = "{id}"
 # path -> method, what is asked; "{id}" stands for one segment, the id of a host as discovery tells it
@@ -18,6 +20,8 @@
     ("hosts", ID, "enable"): ("PUT", ENABLE),
     ("drain",): ("PUT", DRAIN),
     ("resume",): ("PUT", RESUME),
+    ("members",): ("GET", MEMBERS),
+    ("verdicts",): ("GET", VERDICTS),
 }
 
 
@@ -59,8 +63,8 @@
                           reply.text.encode() + b"\n", False)
 
 
-def hosts(lines: list[dict]) -> Reply:
-    """A JSON line a host."""
+def rows(lines: list[dict]) -> Reply:
+    """A JSON line for each."""
     return Reply(200, b"\n".join(map(orjson.dumps, lines)).decode())
 
 
--- a/basalthook/fleet/verdicts.py
+++ b/basalthook/fleet/verdicts.py
@@ -329,7 +329,7 @@
             return "stands", by, reason
         if state.reason == SILENT and any(w.heard > state.late_sent for w in words):
             return "cleared", [w for w in words if w.heard > state.late_sent], ""
-        return ("forgotten" if now - state.known > LIVES[TRIAL] else ""), [], ""
+        return ("forgotten" if now - state.known > self.table.lives[TRIAL] else ""), [], ""
 
     def too_many(self) -> bool:
         out = sum(state.state == OUT for name, state in self.states.items() if name in self.numbers)
@@ -393,10 +393,11 @@
             if state.state == OPEN or name not in self.numbers:
                 continue
             words = [{"by": w.who, "zone": w.zone, "late": w.late, "lost": w.lost, "errors": w.errors,
-                      "answers": w.answers, "age_ms": (now - w.told) // 10, "life_ms": LIVES[HOST] // 10}
+                      "answers": w.answers, "age_ms": (now - w.told) // 10,
+                      "life_ms": self.table.lives[HOST] // 10}
                      for w in self.words.get(name, ())]
             tried = [{"by": t.who, "round": t.round, "phase": PHASES[t.phase],
-                      "age_ms": (now - t.told) // 10, "life_ms": LIVES[TRIAL] // 10}
+                      "age_ms": (now - t.told) // 10, "life_ms": self.table.lives[TRIAL] // 10}
                      for t in self.trials(now) if t.subject == name]
             found.append({"host": self.numbers[name], "state": state.state, "reason": state.reason,
                           "since_ms": (now - state.since) // 10, "by": list(state.by), "words": words,
--- a/basalthook/handover/handover.py
+++ b/basalthook/handover/handover.py
@@ -18,6 +18,7 @@
 
 LOOK = 0.1              # seconds between two looks at what a neighbour has written: some microseconds each
 WRITE = 0.5             # seconds between two records of what is known; the staff's orders go at once
+LAST = 1.0              # seconds that the last record may take once all is answered
 OLD = 15 * TICKS        # what was known longer ago tells less than the start-up file
 SOUND = (ValueError, TypeError, KeyError, AttributeError)       # a record of other content
 
@@ -40,7 +41,7 @@
         self.accepting = self.ending = False
         self.seen_orders = self.seen_serving = None
         self.write_next = 0
-        self.timer, self.complained = None, ""
+        self.timer, self.complained, self.writer = None, "", record.Writer()
 
     # ---- the start of a successor
 
@@ -169,11 +170,11 @@
     def leave_known(self) -> None:
         ids = {number: place.id for number, place in self.roster.places.items()}
         lines = [list(place.line) for place in self.roster.places.values() if not place.line.removed]
-        wrong = record.write(self.neighbours.known, {
+        self.writer.put(self.neighbours.known, {
             "list": {"version": self.watch.version, "lines": lines},
             "known": knowledge.told(self.owner.proxy, ids, self.profiles) | {"at": self.clock.now()}})
-        if wrong:
-            self.complain(wrong)
+        if self.writer.wrong:
+            self.complain(self.writer.wrong)
 
     def complain(self, reason: str) -> None:
         if reason != self.complained:       # one line, not ten a second
@@ -190,4 +191,6 @@
 
     def close(self) -> None:
         self.timers.cancel(self.timer)
+        if not self.writer.wait(LAST):
+            self.complain(f"{self.neighbours.known}: not written within {LAST:g} s")
         self.neighbours.leave()
--- a/basalthook/handover/record.py
+++ b/basalthook/handover/record.py
@@ -6,6 +6,7 @@
 import os
 import stat
 import struct
+import threading
 from contextlib import suppress
 from hashlib import blake2b
 from typing import NamedTuple
@@ -102,3 +103,40 @@
     except OSError:
         return None
     return found.st_ino, found.st_mtime_ns, found.st_size
+
+
+class Writer:
+    """Writes records by a thread of its own, of each path the newest.
+
+    Guards against a disk that holds the loop up: a rename over a file waits for its blocks on some file
+    systems, and beside eleven others that write as well it took 0.8 s.
+    """
+
+    def __init__(self) -> None:
+        self.next: dict[str, object] = {}       # path -> value; emptied by the thread
+        self.wrong = ""                         # what went wrong with the last one
+        self.busy, self.turn, self.thread = False, threading.Condition(), None
+
+    def put(self, path: str, value) -> None:
+        """The value is not changed afterwards."""
+        with self.turn:
+            self.next[path] = value
+            self.turn.notify_all()
+        if self.thread is None:
+            self.thread = threading.Thread(target=self._write, name="records", daemon=True)
+            self.thread.start()
+
+    def wait(self, seconds: float) -> bool:
+        """Whether all that was put is written by then."""
+        with self.turn:
+            return self.turn.wait_for(lambda: not self.next and not self.busy, seconds)
+
+    def _write(self) -> None:
+        while True:
+            with self.turn:
+                self.turn.wait_for(lambda: self.next)
+                (path, value), self.busy = self.next.popitem(), True
+            self.wrong = write(path, value)
+            with self.turn:
+                self.busy = False
+                self.turn.notify_all()
--- a/basalthook/lab/command.py
+++ b/basalthook/lab/command.py
@@ -4,7 +4,7 @@
 import msgspec
 from rich.console import Console
 
-from . import decisions, scenario, show
+from . import decisions, processes, scenario, show
 from .result import Result
 from .trial import play
 
@@ -24,7 +24,7 @@
     """Play a scenario at a depth; whether the four rules held."""
     told, console = read(path, seed, None), Console()
     with console.status(f"{told.name}, depth {depth}"):
-        found = decisions.play(told) if depth == "decisions" else play(told)
+        found = {"decisions": decisions.play, "sockets": play, "processes": processes.play}[depth](told)
     return said(told, found, console, out)
 
 
--- a/basalthook/lab/links.py
+++ b/basalthook/lab/links.py
@@ -89,3 +89,9 @@
                 return None
             more += fault.delay
         return more
+
+
+def spoil(data: bytes, chance: Random) -> bytes:
+    """The same with one bit turned over."""
+    place = chance.randrange(len(data))
+    return data[:place] + bytes([data[place] ^ 1 << chance.randrange(8)]) + data[place + 1:]
--- a/basalthook/lab/load.py
+++ b/basalthook/lab/load.py
@@ -21,9 +21,9 @@
 class Client(Messages):
     """One connection, one transaction at a time."""
 
-    def __init__(self, clients: "Clients") -> None:
+    def __init__(self, clients: "Clients", proxy: int) -> None:
         super().__init__()
-        self.clients, self.asked, self.timer = clients, None, None
+        self.clients, self.proxy, self.asked, self.timer = clients, proxy, None, None
 
     def ask(self, profile, key: str, work: float, due: float, tx: str, first: str, tries: int) -> None:
         now = self.clients.clock()
@@ -49,25 +49,27 @@
         if fields.get("connection", "").lower() == "close":
             self.transport.close()
         elif not self.transport.is_closing():
-            self.clients.free.append(self)
+            self.clients.free[self.proxy].append(self)
 
     def connection_lost(self, _) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        if self in self.clients.free:
-            self.clients.free.remove(self)
+        if self in self.clients.free[self.proxy]:
+            self.clients.free[self.proxy].remove(self)
         self.clients.all.discard(self)
         if self.asked is not None and self.clients.clock() < self.asked.limit + GIVE_UP:
             self.clients.wire.append(Answered(self.clients.clock(), self.asked.tx, 0, False))
 
 
 class Clients:
-    def __init__(self, told: Load, wire: list, clock, seed: int, address: tuple[str, int]) -> None:
-        self.told, self.wire, self.clock, self.address = told, wire, clock, address
+    def __init__(self, told: Load, wire: list, clock, seed: int, addresses: list) -> None:
+        """`addresses`: of the proxies; None while one is not to be asked."""
+        self.told, self.wire, self.clock, self.addresses = told, wire, clock, addresses
+        self.where = Random(f"proxies of {seed}")
         self.schedule, self.draws, self.manners = (Random(f"{name} of {seed}") for name in
                                                    ("schedule", "draws", "manners"))
         self.weights = list(accumulate(rank ** -told.zipf for rank in range(1, told.keys + 1)))
-        self.free: list[Client] = []
+        self.free: list[list[Client]] = [[] for _ in addresses]     # by proxy
         self.all: set[Client] = set()
         self.tasks: set[asyncio.Task] = set()       # emptied as they end
         self.number, self.latency = 0, HdrHistogram(1, LONGEST * MICROSECOND, 3)    # microseconds, of commits
@@ -99,12 +101,21 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def pick(self) -> int | None:
+        """A proxy by chance; or, as that one does not run, the next that does."""
+        count = len(self.addresses)
+        first = self.where.randrange(count) if count > 1 else 0
+        return next((n % count for n in range(first, first + count) if self.addresses[n % count]), None)
+
     async def one(self, *given) -> None:
-        if self.free:
-            return self.free.pop().ask(*given)
+        proxy = self.pick()
+        if proxy is None:
+            return
+        if self.free[proxy]:
+            return self.free[proxy].pop().ask(*given)
         try:
             loop = asyncio.get_running_loop()
-            _, client = await loop.create_connection(lambda: Client(self), *self.address)
+            _, client = await loop.create_connection(lambda: Client(self, proxy), *self.addresses[proxy])
         except OSError:
             return      # nobody listens: it was never taken, so it is in nobody's books
         self.all.add(client)
--- /dev/null
+++ b/basalthook/lab/processes.py
@@ -0,0 +1,259 @@
+"""Depth `processes`: the program as operators start it, one process a proxy, with faults on every way
+between.
+
+The rig is one process: hosts, discovery, load and the relays of all ways, on one clock. Each proxy is a
+process of its own with its own files, console and log, started by `serve`, killed and stopped by signals.
+"""
+import asyncio
+import os
+import shutil
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+import orjson
+
+from ..fleet.verdicts import LIVES, OUT
+from .load import Clients
+from .relays import Relays
+from .result import Result, found, mean_and_most
+from .scenario import BadScenario, ClockFault, LongWay, Maintain, Scenario, Vanish, moments
+from .standins import Fleet
+from .start import settings
+from .underclock import VARIABLE, worded
+from .wire import Excused
+
+KEY = b"the lab's own key, known to all of its members"
+START, EACH = 2.0, 0.12         # seconds until the scenario begins, and more for each proxy
+GO = 5.0                        # seconds in which they end after SIGTERM
+SOCKETS = 256
+SEEDS = 3
+CLOCKS_APART = 0.03             # part by which a fact's age may be read off too low: clocks 2 in 100 fast
+LOOK = 0.1                      # seconds from a proxy's word to the rig's reading its line in the log
+
+
+class Rig(Fleet):
+    """All of a scenario but the proxies themselves; faults of every kind act on it."""
+
+    def __init__(self, told: Scenario, wire: list, clock, folder: Path) -> None:
+        super().__init__(told, wire, clock, told.seed, told.proxies)
+        self.folder = folder
+        self.relays = Relays(told.proxies, self.links, clock, told.seed)
+        self.running: list[asyncio.subprocess.Process | None] = [None] * told.proxies
+        self.addresses: list = [None] * told.proxies        # of those that clients may ask
+        self.consoles: list = [None] * told.proxies
+        self.clients: Clients | None = None
+        self.said: list[tuple] = []     # (when read, proxy, event, fields): the proxies' own logs
+        self.readers: set[asyncio.Task] = set()     # emptied as processes end
+        self.stopped: set[int] = set()
+        self.faults: list[dict] = []    # what a log called one
+        self.begin_ns = 0
+
+    async def open(self) -> None:
+        await super().open()
+        await self.relays.open()
+
+    # ---- proxies
+
+    def files(self, n: int) -> Path:
+        folder = self.folder / f"p{n}"
+        folder.mkdir(exist_ok=True)
+        zones = sorted(set(self.zones))
+        agreed = settings(self.told, n, zones[n % len(zones)])
+        agreed["allowed"]["peers"] = self.told.fleet is not None
+        start = {"name": f"p{n}", "listen": "127.0.0.1:0", "console": "127.0.0.1:0",
+                 "discovery": self.discovery_at[n], "seed": self.told.seed * 1000 + n,
+                 "limits": {"sockets": SOCKETS}, "known": self.listing(range(self.told.size), True, n),
+                 "settings": agreed}
+        (folder / "start.json").write_bytes(orjson.dumps(start))
+        if self.told.fleet is not None:
+            key = folder / "key"
+            key.write_bytes(KEY)
+            key.chmod(0o600)
+            seeds = [f"127.0.0.1:{port}" for _, port in self.relays.told[:SEEDS]]
+            lines = [f'listen = "127.0.0.1:{self.relays.real[n][1]}"', f"seeds = {seeds}", 'key_file = "key"',
+                     f'address = "127.0.0.1:{self.relays.told[n][1]}"', f"shares = {self.told.fleet.shares}"]
+            (folder / "fleet.toml").write_text("\n".join(lines))
+        return folder
+
+    async def start(self, n: int) -> None:
+        folder = self.files(n)
+        environ = {**os.environ, "TMPDIR": str(folder), "PYTHONPATH": str(Path(__file__).parents[2])}
+        module, clocks = "basalthook", self.clocks_of(n)
+        if clocks:
+            module, environ[VARIABLE] = "basalthook.lab.underclock", worded(clocks)
+        call = [sys.executable, "-m", module, "serve", "--file", str(folder / "start.json")]
+        if self.told.fleet is not None:
+            call += ["--fleet", str(folder / "fleet.toml")]
+        process = await asyncio.create_subprocess_exec(*call, stdout=asyncio.subprocess.PIPE, env=environ,
+                                                       stdin=asyncio.subprocess.DEVNULL, limit=2**20)
+        self.running[n] = process
+        reader = asyncio.get_running_loop().create_task(self.read(n, process))
+        self.readers.add(reader)
+        reader.add_done_callback(self.readers.discard)
+
+    def clocks_of(self, n: int) -> list[tuple]:
+        """Entries for `underclock`; a fault from the first moment on holds before it as well."""
+        def moment(at: float) -> int:
+            return self.begin_ns + int(at * 1e9)
+        return [(moment(f.at) if f.at else 0, moment(f.at + f.lasts), f.ahead, f.rate)
+                for f in self.told.faults if isinstance(f, ClockFault) and n in f.proxies]
+
+    async def read(self, n: int, process) -> None:
+        """Its log, line by line, until it ends."""
+        while line := await process.stdout.readline():
+            try:
+                fields = orjson.loads(line)
+            except orjson.JSONDecodeError:
+                self.faults.append({"proxy": n, "line": line[:200].decode("utf-8", "replace")})
+                continue
+            event = fields.pop("event")
+            self.said.append((self.clock(), n, event, fields))
+            if event == "ready" and self.running[n] is process:
+                self.addresses[n], self.consoles[n] = tuple(fields["listen"]), tuple(fields["console"])
+            elif event == "fault":
+                self.faults.append({"proxy": n, **fields})
+        if self.running[n] is process and await process.wait() not in (0, -signal.SIGKILL, -signal.SIGTERM):
+            self.faults.append({"proxy": n, "exit": process.returncode})
+
+    def excuse(self, n: int) -> None:
+        """What is open at a process that is about to be killed or stopped can't be answered by anyone."""
+        self.addresses[n] = None
+        for client in self.clients.all:
+            if client.proxy == n and client.asked is not None:
+                self.wire.append(Excused(self.clock(), client.asked.tx))
+        for client in self.clients.free[n]:
+            client.transport.close()
+        self.clients.free[n].clear()
+
+    # ---- faults of proxies
+
+    def kill_proxy(self, n: int) -> None:
+        self.excuse(n)
+        if self.running[n] is not None:
+            self.running[n].kill()
+            self.running[n] = None
+
+    def start_proxy(self, n: int, forgets: bool) -> None:
+        if forgets:
+            shutil.rmtree(self.folder / f"p{n}", ignore_errors=True)
+        self.later(self.start(n))
+
+    def stop_proxy(self, n: int) -> None:
+        self.excuse(n)
+        self.stopped.add(n)
+        self.running[n].send_signal(signal.SIGSTOP)
+
+    def go_on_proxy(self, n: int) -> None:
+        self.running[n].send_signal(signal.SIGCONT)
+        self.stopped.discard(n)
+        at = next(fields["listen"] for _, who, event, fields in reversed(self.said)
+                  if who == n and event == "ready")
+        # guards against clients that it would find waiting since before, and answer too late
+        asyncio.get_running_loop().call_later(LOOK, self.addresses.__setitem__, n, tuple(at))
+
+    def set_clock(self, n: int, ahead: float, rate: float) -> None:
+        """Its clocks know by themselves when: they were told at its start."""
+
+    def later(self, work) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.calls.add(task)
+        task.add_done_callback(self.calls.discard)
+
+    async def end(self) -> None:
+        for process in self.running:
+            if process is not None and process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        if self.readers:
+            await asyncio.wait(self.readers, timeout=GO)
+        for process in self.running:
+            if process is not None and process.returncode is None:
+                process.kill()
+                await process.wait()
+        self.relays.close()
+        self.close()
+
+    # ---- what a run comes to
+
+    def figures(self, begin: float) -> dict:
+        """`staleness` is of the proxies' own logs against what the relays saw; messages are the relays'."""
+        relays, seconds, count = self.relays, self.told.seconds, self.told.proxies
+        staleness, over = dict.fromkeys(LIVES, 0.0), 0
+        for at, _, event, fields in self.said:
+            for mark in fields.get("facts", ()) if event == "verdict" and fields["state"] == OUT else ():
+                if mark in relays.first:
+                    kind, age = relays.kinds[mark], at - relays.first[mark]
+                    staleness[kind] = max(staleness[kind], age)
+                    over += age > LIVES[kind] / 10_000 * (1 + CLOCKS_APART) + LOOK
+        suspected = Counter((at, fields["name"]) for at, _, event, fields in self.said
+                            if event == "member" and fields["state"] == "suspect")
+        false = sum(self.alive(name, at) for at, name in suspected.elements())
+        rates = [relays.sent_bytes[n] / seconds for n in range(count)]
+        sent = [relays.sent[n] / seconds for n in range(count)]
+        return {"staleness": {kind: round(age, 3) for kind, age in staleness.items()}, "over_age": over,
+                "younger": len(relays.younger), **self.spread(begin), "false_suspicions": false,
+                "messages": {"datagrams_s": mean_and_most(sent), "bytes_s": mean_and_most(rates)}}
+
+    def alive(self, name: str, at: float) -> bool:
+        """Whether the rig knew this proxy as running then, and in reach of all."""
+        n, since = int(name[1:]), at - self.begin_at
+        for fault in self.told.faults:
+            if n in getattr(fault, "proxies", ()) and fault.at <= since <= fault.at + fault.lasts + 1:
+                return False
+        return True
+
+    def spread(self, begin: float) -> dict:
+        """For each fault, seconds until the first and the last member that runs has one of its hosts out."""
+        detect, agree = [], []
+        for fault in self.told.faults:
+            first: dict[str, dict[int, float]] = {}
+            for at, n, event, fields in self.said:
+                host = fields.get("id", "")
+                if event == "verdict" and fields["state"] == OUT and at >= begin + fault.at and (
+                        host.startswith("host-") and int(host[5:]) in fault.hosts):
+                    first.setdefault(host, {}).setdefault(n, at - begin - fault.at)
+            whole = [max(seen.values()) for seen in first.values() if len(seen) == self.told.proxies]
+            detect.append(round(min(min(seen.values()) for seen in first.values()), 3) if first else None)
+            agree.append(round(max(whole), 3) if whole and len(whole) == len(first) else None)
+        return {"detect_s": detect, "agree_s": agree}
+
+
+def play(told: Scenario, keep: list | None = None) -> Result:
+    """`keep`: takes the rig, for whoever wants to look closer."""
+    if any(isinstance(fault, Vanish | LongWay | Maintain) for fault in told.faults):
+        raise BadScenario(f"{told.name}: no vanish, long_way or maintain at depth `processes`")
+    return asyncio.run(_play(told, keep))
+
+
+async def _play(told: Scenario, keep: list | None) -> Result:
+    loop, wire, folder = asyncio.get_running_loop(), [], Path(tempfile.mkdtemp(prefix="basalthook-lab-"))
+    rig = Rig(told, wire, loop.time, folder)
+    to_come, work = [], None
+    try:
+        await rig.open()
+        begin = rig.begin_at = loop.time() + START + EACH * told.proxies
+        rig.begin_ns = time.monotonic_ns() + int((begin - loop.time()) * 1e9)
+        rig.clients = clients = Clients(told.load, wire, loop.time, told.seed, rig.addresses)
+        await asyncio.gather(*(rig.start(n) for n in range(told.proxies)))
+        await asyncio.sleep(begin - loop.time())
+        late = [f"p{n}" for n, address in enumerate(rig.addresses) if address is None]
+        if late:
+            raise BadScenario(f"{told.name}: not ready in time: {', '.join(late)}; {rig.faults[:1]}")
+        to_come = [loop.call_at(begin + at, act, rig, *given) for at, act, given in moments(told.faults)]
+        work = loop.create_task(clients.run(told.seconds, told.rate))
+        await work
+    finally:
+        if work is not None:
+            work.cancel()
+        for handle in to_come:
+            handle.cancel()
+        await rig.end()
+        shutil.rmtree(folder, ignore_errors=True)
+    if keep is not None:
+        keep.append(rig)
+    talk = rig.figures(begin) if told.fleet else None
+    return found(told, wire, begin, "processes", rig.faults, talk=talk)
--- a/basalthook/lab/result.py
+++ b/basalthook/lab/result.py
@@ -52,3 +52,7 @@
     hops = Counter(e.host for e in wire if isinstance(e, Got))
     return Result(verdict, told.seed, depth, told.seconds, latency, back, dict(sorted(hops.items())),
                   list(faults), digest, talk)
+
+
+def mean_and_most(figures: list[float]) -> dict[str, float]:
+    return {"mean": round(sum(figures) / len(figures), 1), "most": round(max(figures), 1)}
--- a/basalthook/lab/show.py
+++ b/basalthook/lab/show.py
@@ -46,7 +46,7 @@
         table = Table("host", "zone", "listed as", "state", "capacity", "held", "hops/s", "")
         now = fleet.clock()
         for n, machine in enumerate(fleet.machines):
-            state = ("down" if not fleet.servers[n].is_serving() else "silent" if machine.silent else
+            state = ("down" if not fleet.serving(n) else "silent" if machine.silent else
                      "slow" if machine.slowed > 1 else "cold" if machine.warmth(now) < 1 else "up")
             style = {"up": "green", "cold": "cyan", "down": "red"}.get(state, "yellow")
             table.add_row(f"host-{n}", fleet.zones[n], fleet.states[n], Text(state, style),
--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -1,13 +1,17 @@
-"""Hosts and discovery on loopback sockets, for one proxy under test; they note what crossed the wire.
+"""Hosts and discovery on loopback sockets, for the proxies under test; they note what crossed the wire.
 
-Their HTTP/1.1 is read here, without the project's parser: a judge must not rest on what it judges.
+Every proxy has an end of its own at each host and at discovery, so that each way can be told from all others
+and faults can lie on it: what a way loses or holds up is lost or held up here, before the host sees it. Their
+HTTP/1.1 is read here, without the project's parser: a judge must not rest on what it judges.
 """
 import asyncio
 import json
 import re
 import time
+from functools import partial
 from random import Random
 
+from .links import Links
 from .model import Machine, machines
 from .scenario import Scenario
 from .wire import Got, Ordered, Told
@@ -43,9 +47,9 @@
 
 
 class HostEnd(Messages):
-    def __init__(self, fleet: "Fleet", number: int) -> None:
+    def __init__(self, fleet: "Fleet", number: int, proxy: int) -> None:
         super().__init__()
-        self.fleet, self.number = fleet, number
+        self.fleet, self.number, self.proxy = fleet, number, proxy
 
     def connection_made(self, transport) -> None:
         super().connection_made(transport)
@@ -55,6 +59,12 @@
         self.fleet.ends[self.number].discard(self)
 
     def message(self, first: str, fields: dict, body: bytes) -> None:
+        self.fleet.carry(f"p{self.proxy}", f"h{self.number}", self.arrived, fields)
+
+    def say(self, status: int, body: bytes = b"", more: str = "") -> None:
+        self.fleet.carry(f"h{self.number}", f"p{self.proxy}", self.answer, status, body, more)
+
+    def arrived(self, fields: dict) -> None:
         fleet, machine, now = self.fleet, self.fleet.machines[self.number], self.fleet.clock()
         tx, key = fields.get("request-id", ""), fields.get("cookie", "")
         cost = machine.cost(now, key, float(fields.get("lab-work", 0)))
@@ -63,11 +73,11 @@
         fails = ends is not None and any(fleet.chance[self.number].random() < s for s in machine.erring)
         if ends is not None and not fails:
             ends = machine.take(now, cost)
-        fleet.wire.append(Got(now, self.number, tx, cost, capacity, cold, ends is not None))
+        fleet.wire.append(Got(now, self.number, tx, cost, capacity, cold, ends is not None, self.proxy))
         if ends is None:
-            self.answer(503, more="Not-Started: 1\r\n")
+            self.say(503, more="Not-Started: 1\r\n")
         elif fails:
-            self.answer(500)
+            self.say(500)
         else:
             asyncio.get_running_loop().call_later(ends - now, self.done, machine, machine.life, tx)
 
@@ -75,20 +85,23 @@
         machine.done(life)
         lost = any(self.fleet.chance[self.number].random() < share for share in machine.losing)
         if life == machine.life and not machine.silent and not lost:
-            self.answer(200, f"{tx} by {self.number}".encode())
+            self.say(200, f"{tx} by {self.number}".encode())
 
 
 class DiscoveryEnd(Messages):
     """Answers a watch when there is something newer, or when its wait is over."""
 
-    def __init__(self, fleet: "Fleet") -> None:
+    def __init__(self, fleet: "Fleet", proxy: int) -> None:
         super().__init__()
-        self.fleet, self.waits, self.timer = fleet, None, None
+        self.fleet, self.proxy, self.waits, self.timer = fleet, proxy, None, None
 
     def connection_lost(self, _) -> None:
         self.over()
 
     def message(self, first: str, fields: dict, body: bytes) -> None:
+        self.fleet.carry(f"p{self.proxy}", "d", self.called, first)
+
+    def called(self, first: str) -> None:
         asked = dict(WATCH.findall(first))
         if "index" not in asked:
             return self.tell(None)
@@ -107,23 +120,29 @@
     def tell(self, since: int | None) -> None:
         self.over()
         numbers = [n for n, changed in enumerate(self.fleet.changed) if since is None or changed > since]
+        told = json.dumps(self.fleet.listing(numbers, since is None, self.proxy)).encode()
+        states = [(n, self.fleet.states[n]) for n in numbers]
+        self.fleet.carry("d", f"p{self.proxy}", self.write, told, states)
+
+    def write(self, told: bytes, states: list) -> None:
         now = self.fleet.clock()
-        self.fleet.wire += [Told(now, n, self.fleet.states[n]) for n in numbers]
-        self.answer(200, json.dumps(self.fleet.listing(numbers, since is None)).encode())
+        self.fleet.wire += [Told(now, n, state, self.proxy) for n, state in states]
+        self.answer(200, told)
 
 
 class Fleet:
     """All hosts of a scenario and their discovery; faults act on it."""
 
-    def __init__(self, told: Scenario, wire: list, clock, seed: int) -> None:
+    def __init__(self, told: Scenario, wire: list, clock, seed: int, proxies: int = 1) -> None:
         """`clock()`: seconds, the same for all that note what crossed. Each host has a chance of its own."""
-        self.told, self.wire, self.clock = told, wire, clock
+        self.told, self.wire, self.clock, self.count = told, wire, clock, proxies
+        self.links = Links(seed, proxies, told.size)
         self.machines, self.zones = machines(told)
         count = len(self.machines)
         self.chance = [Random(f"host {n} of {seed}") for n in range(count)]
         self.ends: list[set[HostEnd]] = [set() for _ in range(count)]
-        self.servers: list = [None] * count
-        self.ports = [0] * count
+        self.servers: list[list] = [[] for _ in range(count)]   # by host and proxy
+        self.ports = [[0] * proxies for _ in range(count)]
         self.states, self.changed, self.version = ["up"] * count, [1] * count, 1
         self.started_ms = [0] * count
         self.watches: set[DiscoveryEnd] = set()     # emptied as they are answered or end
@@ -134,24 +153,45 @@
         loop = asyncio.get_running_loop()
         for number in range(len(self.machines)):
             await self.listen(number)
-        self.discovery = await loop.create_server(lambda: DiscoveryEnd(self), "127.0.0.1", 0)
-        self.discovery_at = f"127.0.0.1:{self.discovery.sockets[0].getsockname()[1]}"
+        self.discovery = [await loop.create_server(partial(DiscoveryEnd, self, proxy), "127.0.0.1", 0)
+                          for proxy in range(self.count)]
+        self.discovery_at = [f"127.0.0.1:{d.sockets[0].getsockname()[1]}" for d in self.discovery]
 
     async def listen(self, number: int) -> None:
-        server = await asyncio.get_running_loop().create_server(
-            lambda: HostEnd(self, number), "127.0.0.1", self.ports[number], backlog=512)
-        self.servers[number], self.ports[number] = server, server.sockets[0].getsockname()[1]
+        for proxy, port in enumerate(self.ports[number]):
+            server = await asyncio.get_running_loop().create_server(
+                partial(HostEnd, self, number, proxy), "127.0.0.1", port, backlog=512)
+            self.servers[number].append(server)
+            self.ports[number][proxy] = server.sockets[0].getsockname()[1]
+
+    def serving(self, number: int) -> bool:
+        return bool(self.servers[number])
+
+    def deaf(self, number: int) -> None:
+        for server in self.servers[number]:
+            server.close()
+        self.servers[number] = []
+
+    def carry(self, source: str, target: str, call, *given) -> None:
+        """A message on its way, if it comes through."""
+        late = self.links.stream(source, target)
+        if late == 0:
+            call(*given)
+        elif late is not None:
+            asyncio.get_running_loop().call_later(late, call, *given)
 
     def close(self) -> None:
-        for server in [*self.servers, self.discovery]:
+        for number in range(len(self.machines)):
+            self.deaf(number)
+        for server in self.discovery:
             server.close()
         for end in [end for ends in self.ends for end in ends] + list(self.watches):
             end.transport.abort()
 
-    def listing(self, numbers, full: bool) -> dict:
-        lines = [{"id": f"host-{n}", "addr": f"127.0.0.1:{self.ports[n]}", "zone": self.zones[n], "cell": 0,
-                  "state": self.states[n], "weight": self.machines[n].cores * self.machines[n].speed,
-                  "started_ms": self.started_ms[n]}
+    def listing(self, numbers, full: bool, proxy: int = 0) -> dict:
+        lines = [{"id": f"host-{n}", "addr": f"127.0.0.1:{self.ports[n][proxy]}", "zone": self.zones[n],
+                  "cell": 0, "state": self.states[n],
+                  "weight": self.machines[n].cores * self.machines[n].speed, "started_ms": self.started_ms[n]}
                  for n in numbers if not (full and self.states[n] == "removed")]
         return {"version": self.version, "full": full, "servers": lines}
 
@@ -190,7 +230,7 @@
         self.list_as(number, "up")
 
     def kill(self, number: int) -> None:
-        self.servers[number].close()
+        self.deaf(number)
         self.machines[number].start(self.clock())       # what it had begun is gone
         for end in list(self.ends[number]):
             end.transport.abort()
--- a/basalthook/lab/talking.py
+++ b/basalthook/lab/talking.py
@@ -5,6 +5,8 @@
 from ..fleet.talk import Talk
 from ..fleet.verdicts import LIVES, OUT, Verdicts
 from ..membership.member import ALIVE, Update
+from .links import spoil
+from .result import mean_and_most
 
 TICK = 0.05             # seconds between two looks of a member, as the program does
 KEY = b"the lab's own key, known to all of its members"
@@ -87,7 +89,7 @@
         fleet, target = self.fleet, int(address[0][1:])
         way = fleet.links.datagram(f"p{n}", address[0])
         for late in way.copies:
-            through = spoilt(data, self.ways) if way.spoilt else data
+            through = spoil(data, self.ways) if way.spoilt else data
             fleet.later(fleet.way("", "") + late, self.arrives, target, through, (f"p{n}", 1))
 
     def arrives(self, n: int, data: bytes, source: tuple[str, int]) -> None:
@@ -145,11 +147,3 @@
     def living(self) -> int:
         return sum(talk is not None for talk in self.talks)
 
-
-def mean_and_most(figures: list[float]) -> dict[str, float]:
-    return {"mean": round(sum(figures) / len(figures), 1), "most": round(max(figures), 1)}
-
-
-def spoilt(data: bytes, chance: Random) -> bytes:
-    place = chance.randrange(len(data))
-    return data[:place] + bytes([data[place] ^ (1 << chance.randrange(8))]) + data[place + 1:]
--- a/basalthook/lab/trial.py
+++ b/basalthook/lab/trial.py
@@ -9,7 +9,7 @@
 from ..transport.turns import Turns, run
 from .load import Clients
 from .result import Result, found
-from .scenario import BadScenario, LongWay, Scenario, Vanish
+from .scenario import BadScenario, Between, LongWay, OfProxies, Scenario, Vanish, moments
 from .standins import Fleet
 from .start import settings
 from .wire import Answered, Asked, Got
@@ -33,7 +33,7 @@
 def start_up(told: Scenario, fleet: Fleet) -> dict:
     """The start-up file of the one proxy of this scenario."""
     return {"name": told.name, "listen": "127.0.0.1:0", "console": "127.0.0.1:0",
-            "discovery": fleet.discovery_at, "seed": told.seed,
+            "discovery": fleet.discovery_at[0], "seed": told.seed,
             "limits": {"sockets": SOCKETS}, "known": fleet.listing(range(told.size), True),
             "settings": settings(msgspec.structs.replace(told, proxies=1), 0, fleet.zones[0])}
 
@@ -48,16 +48,16 @@
     loop, wire, books = asyncio.get_running_loop(), [], Books()
     if any(isinstance(fault, Vanish | LongWay) for fault in told.faults):
         raise BadScenario(f"{told.name}: vanish and long_way are played in virtual time alone, see --depth")
+    if told.fleet or any(isinstance(fault, Between | OfProxies) for fault in told.faults):
+        raise BadScenario(f"{told.name}: several proxies need depth `processes` or `decisions`")
     fleet = Fleet(told, wire, loop.time, told.seed)
     await fleet.open()
     service = Service(decode(start_up(told, fleet), {}), books, turns=turns)
     listener = service.begin()
     fleet.console = service.console.address
-    clients = Clients(told.load, wire, loop.time, told.seed, listener.address)
+    clients = Clients(told.load, wire, loop.time, told.seed, [listener.address])
     begin = loop.time()
-    to_come = [loop.call_at(begin + at, act, fleet, number)
-               for fault in told.faults for number in fault.hosts
-               for at, act in ((fault.at, fault.begin), (fault.at + fault.lasts, fault.end))]
+    to_come = [loop.call_at(begin + at, act, fleet, *given) for at, act, given in moments(told.faults)]
     work = loop.create_task(clients.run(told.seconds, told.rate))
     try:
         while not work.done():
--- /dev/null
+++ b/basalthook/lab/underclock.py
@@ -0,0 +1,42 @@
+"""Starts the program with clocks of the lab's: `python -m basalthook.lab.underclock serve ...`.
+
+The variable has one entry a fault: from and until, in nanoseconds of the machine's monotonic clock, by how
+many seconds the wall clock is ahead meanwhile, and the rate of the monotonic one. Only this file reads it.
+"""
+import os
+import time
+
+from ..program.commands import main
+from ..routing import clock
+
+VARIABLE = "BASALTHOOK_LAB_CLOCK"
+
+
+def worded(entries: list[tuple[int, int, float, float]]) -> str:
+    return ";".join(",".join(map(repr, entry)) for entry in entries)
+
+
+class Clocks:
+    """A monotonic clock may run at another rate and never jumps; a wall clock jumps."""
+
+    def __init__(self, worded_: str) -> None:
+        self.faults = []
+        for entry in worded_.split(";"):
+            begin, end, ahead, rate = entry.split(",")
+            self.faults.append((int(begin), int(end), float(ahead), float(rate)))
+
+    def monotonic_ns(self) -> int:
+        now = time.monotonic_ns()
+        return now + int(sum((min(now, end) - begin) * (rate - 1) for begin, end, _, rate in self.faults
+                             if now > begin))
+
+    def wall_ns(self) -> int:
+        now = time.monotonic_ns()
+        return time.time_ns() + sum(int(ahead * 1e9) for begin, end, ahead, _ in self.faults
+                                    if begin <= now < end)
+
+
+if __name__ == "__main__":
+    clocks = Clocks(os.environ[VARIABLE])
+    clock.monotonic_ns, clock.wall_ns = clocks.monotonic_ns, clocks.wall_ns
+    main()
--- a/basalthook/membership/member.py
+++ b/basalthook/membership/member.py
@@ -117,7 +117,10 @@
         return found
 
     def begin(self, now: int, known: list[Update] = ()) -> None:
-        """`known`: members told of at start, by whoever holds them already."""
+        """`known`: members told of at start, by whoever holds them already. One that had left lives anew."""
+        if self.me.state == DEAD:
+            self.me = self.me._replace(life=self.me.life + 1, incarnation=0, state=ALIVE)
+            self.lived(self.me.life)
         self.last, self.next = now, now + self.chance.randrange(PERIOD)
         self.back_next, self.page_next = now, now + self.chance.randrange(REFRESH)
         self.known = {update.name: update for update in known if update.name != self.name}
@@ -126,6 +129,12 @@
 
     # ---- time
 
+    def leave(self) -> None:
+        """It goes in order: said to a few, who tell the rest, so that nobody has to find out."""
+        self.me = self.me._replace(incarnation=self.me.incarnation + 1, state=DEAD)
+        for name in self.some(RETOLD):
+            self.send(self.known[name].address, [PING, self.name, 0, name, [list(self.me)]])
+
     def tick(self, now: int) -> None:
         """Several times a period."""
         gap = now - self.last
--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -9,13 +9,15 @@
 from ..protocol.application import HEALTH
 from ..transport.turns import Turns
 from ..transport.turns import run as run_loop
+from . import fleetline, staffline, startup
 from . import migrate as migration
-from . import staffline, startup
 from .log import Log
 from .service import Service
 
 FILE = click.option("--file", "path", envvar="RELAY_CONFIG", required=True, type=click.Path(dir_okay=False),
                     help="The start-up file; by default what RELAY_CONFIG names.")
+FLEET = click.option("--fleet", envvar="BASALTHOOK_FLEET", type=click.Path(dir_okay=False),
+                     help="The fleet file, if this process talks with others; by default BASALTHOOK_FLEET.")
 
 
 @click.group()
@@ -25,13 +27,14 @@
 
 @main.command()
 @FILE
-def serve(path: str) -> None:
+@FLEET
+def serve(path: str, fleet: str | None) -> None:
     """Run one client proxy in the foreground until SIGTERM; SIGHUP takes the file over anew."""
-    told = read(path)
+    told = read(path, fleet)
     log = Log(told.name)
     try:
         turns = Turns()
-        run_loop(run(told, log, lambda: startup.read(path, os.environ), turns), turns)
+        run_loop(run(told, log, lambda: startup.read(path, os.environ, fleet), turns), turns)
     except startup.BadStart as fault:
         leave(fault)
     log.close()
@@ -43,12 +46,16 @@
 
 @main.command()
 @FILE
-def check(path: str) -> None:
+@FLEET
+def check(path: str, fleet: str | None) -> None:
     """Read the start-up file and say what it holds, without starting anything."""
-    told = read(path)
+    told = read(path, fleet)
     click.echo(f"{told.name}: listens on {told.listen[0]}:{told.listen[1]}, discovery at {told.discovery[0]}:"
                f"{told.discovery[1]}, {len(told.known.lines)} hosts known, {len(told.profiles)} profiles, "
                f"{told.sockets} descriptors")
+    if told.fleet is not None:
+        click.echo(f"{told.fleet.name or told.name}: talks on {told.fleet.listen[0]}:{told.fleet.listen[1]}, "
+                   f"{len(told.fleet.seeds)} seeds")
 
 
 @main.command()
@@ -128,11 +135,13 @@
 
 @lab.command("run")
 @click.argument("scenario", type=click.Path(dir_okay=False))
-@click.option("--depth", type=click.Choice(("decisions", "sockets")), default="decisions", show_default=True)
+@click.option("--depth", type=click.Choice(("decisions", "sockets", "processes")), default="decisions",
+              show_default=True)
 @click.option("--seed", type=click.IntRange(0), help="In place of the scenario's own.")
 @click.option("--json", "out", type=click.Path(dir_okay=False), help="Write the result there as well.")
 def lab_run(scenario: str, depth: str, seed: int | None, out: str | None) -> None:
-    """Play SCENARIO: the decisions of all its proxies in virtual time, or one proxy on loopback sockets.
+    """Play SCENARIO: the decisions of all its proxies in virtual time, one proxy on loopback sockets, or all
+    of them as processes of their own with faults between them.
 
     Exit code 0: the four rules held; 3: one broke; 2: the scenario is bad.
     """
@@ -158,13 +167,13 @@
     click.echo(f"basalthook {VERSION}")
 
 
-for staffs in staffline.COMMANDS:
+for staffs in (*staffline.COMMANDS, *fleetline.COMMANDS):
     main.add_command(staffs)
 
 
-def read(path: str) -> startup.StartUp:
+def read(path: str, fleet: str | None = None) -> startup.StartUp:
     try:
-        return startup.read(path, os.environ)
+        return startup.read(path, os.environ, fleet)
     except startup.BadStart as fault:
         leave(fault)
 
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -29,7 +29,7 @@
 BUFFER = 16 * 1024
 BUFFERS_KEPT = 128
 ACCEPT_ON = 0.6         # seconds after SIGTERM: new connections still come for up to 0.4 s
-AT_START_ONLY = ("listen", "console", "inherited", "folder", "agreed", "profiles")  # not by a file
+AT_START_ONLY = ("listen", "console", "inherited", "folder", "agreed", "profiles", "fleet")
 DOOR = 0xD008           # sets the door's chance apart from the decisions', which must not follow it
 RESTED = 0.3            # seconds without a request after which the next one is not just being sent
 READ_ON = 0.1           # seconds for what the last of them carry
@@ -62,6 +62,12 @@
         self.callers = Callers(self.staff.carry_out, timers, buffers, urgent, log.say)
         self.console: Listener | None = None
         self.listener: Listener | None = None
+        self.together = None
+        if told.fleet is not None:      # loaded only here
+            from .together import Together
+            self.together = self.staff.fleet = Together(
+                told.fleet, told.name, told.agreed.zone, told.seed, self.owner, clock, timers,
+                bool(told.folder), log.say)
         if told.folder:
             names = [name for name, _ in sorted(told.profiles.items(), key=lambda each: each[1])]
             self.handover = Handover(Neighbours(told.folder, told.name), self.owner, self.clients, self.watch,
@@ -75,7 +81,10 @@
         return (told.sockets // 2 if shared else told.sockets) - (PLACES + 1 if told.console else 0)
 
     def accept(self, on: bool) -> None:
-        """Whether new connections are taken from the backlog that another process shares."""
+        """Whether new connections are taken from the backlog that another process shares. Who takes none is
+        no member any more: its successor is, under the same name."""
+        if self.together is not None:
+            self.together.begin() if on else self.together.close()
         if self.listener is not None:
             self.listener.resume() if on else self.listener.pause()
 
@@ -118,6 +127,12 @@
         if not self.told.agreed.list_on_request or self.handover is not None and self.handover.other:
             self.watch.begin()
         self.clients.ready = True
+        if self.together is not None:
+            try:
+                self.together.begin()
+            except OSError as fault:
+                where = ":".join(map(str, self.told.fleet.listen))
+                raise BadStart(f"cannot talk on {where}: {fault.strerror}") from None
         if self.handover is not None:
             self.handover.ready()
         self.log.say("ready", listen=list(listener.address), hosts=len(known.lines),
@@ -183,6 +198,8 @@
         if self.console is not None:
             self.console.close()
             self.callers.close()
+        if self.together is not None:
+            self.together.close()
         if self.handover is not None:
             self.handover.close()
         self.watch.end()
--- a/basalthook/program/startup.py
+++ b/basalthook/program/startup.py
@@ -26,6 +26,7 @@
     console: tuple[str, int] | None = None      # the second address, for the staff
     inherited: str | None = None        # the descriptor of the clients' listening socket, if one is told
     folder: str | None = None           # where processes of this name meet; only with one of these two
+    fleet: object = None                # config.fleet.Told, where this process talks with others
 
 
 MEMORY, OWN, BODIES = 64, 28, 0.7   # MB, if none are told; of the program itself; part of the rest for bodies
@@ -35,8 +36,21 @@
     """Says in one line what is wrong."""
 
 
-def read(path: str, environ=os.environ) -> StartUp:
-    return decode(load(path), environ, path)
+def read(path: str, environ=os.environ, fleet: str | None = None) -> StartUp:
+    """`fleet`: path of the fleet file, if one is named."""
+    return decode(load(path), environ, path, read_fleet(fleet) if fleet else None)
+
+
+def read_fleet(path: str):
+    try:        # loaded only here: a plain `serve` does without
+        from ..config import fleet
+    except ModuleNotFoundError as fault:
+        raise BadStart(f"a fleet file needs {fault.name}: install the extra [fleet] "
+                       "(requirements-fleet.txt)") from None
+    try:
+        return fleet.read(path)
+    except fleet.BadFleet as fault:
+        raise BadStart(str(fault)) from None
 
 
 def load(path: str):
@@ -49,20 +63,22 @@
         raise BadStart(f"{path} is no JSON: {fault}") from None
 
 
-def decode(told, environ, path: str = "start-up file") -> StartUp:
+def decode(told, environ, path: str = "start-up file", fleet=None) -> StartUp:
     try:
-        return _decode(told, environ)
+        return _decode(told, environ, fleet)
     except KeyError as fault:
         raise BadStart(f"{path}: {fault.args[0]!r} is missing or not known") from None
     except (ValueError, TypeError, AttributeError) as fault:
         raise BadStart(f"{path}: {fault}") from None
 
 
-def _decode(told: dict, environ) -> StartUp:
+def _decode(told: dict, environ, fleet) -> StartUp:
     setup, allowed = told["settings"], told["settings"]["allowed"]
     agreed = terms.agreement(setup)
-    if agreed.peers:        # guards against promises that nothing here keeps
-        raise ValueError("settings.allowed.peers: this program carries out no messages among proxies yet")
+    if fleet is not None and not agreed.peers:
+        raise ValueError("settings.allowed.peers: this deployment allows no messages among proxies, "
+                         "and a fleet file is named")
+    agreed = agreed._replace(peers=False)       # news of the simulator's kind are not carried here
     listed = told.get("known") or {"version": 0, "full": True, "servers": []}
     known = catalogue.listing(listed)
     if known is None:
@@ -83,4 +99,4 @@
         idle_seconds=allowed.get("keepalive_ns", 0) / 1e9,
         longest_patience=max(p["hard_limit_ns"] for p in setup["profiles"]) / 1e9, known=known,
         console=catalogue.address(console, least=0) if console else None, inherited=environ.get("RELAY_FD"),
-        folder=environ.get("TMPDIR") if console or environ.get("RELAY_FD") else None)
+        folder=environ.get("TMPDIR") if console or environ.get("RELAY_FD") else None, fleet=fleet)
--- a/basalthook/routing/clock.py
+++ b/basalthook/routing/clock.py
@@ -3,11 +3,12 @@
 
 TICKS = 10_000      # a second
 TICK = 100_000      # nanoseconds
+monotonic_ns, wall_ns = time.monotonic_ns, time.time_ns     # the lab puts others here
 
 
 class Clock:
     def __init__(self) -> None:
-        self.ahead = time.time_ns() - time.monotonic_ns()
+        self.ahead = wall_ns() - monotonic_ns()
 
     def now(self) -> int:
-        return (time.monotonic_ns() + self.ahead) // TICK
+        return (monotonic_ns() + self.ahead) // TICK
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -94,7 +94,7 @@
                  behind, say) -> None:
         self.agreed, self.clock, self.timers, self.roster, self.say = agreed, clock, timers, roster, say
         self.behind = behind
-        self.proxy = Proxy(agreed, seed, clock.now())
+        self.proxy = self.mind = Proxy(agreed, seed, clock.now())   # mind: the same, or who stands beside it
         self.queue: deque = deque()
         self.running, self.next = False, 0
         self.orders: dict[int, Order] = {}
@@ -133,7 +133,11 @@
 
     def decide(self, event) -> None:
         now = self.clock.now()
-        self.carry_out(self.proxy.handle(now, event, now - self.behind() // TICK))
+        self.carry_out(self.mind.handle(now, event, self.seen(now)))
+
+    def seen(self, now: int) -> int:
+        """Up to then all that came in is told; a silence since may be this process's own."""
+        return now - self.behind() // TICK
 
     # ---- what comes in
 
@@ -182,7 +186,7 @@
 
     TAKES = {Arrived: arrived, Gone: gone, Overdue: overdue, HopOver: hop_over, Listed: listed,
              Ordered: ordered, Shared: lambda self, item: self.decide(i.Shared(item.processes)),
-             ListLost: lambda self, _: self.decide(i.ListFailed()), i.TimerDue: decide}
+             ListLost: lambda self, _: self.decide(i.ListFailed()), i.TimerDue: decide, i.Judged: decide}
 
     def forget(self, order: Order) -> None:
         if order.closed and not any(order.hops):
--- a/basalthook/routing/staff.py
+++ b/basalthook/routing/staff.py
@@ -7,6 +7,8 @@
 from .owner import Ordered, Owner
 from .roster import Roster
 
+ALONE = Reply(404, "this process talks with no others: it was given no fleet file")
+
 
 class Staff:
     """A yes is given once the order binds here. `keep(orders)` writes them down, and says what went wrong."""
@@ -14,6 +16,7 @@
     def __init__(self, owner: Owner, roster: Roster, clients: Clients, say) -> None:
         self.owner, self.roster, self.clients, self.say = owner, roster, clients, say
         self.keep = lambda orders: ""
+        self.fleet = None       # gives `members()` and `verdicts()`, where this process talks with others
 
     def carry_out(self, call: Call) -> Reply:
         return self.DOES[call.what](self, call)
@@ -30,7 +33,13 @@
                  for n, place in self.roster.places.items()]
         away = [{"id": host, "out": True, "listed": False} for host, (_, out) in orders.words.items()
                 if out and not self.roster.known(host)]
-        return calls.hosts(sorted(lines + away, key=lambda line: line["id"]))
+        return calls.rows(sorted(lines + away, key=lambda line: line["id"]))
+
+    def members(self, _: Call) -> Reply:
+        return calls.rows(self.fleet.members()) if self.fleet is not None else ALONE
+
+    def verdicts(self, _: Call) -> Reply:
+        return calls.rows(self.fleet.verdicts()) if self.fleet is not None else ALONE
 
     def host(self, call: Call) -> Reply:
         orders, out = self.roster.orders, call.what == calls.DISABLE
@@ -55,4 +64,4 @@
         return Reply(200, text + (f"; lost with this process: {wrong}" if wrong else ""))
 
     DOES = {calls.READY: ready, calls.HOSTS: hosts, calls.DISABLE: host, calls.ENABLE: host,
-            calls.DRAIN: drain, calls.RESUME: drain}
+            calls.DRAIN: drain, calls.RESUME: drain, calls.MEMBERS: members, calls.VERDICTS: verdicts}
--- a/tests/test_migrate.py
+++ b/tests/test_migrate.py
@@ -41,7 +41,7 @@
         agreed = startup.decode(self.example, {}).agreed
         self.assertEqual((agreed.live_weights, agreed.peers, agreed.list_on_request), (False, False, True))
         allowed = self.example["settings"]["allowed"]
-        wrong_peers = [{**allowed, "peers": peers} for peers in (1, True)]
+        wrong_peers = [{**allowed, "peers": peers} for peers in (1, "yes")]
         for name, wrongs in {"weights": ("lively", 1, ["live"]), "discovery": ("asked",),
                              "balancers": (0, "3"), "position": (-1, True), "allowed": wrong_peers}.items():
             for wrong in wrongs:
