--- a/basalthook/lab/load.py
+++ b/basalthook/lab/load.py
@@ -118,6 +118,9 @@
             _, client = await loop.create_connection(lambda: Client(self, proxy), *self.addresses[proxy])
         except OSError:
             return      # nobody listens: it was never taken, so it is in nobody's books
+        if not self.addresses[proxy]:       # killed, or stopped, since it was picked
+            client.transport.abort()
+            return await self.one(*given)
         self.all.add(client)
         client.ask(*given)
 
