Verdicts kept to the zone that sees them; tests with twelve processes and hard cases

Change: one other zone alone convicts no host for this one; a trial's word carries its zone. The lab knows a proxy's zone after it was killed.

--- a/basalthook/fleet/verdicts.py
+++ b/basalthook/fleet/verdicts.py
@@ -58,6 +58,7 @@
     """One proxy's word on one trial of a host."""
     subject: str
     who: str
+    zone: str
     round: int                      # counts all trials of the fleet
     phase: int
     run: int                        # trials answered in a row, this one included
@@ -108,7 +109,10 @@
         clears = any(word.answers and word.heard > doubted for word in near)
         if reason or clears:
             return reason, by
-    return judge(words, common, members)
+    reason, by = judge(words, common, members)
+    # one other zone alone says nothing of the way from here
+    return ("", []) if {word.zone for word in by}.isdisjoint({zone}) and len({w.zone for w in by}) == 1 else (
+        reason, by)
 
 
 def lone(blamed: dict[str, set[str]]) -> set[str]:
@@ -195,7 +199,8 @@
 
     def tell_trial(self, now: int, phase: int, run: int) -> None:
         _, _, name, round_, _, need, reason, began = self.trial
-        self.table.tell(now, TRIAL, name, (round_, phase, run, need, reason, now - began), len(self.live()))
+        value = (round_, phase, run, need, reason, now - began, self.seen.zone)
+        self.table.tell(now, TRIAL, name, value, len(self.live()))
         self.hurry()
 
     # ---- what is known
@@ -316,7 +321,8 @@
         if state.state != OUT:
             if reason:
                 return "blamed", by, reason
-            failed = trial is not None and trial.phase == BAD and trial.told > state.since
+            failed = trial is not None and trial.phase == BAD and trial.told > state.since and (
+                trial.zone == self.seen.zone)
             if state.state == OPEN and failed and not any(w.heard > trial.began for w in words):
                 return "blamed", [trial], trial.reason      # a newcomer: others have it out, and saw it fail
             return ("ramp over" if state.state == BACK and now - state.since >= RAMP else ""), [], ""
@@ -408,11 +414,11 @@
 def read_trial(fact, told: int) -> Trial | None:
     """A fact back, told at that moment; None where its value is none."""
     value = fact.value
-    if len(value) != 6 or not isinstance(value[4], str) or not all(
+    if len(value) != 7 or not isinstance(value[4], str) or not isinstance(value[6], str) or not all(
             isinstance(n, int) and not isinstance(n, bool) and n >= 0 for n in (*value[:4], value[5])):
         return None
-    round_, phase, run, need, reason, ago = value
+    round_, phase, run, need, reason, ago, zone = value
     if phase > VOID or reason not in (SILENT, FAILING):
         return None
-    return Trial(fact.subject, fact.author, round_, phase, run, max(1, need), reason, told - ago, told,
+    return Trial(fact.subject, fact.author, zone, round_, phase, run, max(1, need), reason, told - ago, told,
                  fact.mark)
--- a/basalthook/lab/decisions.py
+++ b/basalthook/lab/decisions.py
@@ -52,7 +52,8 @@
         self.schedule, self.manners = Random(f"schedule of {seed}"), Random(f"manners of {seed}")
         self.weights = list(accumulate(rank ** -told.load.zipf for rank in range(1, told.load.keys + 1)))
         self.tx, self.long = count(), [f for f in told.faults if isinstance(f, LongWay)]
-        self.links = Links(seed, told.proxies, size)
+        self.links, zones = Links(seed, told.proxies, size), sorted(set(self.zones))
+        self.homes = [zones[n % len(zones)] for n in range(told.proxies)]       # the proxies' zones
         self.proxies: list[Proxy | None] = [None] * told.proxies
         self.minds: list = [None] * told.proxies        # the decisions, with whoever stands beside them
         self.lives, self.stopped = [0] * told.proxies, {}       # stopped -> what waits; emptied as it goes on
@@ -68,8 +69,7 @@
     def start(self, n: int, first: bool) -> None:
         """A new process of this proxy, that knows the list as discovery has it."""
         self.lives[n] += 1
-        zones = sorted(set(self.zones))
-        agreed = terms.agreement(settings(self.told, n, zones[n % len(zones)]))
+        agreed = terms.agreement(settings(self.told, n, self.homes[n]))
         again = "" if first else f", life {self.lives[n]}"
         proxy = Proxy(agreed, terms.number(f"proxy {n} of {self.seed}{again}"), self.ticks_of(n))
         self.proxies[n] = proxy
@@ -203,7 +203,7 @@
         sent[0], sent[1] = hop + 1, sent[1] + 1
         self.out[proxy, tx, hop] = [host, self.now]
         asked, given = self.open[proxy, tx], self.given[proxy, tx]
-        here, there = self.proxies[proxy].terms.zone, self.zones[host]
+        here, there = self.homes[proxy], self.zones[host]
         way, lost = self.way(here, there), self.lost(here, there)
         more = self.links.stream(f"p{proxy}", f"h{host}")
         if not lost and more is not None:
@@ -259,7 +259,7 @@
     def done(self, proxy: int, tx: int, hop: int, host: int, life: int, way: float) -> None:
         machine = self.machines[host]
         machine.done(life)
-        here, there = self.proxies[proxy].terms.zone, self.zones[host]
+        here, there = self.homes[proxy], self.zones[host]
         lost = any(self.chance[host].random() < share for share in machine.losing) or self.lost(here, there)
         more = self.links.stream(f"h{host}", f"p{proxy}")
         if life == machine.life and not machine.silent and not machine.gone and not lost and more is not None:
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -39,7 +39,9 @@
         long = b"GET /-/ready HTTP/1.1\r\nHost: c\r\nX: " + b"x" * 20_000
         for method, path, data, status in (
                 ("GET", "/-/ready", None, 200), ("PUT", "/-/ready", None, 405),
-                ("GET", "/-/drain", None, 405), ("GET", "/", None, 404), ("GET", "/-/none", None, 404),
+                ("GET", "/-/drain", None, 405), ("GET", "/", None, 404),
+                ("GET", "/-/members", None, 404), ("GET", "/-/verdicts", None, 404),
+                ("GET", "/-/none", None, 404),
                 ("PUT", "/-/hosts//disable", None, 404), ("PUT", "/-/hosts/s-9/disable", None, 404),
                 ("PUT", "/-/hosts/s-9/enable", None, 404), ("PUT", "/-/hosts/s-0/enable", None, 200),
                 ("PUT", "/-/hosts/s%2D0/disable", None, 200), ("PUT", "/-/hosts/s-0/disable", None, 200),
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,174 @@
+"""Twelve real processes, every way between them through the rig, and faults on it: verdicts, not timings."""
+import json
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from importlib.resources import files
+from pathlib import Path
+
+from basalthook.config import fleet as fleet_file
+from basalthook.fleet.facts import Fact
+from basalthook.fleet.talk import ANSWER
+from basalthook.fleet.verdicts import OUT
+from basalthook.lab import processes, scenario
+from basalthook.lab.links import Links
+from basalthook.lab.relays import Relays
+from basalthook.membership import wire
+
+BASE = files("basalthook.lab").joinpath("scenarios/three-silent.toml").read_text("utf-8")
+SILENT = "[[faults]]\nwhat = 'silent'\nat = 2\nlasts = 6\nhosts = [0, 1, 2]\n"
+LOSSY = """[[faults]]
+what = "lossy"
+at = 0
+lasts = 12
+between = [["p0-11"], ["p0-11"]]
+loses = 0.2
+doubles = 0.2
+reorders = 0.2
+delay = 0.01
+spoils = 0.05
+"""
+
+
+class Together(unittest.TestCase):
+    def play(self, *faults, seconds=13):
+        """The rig after its run, and the result; in each the four rules hold and nothing old is acted on."""
+        head, shares, rig = BASE[:BASE.index("[[faults]]")], BASE[BASE.index("[fleet]"):], []
+        head = head.replace("proxies = 60", "proxies = 12").replace("seconds = 50", f"seconds = {seconds}")
+        told = scenario.parse("\n".join((head, SILENT, *faults, shares)), "day.toml")
+        result = processes.play(told, rig)
+        self.assertEqual(result.faults, [])
+        self.assertTrue(result.verdict.kept, result.verdict.first)
+        self.assertEqual((result.talk["over_age"], result.talk["younger"]), (0, 0))
+        return rig[0], result
+
+    def out(self, rig):
+        return {(fields["id"], n) for _, n, event, fields in rig.said
+                if event == "verdict" and fields["state"] == OUT}
+
+    def test_silent_hosts_are_out_for_all_while_datagrams_are_lost_doubled_late_and_spoilt(self):
+        rig, result = self.play(LOSSY)
+        self.assertEqual({host for host, _ in self.out(rig)}, {"host-0", "host-1", "host-2"})
+        self.assertGreater(len(self.out(rig)), 30)
+        self.assertGreater(result.verdict.service, 0.95)
+        self.assertIsNotNone(result.recovery[0])
+
+    def test_halves_cut_apart_and_clocks_an_hour_ahead_agree_again(self):
+        rig, result = self.play(
+            "[[faults]]\nwhat = 'cut'\nat = 1\nlasts = 5\nbetween = [['p0-5'], ['p6-11']]\n",
+            "[[faults]]\nwhat = 'clock'\nat = 0\nlasts = 6\nahead = 3600\nrate = 1.02\nproxies = [1, 2, 8]\n")
+        self.assertEqual({host for host, _ in self.out(rig)}, {"host-0", "host-1", "host-2"})
+        last = {}
+        for _, n, event, fields in rig.said:
+            if event == "member" and _ < rig.begin_at + 13:
+                last[n, fields["name"]] = fields["state"]
+        self.assertEqual({state for state in last.values()}, {"alive"})
+        self.assertGreater(result.verdict.service, 0.95)
+
+    def test_some_killed_some_stopped_for_longer_than_a_life_and_the_rest_serve(self):
+        rig, result = self.play(
+            "[[faults]]\nwhat = 'kill_proxy'\nat = 2.4\nlasts = 2\nproxies = [0, 1, 2]\n",
+            "[[faults]]\nwhat = 'stop_proxy'\nat = 2.6\nlasts = 4\nproxies = [5, 6]\n")
+        self.assertEqual({host for host, _ in self.out(rig)}, {"host-0", "host-1", "host-2"})
+        self.assertGreater(result.verdict.service, 0.95)
+        ready = sum(event == "ready" for _, _, event, _ in rig.said)
+        self.assertEqual(ready, 15)
+
+    def test_a_planted_word_told_younger_than_it_is_is_seen_by_the_relays(self):
+        now = 0.0
+        relays = Relays(2, Links(1, 2, 0), lambda: now, 1)
+        for now, age in ((0.0, 100), (1.0, 10_100), (2.0, 15_000)):
+            fact = Fact("p0", 1, "host", "x", 1, (), age)
+            relays.read(0, wire.sealed(b"k" * 16, [ANSWER, "p0", 7, [list(fact)]]))
+            self.assertEqual(len(relays.younger), int(now == 2.0))
+
+
+class Files(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.key(b"0123456789abcdef")
+
+    def key(self, key, mode=0o600):
+        path = self.folder / "key"
+        path.unlink(missing_ok=True)
+        path.write_bytes(key)
+        path.chmod(mode)
+
+    def write(self, **changes):
+        told = {"listen": "127.0.0.1:7946", "seeds": ["127.0.0.1:7946"], "key_file": "key",
+                "shares": ["verdicts"], **changes}
+        lives = told.pop("lives", "")
+        text = "".join(f"{name} = {json.dumps(value)}\n" for name, value in told.items())
+        (self.folder / "fleet.toml").write_text(text + lives)
+        return str(self.folder / "fleet.toml")
+
+    def test_a_sound_file_and_what_is_wrong_with_others_by_its_place(self):
+        told = fleet_file.read(self.write(lives="[lives]\nhost = 2.5\n"))
+        self.assertEqual((told.lives, told.seeds), ({"host": 2.5, "trial": 10.0}, (("127.0.0.1", 7946),)))
+        for changes, place in (
+                ({"listen": "nowhere"}, "$.listen"), ({"seeds": ["127.0.0.1:99999"]}, "$.seeds[0]"),
+                ({"shares": ["secrets"]}, "$.shares[0]"), ({"colour": "red"}, "colour"),
+                ({"listen": "0.0.0.0:7946"}, "$.address"), ({"key_file": "none"}, "$.key_file"),
+                ({"lives": "[lives]\nhost = 20.0\n"}, "$.lives.trial"),
+                ({"lives": "[lives]\nhost = 0\n"}, "$.lives.host")):
+            with self.assertRaisesRegex(fleet_file.BadFleet, "fleet.toml") as caught:
+                fleet_file.read(self.write(**changes))
+            self.assertIn(place, str(caught.exception))
+        for key, mode in ((b"short", 0o600), (b"x" * 80, 0o600), (b"0123456789abcdef", 0o644)):
+            self.key(key, mode)
+            with self.assertRaisesRegex(fleet_file.BadFleet, "key_file"):
+                fleet_file.read(self.write())
+
+    def test_a_plain_serve_loads_nothing_of_it_and_a_deployment_that_forbids_talk_refuses(self):
+        code = ("import sys; from basalthook.program import commands, service; "
+                "print([n for n in sys.modules if n.split('.')[-1] in ('talk', 'member', 'msgspec', "
+                "'msgpack', 'xxhash', 'together', 'driver')])")
+        self.assertEqual(subprocess.check_output([sys.executable, "-c", code], text=True).strip(), "[]")
+        start = Path(__file__).parent.parent / "deploy/start-up.example.json"
+        done = self.run_it("check", "--file", str(start), "--fleet", self.write())
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("settings.allowed.peers", done.stderr)
+
+    def run_it(self, *words):
+        return subprocess.run([sys.executable, "-m", "basalthook", *words], capture_output=True, text=True)
+
+    def test_operators_see_who_is_a_member_and_one_that_goes_in_order_is_known_gone_at_once(self):
+        start = json.loads((Path(__file__).parent.parent / "deploy/start-up.example.json").read_text())
+        start["settings"]["allowed"]["peers"], start["listen"] = True, "127.0.0.1:0"
+        start["console"], running, consoles, ports = "127.0.0.1:0", [], [], []
+        for name in ("one", "two"):
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+                free.bind(("127.0.0.1", 0))
+                ports.append(f"127.0.0.1:{free.getsockname()[1]}")
+            (self.folder / "start.json").write_text(json.dumps({**start, "name": name}))
+            told = self.write(listen=ports[-1], seeds=ports[:1])
+            running.append(subprocess.Popen(
+                [sys.executable, "-m", "basalthook", "serve", "--file", str(self.folder / "start.json"),
+                 "--fleet", told], stdout=subprocess.PIPE, text=True))
+            self.addCleanup(running[-1].stdout.close)
+            self.addCleanup(running[-1].wait)
+            self.addCleanup(running[-1].kill)
+            ready = next(line for line in running[-1].stdout if '"ready"' in line)
+            consoles.append(":".join(map(str, json.loads(ready)["console"])))
+
+        def states(want):
+            for _ in range(100):
+                rows = self.run_it("members", consoles[0], "--json").stdout.splitlines()
+                found = {row["name"]: row["state"] for row in map(json.loads, rows)}
+                if found == want:
+                    break
+            return found
+        self.assertEqual(states({"one": "alive", "two": "alive"}), {"one": "alive", "two": "alive"})
+        self.assertIn("two", self.run_it("members", consoles[0]).stdout)
+        self.assertEqual(self.run_it("verdicts", consoles[0], "--json").stdout, "")
+        running[1].terminate()
+        self.assertEqual(states({"one": "alive", "two": "dead"}), {"one": "alive", "two": "dead"})
+        self.assertEqual(self.run_it("members", consoles[1]).returncode, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
