A later life voids its words by membership; a hop counts from when it left; fresh hosts

Change: a member's new life voids older words at once; nobody takes words of its own name from others; the lab's judge takes the moment a hop went out where it knows it; out and fresh hosts together are three in ten at most.

--- a/basalthook/fleet/facts.py
+++ b/basalthook/fleet/facts.py
@@ -75,7 +75,7 @@
         """A word of this process."""
         self.sequence += 1
         fact = Fact(self.me, self.life, kind, subject, self.sequence, value, 0)
-        self.take(now, fact, members)
+        self.put(Held(fact, now, rounds(members)))
         return fact
 
     def live(self, life: int) -> None:
@@ -91,8 +91,8 @@
         """Whether it was news. Of the same word the greater age stands, whoever brought it."""
         if fact.age > self.lives.get(fact.kind, -1):
             return False
-        if fact.author == self.me and (fact.life, fact.sequence) > (self.life, self.sequence):
-            return False        # what a process before this one has told; this one's own words void it
+        if fact.author == self.me:
+            return False        # it knows its own; what a process before it has told is void
         born = now - fact.age
         old = self.of.get(fact.author, {}).get((fact.kind, fact.subject))
         if old is not None and (old.fact.life, old.fact.sequence) == (fact.life, fact.sequence):
@@ -101,15 +101,19 @@
         if fact.life < self.newest.get(fact.author, 0) or old is not None and (
                 old.fact.life, old.fact.sequence) > (fact.life, fact.sequence):
             return False
-        self.put(Held(fact._replace(age=0), born, CONTACTS + max(1, members).bit_length()))
+        self.put(Held(fact._replace(age=0), born, rounds(members)))
         return (fact.author, fact.kind, fact.subject) in self.held
 
+    def outlive(self, author: str, life: int) -> None:
+        """Its process of this life has begun: what one before it told is void, whoever still holds it."""
+        if life > self.newest.get(author, -1):
+            for old in list(self.of.get(author, {}).values()):
+                self.drop(old)
+            self.newest[author] = life
+
     def put(self, held: Held) -> None:
         fact = held.fact
-        if fact.life > self.newest.get(fact.author, -1):
-            for old in list(self.of.get(fact.author, {}).values()):
-                self.drop(old)
-            self.newest[fact.author] = fact.life
+        self.outlive(fact.author, fact.life)
         mine = self.of.setdefault(fact.author, {})
         if (old := mine.get((fact.kind, fact.subject))) is not None:
             self.drop(old)
@@ -214,5 +218,9 @@
         return found
 
 
+def rounds(members: int) -> int:
+    return CONTACTS + max(1, members).bit_length()
+
+
 def number(author: str) -> int:
     return xxhash.xxh32_intdigest(author.encode())
--- a/basalthook/fleet/talk.py
+++ b/basalthook/fleet/talk.py
@@ -53,6 +53,8 @@
         return self.member.live()
 
     def changed(self, change: Changed) -> None:
+        # guards against words of a process that is gone, at those whom no word of its successor has reached
+        self.table.outlive(change.update.name, change.update.life)
         if change.before is not None or change.update.state:
             self.say("member", name=change.update.name, state=STATES[change.update.state], by=change.by)
 
--- a/basalthook/fleet/verdicts.py
+++ b/basalthook/fleet/verdicts.py
@@ -338,8 +338,10 @@
         return ("forgotten" if now - state.known > self.table.lives[TRIAL] else ""), [], ""
 
     def too_many(self) -> bool:
+        """Out and fresh ones together: what is kept from some must not push over those that can bear little."""
         out = sum(state.state == OUT for name, state in self.states.items() if name in self.numbers)
-        return out >= int(MOST_OUT * len(self.numbers))
+        fresh = sum(server.fresh_from is not None for server in self.listed)
+        return out + fresh >= int(MOST_OUT * len(self.listed))
 
     # ---- trials
 
--- a/basalthook/lab/decisions.py
+++ b/basalthook/lab/decisions.py
@@ -208,7 +208,7 @@
         more = self.links.stream(f"p{proxy}", f"h{host}")
         if not lost and more is not None:
             way += more
-            self.later(way, self.got, proxy, tx, hop, host, asked.tx, given[1], given[2], way)
+            self.later(way, self.got, proxy, tx, hop, host, asked.tx, given[1], given[2], way, self.now)
         self.later(effect.time_limit / TICKS / self.rate(proxy), self.end, proxy, tx, hop, i.TIMED_OUT)
 
     def way(self, here: str, there: str) -> float:
@@ -239,7 +239,8 @@
 
     # ---- machines
 
-    def got(self, proxy: int, tx: int, hop: int, host: int, name: str, key: str, work: float, way: float):
+    def got(self, proxy: int, tx: int, hop: int, host: int, name: str, key: str, work: float, way: float,
+            left: float) -> None:
         machine, now = self.machines[host], self.now
         if machine.gone:
             self.unreached[proxy, host] += 1
@@ -250,7 +251,7 @@
         cold, capacity = machine.started if machine.warmth(now) < 1.0 else None, machine.capacity(now)
         full = machine.held >= machine.slots
         fails = not full and any(self.chance[host].random() < share for share in machine.erring)
-        self.note(Got(now, host, name, cost, capacity, cold, not full, proxy))
+        self.note(Got(now, host, name, cost, capacity, cold, not full, proxy, left))
         if full or fails:
             return self.later(way, self.end, proxy, tx, hop, i.REFUSED if full else i.ERROR)
         ends = machine.take(now, cost)
--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -59,12 +59,12 @@
         self.fleet.ends[self.number].discard(self)
 
     def message(self, first: str, fields: dict, body: bytes) -> None:
-        self.fleet.carry(f"p{self.proxy}", f"h{self.number}", self.arrived, fields)
+        self.fleet.carry(f"p{self.proxy}", f"h{self.number}", self.arrived, fields, self.fleet.clock())
 
     def say(self, status: int, body: bytes = b"", more: str = "") -> None:
         self.fleet.carry(f"h{self.number}", f"p{self.proxy}", self.answer, status, body, more)
 
-    def arrived(self, fields: dict) -> None:
+    def arrived(self, fields: dict, left: float) -> None:
         fleet, machine, now = self.fleet, self.fleet.machines[self.number], self.fleet.clock()
         tx, key = fields.get("request-id", ""), fields.get("cookie", "")
         cost = machine.cost(now, key, float(fields.get("lab-work", 0)))
@@ -73,7 +73,7 @@
         fails = ends is not None and any(fleet.chance[self.number].random() < s for s in machine.erring)
         if ends is not None and not fails:
             ends = machine.take(now, cost)
-        fleet.wire.append(Got(now, self.number, tx, cost, capacity, cold, ends is not None, self.proxy))
+        fleet.wire.append(Got(now, self.number, tx, cost, capacity, cold, ends is not None, self.proxy, left))
         if ends is None:
             self.say(503, more="Not-Started: 1\r\n")
         elif fails:
--- a/basalthook/lab/wire.py
+++ b/basalthook/lab/wire.py
@@ -34,6 +34,7 @@
     cold: float | None              # when its process started, while it is cold; else None
     ran: bool                       # false: turned away unseen, and said so
     proxy: int = 0
+    left: float | None = None       # when it went out, where a way held it up since
 
 
 class Excused(NamedTuple):
--- a/basalthook/program/startup.py
+++ b/basalthook/program/startup.py
@@ -1,5 +1,6 @@
 """What this proxy is told at start: the start-up file, or else single variables, decoded once."""
 import os
+import re
 import resource
 from typing import NamedTuple
 
@@ -32,6 +33,9 @@
 MEMORY, OWN, BODIES = 64, 28, 0.7   # MB, if none are told; of the program itself; part of the rest for bodies
 
 
+NAME = re.compile(r"[!-~]{1,64}")      # of a member: others read it in datagrams
+
+
 class BadStart(Exception):
     """Says in one line what is wrong."""
 
@@ -79,6 +83,9 @@
         raise ValueError("settings.allowed.peers: this deployment allows no messages among proxies, "
                          "and a fleet file is named")
     agreed = agreed._replace(peers=False)       # news of the simulator's kind are not carried here
+    name = str(told.get("name") or environ.get("RELAY_NAME") or "proxy")
+    if fleet is not None and not fleet.name and not NAME.fullmatch(name):
+        raise ValueError(f"name: {name!r} is no name of a member; the fleet file may give another")
     listed = told.get("known") or {"version": 0, "full": True, "servers": []}
     known = catalogue.listing(listed)
     if known is None:
@@ -88,7 +95,7 @@
     seed = told.get("seed", 0)
     console = told.get("console") or environ.get("RELAY_CONSOLE")
     return StartUp(
-        name=str(told.get("name") or environ.get("RELAY_NAME") or "proxy"),
+        name=name,
         listen=catalogue.address(told.get("listen") or environ["RELAY_LISTEN"], least=0),   # 0: any port
         discovery=catalogue.address(told.get("discovery") or environ["RELAY_DISCOVERY"]),
         seed=int(seed, 16) if isinstance(seed, str) else int(seed),
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -132,6 +132,12 @@
         done = self.run_it("check", "--file", str(start), "--fleet", self.write())
         self.assertEqual(done.returncode, 2)
         self.assertIn("settings.allowed.peers", done.stderr)
+        told = json.loads(start.read_text())
+        told["settings"]["allowed"]["peers"] = True
+        for name, code in (("proxy-1", 0), ("no name", 2), ("x" * 65, 2)):
+            (self.folder / "start.json").write_text(json.dumps({**told, "name": name}))
+            done = self.run_it("check", "--file", str(self.folder / "start.json"), "--fleet", self.write())
+            self.assertEqual(done.returncode, code, done.stderr)
 
     def run_it(self, *words):
         return subprocess.run([sys.executable, "-m", "basalthook", *words], capture_output=True, text=True)
