--- a/basalthook/fleet/verdicts.py
+++ b/basalthook/fleet/verdicts.py
@@ -338,7 +338,7 @@
         return ("forgotten" if now - state.known > self.table.lives[TRIAL] else ""), [], ""
 
     def too_many(self) -> bool:
-        """Out and fresh ones together: what is kept from some must not push over those that can bear little."""
+        """Out and fresh ones together: what some are kept from must not push over those that bear little."""
         out = sum(state.state == OUT for name, state in self.states.items() if name in self.numbers)
         fresh = sum(server.fresh_from is not None for server in self.listed)
         return out + fresh >= int(MOST_OUT * len(self.listed))
