--- a/basalthook/fleet/talk.py
+++ b/basalthook/fleet/talk.py
@@ -42,7 +42,7 @@
         self.repair_next = self.expire_next = 0
         self.unsound: dict[str, int] = {}       # reason -> count
         self.complained = -COMPLAIN
-        self.sent = self.sent_bytes = self.taken = self.taken_bytes = 0
+        self.sent = self.sent_bytes = self.taken = 0
 
     def begin(self, now: int, known: list[Update] = ()) -> None:
         self.last = self.in_last = now
@@ -121,7 +121,6 @@
             return self.refuse(now, "too many", source)
         self.in_tokens -= 1
         self.taken += 1
-        self.taken_bytes += len(data)
         message = wire.opened(self.key, data)
         if isinstance(message, str):
             return self.refuse(now, message, source)
--- a/basalthook/fleet/verdicts.py
+++ b/basalthook/fleet/verdicts.py
@@ -72,14 +72,13 @@
 class State:
     """Of one host that is out or on its way back; `strikes` are kept a while beyond that."""
 
-    __slots__ = ("state", "since", "reason", "late_sent", "strikes", "struck", "known", "by", "stalest")
+    __slots__ = ("state", "since", "reason", "late_sent", "strikes", "struck", "known", "by")
 
     def __init__(self) -> None:
         self.state, self.since, self.reason, self.late_sent = OPEN, 0, "", 0
         self.strikes = self.struck = 0
         self.known = 0                  # when the newest word against it was told
         self.by: tuple[str, ...] = ()
-        self.stalest = 0                # age of the oldest word that this stands on, when it was taken
 
     def need(self) -> int:
         first = NEED_SILENT if self.reason == SILENT else NEED_FAILING
@@ -154,10 +153,7 @@
         self.last: tuple | None = None          # what the decisions were told last
         self.fresh_until = 0
         self.alone = False                      # this proxy's own link is bad
-        self.read_at = -1
         self.words: dict[str, list[Word]] = {}
-        self.stalest: dict[str, int] = {HOST: 0, TRIAL: 0}      # ticks: the oldest fact acted on
-        self.trials_made = 0
         self.hurry = lambda: None       # called where others should know of a word at once
         self.acted = lambda name, kind, words: None     # told of each use of words against a host
 
@@ -182,7 +178,6 @@
         state = self.states.get(name)
         if state is None:
             return
-        self.trials_made += 1
         run = max((trial for trial in self.trials(now) if trial.subject == name), key=lambda t: t.round,
                   default=None)
         before = run.run if run is not None and run.phase == GOOD else 0
@@ -305,8 +300,6 @@
             kind = TRIAL if isinstance(by[0], Trial) else HOST
             if kind == HOST:
                 state.late_sent = max(state.late_sent, max((w.late_sent for w in by if w.late), default=0))
-            state.stalest = max(now - word.told for word in by)
-            self.stalest[kind] = max(self.stalest[kind], state.stalest)
             self.acted(name, kind, by)
         if name in self.states and (name not in self.numbers or state.state == OPEN and (
                 now - state.struck >= STRIKES)):
--- a/basalthook/lab/relays.py
+++ b/basalthook/lab/relays.py
@@ -43,7 +43,6 @@
         self.first: dict[int, float] = {}       # mark of a fact -> when it first came by
         self.kinds: dict[int, str] = {}         # mark -> kind of fact
         self.younger: list[tuple] = []          # facts told younger than they can be: a defect
-        self.strangers = 0
 
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
@@ -63,8 +62,7 @@
 
     def came(self, target: int, data: bytes, source) -> None:
         sender = self.by_port.get(source[1])
-        if sender is None:
-            self.strangers += 1
+        if sender is None:      # none of the members'
             return
         self.sent[sender] += 1
         self.sent_bytes[sender] += len(data)
--- a/basalthook/lab/schedules.py
+++ b/basalthook/lab/schedules.py
@@ -47,7 +47,6 @@
         self.ahead = [self.chance.choice((0, 0, 36_000_000)) for _ in range(self.size)]
         self.told: dict[tuple, int] = {}        # (author, life, sequence) -> when, by the true clock
         self.broken: list[Broken] = []
-        self.told_bytes = Counter()
 
     def later(self, delay: int, call, *given) -> None:
         heappush(self.heap, (self.now + delay, next(self.order), call, given))
--- a/basalthook/membership/driver.py
+++ b/basalthook/membership/driver.py
@@ -1,6 +1,7 @@
 """The members' socket: datagrams in and out on the loop that is there. It knows nothing of what they say."""
 import asyncio
 import socket
+from contextlib import suppress
 
 READ_MOST = 64          # datagrams in one turn of the loop: clients come between two of these
 LENGTH_MOST = 2048      # bytes read of one: what is longer than a member sends shows as such
@@ -20,7 +21,7 @@
         except OSError:
             self.socket.close()
             raise
-        self.address, self.took, self.unsent = self.socket.getsockname()[:2], took, 0
+        self.address, self.took = self.socket.getsockname()[:2], took
         asyncio.get_running_loop().add_reader(self.socket.fileno(), self.readable)
 
     def readable(self) -> None:
@@ -33,10 +34,8 @@
 
     def send(self, address: tuple[str, int], data: bytes) -> None:
         """Best effort: a full buffer or an address that can't be reached loses it, as the network may."""
-        try:
+        with suppress(OSError, OverflowError, UnicodeError):
             self.socket.sendto(data, address)
-        except (OSError, OverflowError, UnicodeError):
-            self.unsent += 1
 
     def close(self) -> None:
         if self.socket.fileno() >= 0:
--- a/basalthook/membership/member.py
+++ b/basalthook/membership/member.py
@@ -89,7 +89,7 @@
         self.late = 0                           # the local health multiplier
         self.last = self.next = self.back_next = self.page_next = None
         self.lived = lambda life: None          # told when this process had to take a later life
-        self.false_suspicions = self.refuted = 0
+        self.false_suspicions = 0
 
     # ---- what others ask of it
 
@@ -349,7 +349,6 @@
         else:
             self.late = min(LATE_MOST, self.late + (update.state == SUSPECT))
             self.me = mine._replace(incarnation=update.incarnation + 1)
-        self.refuted += 1
         self.tell(self.me)
 
     def tell(self, update: Update) -> None:
