Tests: a stand-in notes a connection and its task at once

A stop between the two, before the task had run, failed a whole suite: zip() of tasks and connections of unlike length, seen once on a busy machine. Both are noted as the connection is taken.

--- a/tests/fake.py
+++ b/tests/fake.py
@@ -118,12 +118,15 @@
         self.got, self.ended = asyncio.Queue(), asyncio.Queue()
 
     async def start(self):
-        take = asyncio.get_running_loop().create_task
-        self.server = await asyncio.start_server(lambda *ends: self.tasks.append(take(self.serve(*ends))),
-                                                 "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.take, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
         return self
 
+    def take(self, reader, writer):
+        """Both at once: a stop between the two, before the task had run, once failed a whole suite."""
+        self.writers.append(writer)
+        self.tasks.append(asyncio.get_running_loop().create_task(self.serve(reader, writer)))
+
     async def stop(self):
         self.server.close()
         for task, writer in zip(self.tasks, self.writers, strict=True):
@@ -132,7 +135,6 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
     async def serve(self, reader, writer):
-        self.writers.append(writer)
         try:
             while True:
                 self.got.put_nowait(await message(reader))
@@ -160,7 +162,6 @@
         return await super().start()
 
     async def serve(self, reader, writer):
-        self.writers.append(writer)
         while not reader.at_eof():
             try:
                 self.got.put_nowait((await message(reader))[0].split(" ")[1])
