Limits for the whole fleet: places at hosts and tokens, leased from a keeper with a seat

Cause: hosts that choke by concurrency are choked by sixty proxies that each keep their own bound; a bound of the fleet needs one who counts. Three voters give one of them the seat for a second at a time; it lends places and tokens, counts for each holder the larger of what that one says it holds and what it was granted, and begins anew only once all that another may have lent is over. A holder gives up before it says so, takes an answer to its newest ask alone, and counts from its own asking.

Tried before: widening the slice of fresh hosts.

--- a/basalthook/config/fleet.py
+++ b/basalthook/config/fleet.py
@@ -9,14 +9,16 @@
 
 import msgspec
 
+from ..fleet import bounds
 from ..protocol import catalogue
 
 KEY_LEAST, KEY_MOST = 16, 64    # bytes
 Life = Annotated[float, msgspec.Meta(ge=1, le=600)]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,64}$")]
 Address = Annotated[str, msgspec.Meta(min_length=3, max_length=64)]
 
 
-class BadFleet(Exception):
+class BadFleet(ValueError):
     """Says file, place and what was expected, in one line."""
 
 
@@ -26,14 +28,28 @@
     trial: Life = 10.0              # the outcome of a trial of a host
 
 
+class LimitRow(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A bound on all proxies together; docs/limits.md."""
+    name: Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,64}$")]
+    kind: Annotated[str, msgspec.Meta(pattern="^(rate|host|retries)$")]
+    amount: Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+    burst: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 0.0
+    profiles: list[str] = msgspec.field(default_factory=list)   # of a rate; none: all
+    over: Annotated[str, msgspec.Meta(pattern="^(never|bounded)$")] = "never"
+    floor: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+
+
 class FleetFile(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     listen: Address                 # host:port of this member's datagrams
     seeds: list[Address]            # told addresses of some members; this one's may be among them
     key_file: Annotated[str, msgspec.Meta(min_length=1)]    # the same key at all; this user's alone
-    shares: Annotated[list[Annotated[str, msgspec.Meta(pattern="^verdicts$")]], msgspec.Meta(min_length=1)]
+    shares: Annotated[list[Annotated[str, msgspec.Meta(pattern="^(verdicts|limits)$")]],
+                      msgspec.Meta(min_length=1)]
     address: Address | None = None  # what others are told, where it differs from `listen`
-    name: Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,64}$")] | None = None     # else the start-up file's
+    name: Name | None = None         # else the start-up file's
     lives: Lives = msgspec.field(default_factory=Lives)
+    keepers: list[Name] = msgspec.field(default_factory=list)   # members that vote for the keeper of limits
+    limits: list[LimitRow] = msgspec.field(default_factory=list)
 
 
 class Told(msgspec.Struct, frozen=True):
@@ -44,6 +60,44 @@
     key: bytes
     name: str | None
     lives: dict[str, float]         # seconds by kind
+    verdicts: bool = True
+    keepers: tuple[str, ...] = ()
+    limits: tuple[LimitRow, ...] = ()
+
+    def bounds(self, profiles: dict[str, int]) -> list[bounds.Limit]:
+        """`profiles`: name -> index, of the start-up file. BadFleet: a limit names another."""
+        found = []
+        for n, row in enumerate(self.limits):
+            for which, name in enumerate(row.profiles):
+                if name not in profiles:
+                    raise BadFleet(f"Expected a profile of the start-up file, got {name!r} - at "
+                                   f"`$.limits[{n}].profiles[{which}]`")
+            found.append(bounds.Limit(row.name, row.kind, row.amount, row.burst,
+                                      tuple(profiles[name] for name in row.profiles), row.over, row.floor))
+        return found
+
+
+def sound(path: str, found: FleetFile) -> None:
+    """What types alone can't say of limits; BadFleet."""
+    limits = [bounds.Limit(row.name, row.kind, row.amount, row.burst, (), row.over, row.floor)
+              for row in found.limits]
+    for n, limit in enumerate(limits):
+        if wrong := bounds.wrong(limit):
+            raise BadFleet(f"{path}: {wrong} - at `$.limits[{n}]`")
+        if limit.name in [each.name for each in limits[:n]]:
+            raise BadFleet(f"{path}: Expected a name of its own, got {limit.name!r} - at "
+                           f"`$.limits[{n}].name`")
+        if limit.kind != bounds.RATE and limit.kind in [each.kind for each in limits[:n]]:
+            raise BadFleet(f"{path}: Expected one limit of kind {limit.kind!r} - at `$.limits[{n}].kind`")
+        taken = {name for row in found.limits[:n] if row.kind == bounds.RATE for name in row.profiles or [""]}
+        if limit.kind == bounds.RATE and taken & set(found.limits[n].profiles or [""]):
+            raise BadFleet(f"{path}: Expected profiles that no other limit has - at `$.limits[{n}].profiles`")
+    if bool(limits) != ("limits" in found.shares):
+        raise BadFleet(f"{path}: Expected `limits` in shares where there are some, and only there - at "
+                       "`$.shares`")
+    if limits and (len(found.keepers) % 2 == 0 or len(set(found.keepers)) < len(found.keepers)):
+        raise BadFleet(f"{path}: Expected an odd number of members' names, got {len(found.keepers)} - at "
+                       "`$.keepers`")
 
 
 def read(path: str) -> Told:
@@ -64,8 +118,10 @@
     seeds = tuple(address(path, f"$.seeds[{n}]", seed) for n, seed in enumerate(found.seeds))
     if found.lives.trial < found.lives.host:
         raise BadFleet(f"{path}: Expected `host` or more, got {found.lives.trial:g} - at `$.lives.trial`")
+    sound(path, found)
     key = read_key(path, os.path.join(os.path.dirname(path), found.key_file))
-    return Told(listen, told, seeds, key, found.name, msgspec.to_builtins(found.lives))
+    return Told(listen, told, seeds, key, found.name, msgspec.to_builtins(found.lives),
+                "verdicts" in found.shares, tuple(found.keepers), tuple(found.limits))
 
 
 def address(path: str, where: str, told: str) -> tuple[str, int]:
--- a/basalthook/console/calls.py
+++ b/basalthook/console/calls.py
@@ -8,8 +8,8 @@
 from ..protocol.http1 import Malformed, Message
 
 READY, HOSTS, DISABLE, ENABLE, DRAIN, RESUME = "ready", "hosts", "disable", "enable", "drain", "resume"
-MEMBERS, VERDICTS = "members", "verdicts"
-READ_ONLY = READY, HOSTS, MEMBERS, VERDICTS     # not worth a line in the log
+MEMBERS, VERDICTS, LIMITS = "members", "verdicts", "limits"
+READ_ONLY = READY, HOSTS, MEMBERS, VERDICTS, LIMITS     # not worth a line in the log
 PREFIX = "/-/"
 ID = "{id}"
 # path -> method, what is asked; "{id}" stands for one segment, the id of a host as discovery tells it
@@ -22,6 +22,7 @@
     ("resume",): ("PUT", RESUME),
     ("members",): ("GET", MEMBERS),
     ("verdicts",): ("GET", VERDICTS),
+    ("limits",): ("GET", LIMITS),
 }
 
 
--- /dev/null
+++ b/basalthook/fleet/bounds.py
@@ -0,0 +1,103 @@
+"""The fleet's limits as an operator states them, and what is promised of each, as formulas; pure.
+
+All times are ticks. `clocks` is the part by which each clock's rate may be off.
+
+    a place or token is spent by its holder no later than LEASE after it was asked for, on the holder's clock
+    a place that nobody gives back is free again after LEASE + the longest hard limit (a hop may be out)
+    a keeper's death: its fellows go on with what they hold, as LEASE is longer than two terms of the seat
+    floors: parts that need no message, so many for each told proxy; not lent by the keeper where `never`
+"""
+from typing import NamedTuple
+
+import xxhash
+
+from .seat import longer, shorter
+
+TICKS = 10_000          # a second
+TERM = 10_000           # ticks that the keeper's seat is held without a new vote
+LEASE = 30_000          # ticks that a place is held without a new word of the keeper
+TOKEN_LIFE = 10_000     # ticks in which a token is to be spent
+CLOCKS = 0.02
+RATE, HOST, RETRIES = "rate", "host", "retries"
+NEVER, BOUNDED = "never", "bounded"
+
+
+class Limit(NamedTuple):
+    """`rate`: first hops of its profiles a second over the fleet; `host`: places at each host; `retries`:
+    further hops a second."""
+    name: str
+    kind: str
+    amount: float
+    burst: float = 0.0              # tokens at once; of places none
+    profiles: tuple[int, ...] = ()  # of a rate: indices; empty: all
+    over: str = NEVER
+    floor: float = 0.0              # part of the amount that proxies have without any message
+
+    @property
+    def id(self) -> int:
+        return xxhash.xxh32_intdigest(self.name.encode())
+
+    @property
+    def places(self) -> bool:
+        return self.kind == HOST
+
+    # ---- what the keeper lends, and what is everybody's own
+
+    def lent(self) -> float:
+        """Places, or tokens a second. Of what is never to be exceeded, floors are taken out first."""
+        own = self.floor if self.over == NEVER else 0.0
+        return self.amount - int(self.floor * self.amount) if self.places else self.amount * (1 - own)
+
+    def depth(self) -> float:
+        """Of the keeper's bucket: what holders may still have in hand counts against the burst."""
+        own = self.floor if self.over == NEVER else 0.0
+        return max(0.0, (self.burst - self.amount * TOKEN_LIFE / TICKS) * (1 - own))
+
+    def own_places(self, mark: int, position: int, proxies: int) -> int:
+        """Of the floor's places at the host with this mark, those of the proxy at this position: each goes
+        to one of the told proxies, without a word between them."""
+        units = range(int(self.floor * self.amount))
+        return sum(xxhash.xxh32_intdigest(f"{mark:x}.{unit}".encode()) % proxies == position
+                   for unit in units)
+
+    def own_rate(self, proxies: int) -> tuple[float, float]:
+        """Tokens a tick and at once of one proxy's floor. Where it holds less than one there is none."""
+        depth = self.floor * self.burst / proxies
+        return (self.floor * self.amount / proxies / TICKS, depth) if depth >= 1 else (0.0, 0.0)
+
+    # ---- what is promised
+
+    def over_bound(self, window: int) -> float:
+        """The largest part over the limit in any window of so many ticks, links and clocks as they may be.
+        Against `amount` places; or `amount` a second and `burst` at once."""
+        if self.over == NEVER:
+            return 0.0
+        allowed = self.amount * window / TICKS + self.burst
+        return self.floor * (self.amount * window / TICKS + self.burst) / allowed
+
+    def unused_after_death(self, hard_limit: int) -> int:
+        """Ticks that what a dead proxy held lies unused at most; `hard_limit`: the longest of all."""
+        return LEASE + longer(hard_limit, CLOCKS) if self.places else TOKEN_LIFE
+
+    def paused_after_keeper(self, hard_limit: int) -> int:
+        """Ticks without a new grant after a keeper's death at most, once a seat is given anew: what is held
+        stays in use meanwhile."""
+        return 2 * TERM + (LEASE + longer(hard_limit, CLOCKS) if self.places else 0)
+
+    def stale(self) -> int:
+        """Ticks that a part may be used after the last word on it."""
+        return shorter(LEASE if self.places else TOKEN_LIFE, CLOCKS)
+
+
+def wrong(limit: Limit) -> str:
+    """What no limit can mean; "" where it is sound."""
+    if limit.amount < 0 or limit.places and limit.amount != int(limit.amount):
+        return f"Expected {'a whole number' if limit.places else 'no less than 0'}, got {limit.amount}"
+    if not limit.places and limit.over == NEVER and limit.amount and (
+            limit.burst < limit.amount * TOKEN_LIFE / TICKS + 1):
+        least = limit.amount * TOKEN_LIFE / TICKS + 1
+        return (f"Expected a burst of {least:g} or more, got {limit.burst:g}: a token may be spent "
+                f"{TOKEN_LIFE / TICKS:g} s after it was lent, which may never add up to more")
+    if limit.places and limit.over != NEVER:
+        return "Expected `never` for places at a host"
+    return ""
--- a/basalthook/fleet/counting.py
+++ b/basalthook/fleet/counting.py
@@ -19,12 +19,12 @@
         self.proxy, self.terms = proxy, proxy.terms
         self.faults, self.witnessed = Spread(NEWS, KEPT), {}    # host -> who; host -> when we told; bounded
 
-    def handle(self, now: int, event) -> list:
+    def handle(self, now: int, event, seen: int | None = None) -> list:
         """As the decisions' own `handle`, with the news among its events and effects."""
         if isinstance(event, i.NewsCame):
             return self.came(now, event)
         effects = []
-        for effect in self.proxy.handle(now, event):
+        for effect in self.proxy.handle(now, event, seen):
             effects += self.met(now, effect.host) if isinstance(effect, i.MetFault) else (effect,)
         return effects
 
--- a/basalthook/fleet/talk.py
+++ b/basalthook/fleet/talk.py
@@ -43,6 +43,8 @@
         self.unsound: dict[str, int] = {}       # reason -> count
         self.complained = -COMPLAIN
         self.sent = self.sent_bytes = self.taken = 0
+        self.kinds: dict[int, int] = {}         # kind -> length of messages that another part of this process
+        self.others = lambda now, message: None     # ... takes
 
     def begin(self, now: int, known: list[Update] = ()) -> None:
         self.last = self.in_last = now
@@ -65,6 +67,11 @@
         self.out(address, data)
         return len(data)
 
+    def post(self, name: str, message: list) -> None:
+        """To a member by its name; to one that is not known it is lost, as a datagram may be."""
+        if name in self.live():
+            self.send(self.member.address(name), message)
+
     def pay(self, address: tuple[str, int], message: list) -> None:
         self.tokens -= self.send(address, message)
 
@@ -126,6 +133,8 @@
             return self.refuse(now, message, source)
         if message[0] < RUMOUR:
             self.member.received(now, message, source)
+        elif self.kinds.get(message[0]) == len(message) and isinstance(message[1], str):
+            self.others(now, message)
         elif message[0] in self.HANDLES and len(message) == self.LENGTHS[message[0]]:
             self.HANDLES[message[0]](self, now, message, source)
 
--- a/basalthook/lab/decisions.py
+++ b/basalthook/lab/decisions.py
@@ -16,13 +16,14 @@
 from ..policy import interface as i
 from ..policy.decide import Proxy
 from ..protocol.catalogue import Line
+from . import overrun
 from .links import Links
 from .model import machines
 from .result import Result, found
 from .scenario import BadScenario, ClockFault, LongWay, Maintain, Scenario, moments
 from .start import settings
 from .talking import Talking
-from .wire import Answered, Asked, Called, Excused, Got, Told
+from .wire import Answered, Asked, Called, Done, Excused, Got, Told
 
 TICKS = 10_000          # the decisions' time: so many a second
 BORN = 100.0            # seconds on the virtual clock when everything starts
@@ -63,6 +64,7 @@
                 for n in fault.proxies:
                     self.clocks[n] = BORN, BORN + fault.ahead, fault.rate
         self.talking = Talking(self, told.proxies) if told.fleet else None
+        self.limited = bool(told.fleet and told.fleet.limits)   # then the ends of hops are noted as well
         for n in range(told.proxies):
             self.start(n, True)
 
@@ -252,6 +254,8 @@
         full = machine.held >= machine.slots
         fails = not full and any(self.chance[host].random() < share for share in machine.erring)
         self.note(Got(now, host, name, cost, capacity, cold, not full, proxy, left))
+        if fails and self.limited:
+            self.note(Done(now, host, name))
         if full or fails:
             return self.later(way, self.end, proxy, tx, hop, i.REFUSED if full else i.ERROR)
         ends = machine.take(now, cost)
@@ -260,6 +264,8 @@
     def done(self, proxy: int, tx: int, hop: int, host: int, life: int, way: float) -> None:
         machine = self.machines[host]
         machine.done(life)
+        if self.limited and life == machine.life:
+            self.note(Done(self.now, host, f"tx-{tx}"))
         here, there = self.homes[proxy], self.zones[host]
         lost = any(self.chance[host].random() < share for share in machine.losing) or self.lost(here, there)
         more = self.links.stream(f"h{host}", f"p{proxy}")
@@ -307,6 +313,8 @@
     def kill(self, host: int) -> None:
         self.up[host] = False
         self.machines[host].start(self.now)
+        if self.limited:
+            self.note(Done(self.now, host, ""))
         for (proxy, tx, hop), (where, _) in list(self.out.items()):
             if where == host:
                 self.later(self.way("", ""), self.end, proxy, tx, hop, i.RESET)
@@ -349,4 +357,6 @@
     fleet = Fleet(told, told.seed)
     fleet.run()
     talk = fleet.talking.figures(told, BORN) if fleet.talking else None
+    if fleet.limited:
+        talk["limits"] = overrun.figures(fleet.wire, told)
     return found(told, fleet.wire, BORN, "decisions", digest=fleet.digest.hexdigest(), talk=talk)
--- /dev/null
+++ b/basalthook/lab/overrun.py
@@ -0,0 +1,96 @@
+"""How far over a fleet's limit the hosts were taken, in any window: from what crossed the wire alone."""
+from collections import Counter, defaultdict
+
+from ..fleet import bounds
+from .judge import ROLLED_BACK, SLACK
+from .scenario import Scenario, bound
+from .wire import Answered, Asked, Done, Got
+
+EXACT = 0.001           # to which the part over is told
+
+
+def figures(wire: list, told: Scenario) -> dict[str, dict]:
+    """For each limit: the largest part over in any window, what the formula allows, and the part of it that
+    was served in the seconds in which anybody was refused (None: nobody was)."""
+    names, found = [p.name for p in told.load.profiles], {}
+    refused = {int(e.at) for e in wire if isinstance(e, Answered) and e.status in ROLLED_BACK}
+    for limit in told.fleet.limits:
+        rule = bound(limit, names)
+        if rule.places:
+            most, used = held(wire, rule.amount, refused)
+            over = max(0.0, most / rule.amount - 1) if rule.amount else float(most)
+        else:
+            times = first_hops(wire, set(limit.profiles)) if rule.kind == bounds.RATE else further(wire)
+            over, used = beyond(times, rule.amount, rule.burst), served(times, rule.amount, refused)
+        found[limit.name] = {"over_most": round(over, 3), "over_bound": rule.over_bound(0), "used": used}
+    return found
+
+
+def held(wire: list, amount: float, refused: set[int]) -> tuple[int, float | None]:
+    """The most that any host held at once, and the mean part of all places that was held in such seconds."""
+    now, most, sums, hosts = Counter(), 0, defaultdict(list), set()
+    for e in wire:
+        if isinstance(e, Got) and e.ran:
+            now[e.host] += 1
+            most = max(most, now[e.host])
+            hosts.add(e.host)
+        elif isinstance(e, Done):
+            now[e.host] = now[e.host] - 1 if e.tx else 0
+        else:
+            continue
+        if int(e.at) in refused:
+            sums[int(e.at)].append(now.total())
+    means = [sum(held) / len(held) for held in sums.values()]
+    places = amount * len(hosts)
+    return most, round(sum(means) / len(means) / places, 3) if means and places else None
+
+
+def first_hops(wire: list, profiles: set[str]) -> list[float]:
+    asked = {e.tx: e.profile for e in wire if isinstance(e, Asked)}
+    first = {}
+    for e in wire:
+        if isinstance(e, Got) and (not profiles or asked.get(e.tx) in profiles):
+            first.setdefault(e.tx, e.at if e.left is None else e.left)
+    return sorted(first.values())
+
+
+def further(wire: list) -> list[float]:
+    """Each hop beyond a transaction's first."""
+    met, found = set(), []
+    for e in wire:
+        if isinstance(e, Got):
+            if e.tx in met:
+                found.append(e.at)
+            met.add(e.tx)
+    return found
+
+
+def beyond(times: list[float], amount: float, burst: float) -> float:
+    """The least part by which amount and burst would have to be larger for no window to hold too many."""
+    def fits(part: float) -> bool:
+        level, last, most = 0.0, times[0], (burst + amount * SLACK) * (1 + part)
+        for at in times:
+            level = max(0.0, level - amount * (1 + part) * (at - last)) + 1
+            last = at
+            if level > most + 1e-9:
+                return False
+        return True
+    if not times or fits(0.0):
+        return 0.0
+    if not amount:
+        return float(len(times))
+    low, high = 0.0, 1.0
+    while not fits(high):
+        low, high = high, 2 * high
+    while high - low > EXACT:
+        middle = (low + high) / 2
+        low, high = (low, middle) if fits(middle) else (middle, high)
+    return high
+
+
+def served(times: list[float], amount: float, refused: set[int]) -> float | None:
+    """Of whole seconds in which somebody was refused."""
+    counts = Counter(int(at) for at in times)
+    if not refused or not amount:
+        return None
+    return round(sum(counts[second] for second in refused) / len(refused) / amount, 3)
--- a/basalthook/lab/processes.py
+++ b/basalthook/lab/processes.py
@@ -14,15 +14,18 @@
 from collections import Counter
 from pathlib import Path
 
+import msgspec
 import orjson
 
 from ..fleet.verdicts import LIVES, OUT
+from . import overrun
 from .load import Clients
 from .relays import Relays
 from .result import Result, found, mean_and_most
 from .scenario import BadScenario, ClockFault, LongWay, Maintain, Scenario, StopProxy, Vanish, moments
 from .standins import Fleet
 from .start import settings
+from .talking import VOTERS
 from .underclock import VARIABLE, worded
 from .wire import Excused
 
@@ -78,6 +81,12 @@
             seeds = [f"127.0.0.1:{port}" for _, port in self.relays.told[:SEEDS]]
             lines = [f'listen = "127.0.0.1:{self.relays.real[n][1]}"', f"seeds = {seeds}", 'key_file = "key"',
                      f'address = "127.0.0.1:{self.relays.told[n][1]}"', f"shares = {self.told.fleet.shares}"]
+            if self.told.fleet.limits:
+                lines.append(f"keepers = {[f'p{k}' for k in range(min(VOTERS, self.told.proxies))]}")
+            for limit in self.told.fleet.limits:
+                lines.append("[[limits]]")
+                lines += [f"{name} = {orjson.dumps(value).decode()}"
+                          for name, value in msgspec.to_builtins(limit).items()]
             (folder / "fleet.toml").write_text("\n".join(lines))
         return folder
 
@@ -271,4 +280,6 @@
     if keep is not None:
         keep.append(rig)
     talk = rig.figures(begin) if told.fleet else None
+    if told.fleet and told.fleet.limits:
+        talk["limits"] = overrun.figures(sorted(wire, key=lambda e: e.at), told)
     return found(told, wire, begin, "processes", rig.faults, talk=talk)
--- a/basalthook/lab/scenario.py
+++ b/basalthook/lab/scenario.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ..fleet import bounds
 from . import links
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
@@ -252,9 +253,22 @@
         fleet.set_clock(proxy, 0.0, 1.0)
 
 
+class Limit(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A bound on all proxies together."""
+    name: Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9-]+$")]
+    kind: Annotated[str, msgspec.Meta(pattern="^(rate|host|retries)$")]
+    amount: Seconds                 # tokens a second; places at each host
+    burst: Seconds = 0.0            # tokens at once
+    profiles: list[str] = msgspec.field(default_factory=list)   # of a rate, by name; none: all
+    over: Annotated[str, msgspec.Meta(pattern="^(never|bounded)$")] = "never"
+    floor: Share = 0.0              # part that proxies have without any message
+
+
 class Shares(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """What the proxies hold together; without it nobody talks."""
-    shares: Annotated[list[Annotated[str, msgspec.Meta(pattern="^verdicts$")]], msgspec.Meta(min_length=1)]
+    shares: Annotated[list[Annotated[str, msgspec.Meta(pattern="^(verdicts|limits)$")]],
+                      msgspec.Meta(min_length=1)]
+    limits: list[Limit] = msgspec.field(default_factory=list)
 
 
 class Vanish(Fault, tag="vanish"):
@@ -324,6 +338,12 @@
     return found
 
 
+def bound(limit: Limit, names: list[str]) -> bounds.Limit:
+    """As the program has it; `names`: of the profiles, in order."""
+    return bounds.Limit(limit.name, limit.kind, limit.amount, limit.burst,
+                        tuple(names.index(name) for name in limit.profiles), limit.over, limit.floor)
+
+
 def load(path: str | Path) -> Scenario:
     """The scenario in this file, or BadScenario; a half-valid one is none."""
     try:
@@ -357,6 +377,11 @@
                     at = f"$.faults[{n}].between[{side}][{which}]"
                     raise BadScenario(f"{path}: {wrong} - at `{at}`") from None
     names = [profile.name for profile in found.load.profiles]
+    for n, limit in enumerate(found.fleet.limits if found.fleet else ()):
+        wrong = bounds.wrong(bound(limit, names)) if set(limit.profiles) <= set(names) else (
+            f"Expected profiles of this scenario, got {limit.profiles}")
+        if wrong:
+            raise BadScenario(f"{path}: {wrong} - at `$.fleet.limits[{n}]`")
     for n, profile in enumerate(found.load.profiles):
         if profile.name in names[:n]:
             raise BadScenario(f"{path}: Expected a name of its own, got {profile.name!r} - at "
--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -14,7 +14,7 @@
 from .links import Links
 from .model import Machine, machines
 from .scenario import Scenario
-from .wire import Got, Ordered, Told
+from .wire import Done, Got, Ordered, Told
 
 FIELD = re.compile(rb"\r\n([!-9;-~]+): *([^\r\n]*)")
 WATCH = re.compile(r"[?&](index|wait)=(\d+)")
@@ -77,12 +77,15 @@
         if ends is None:
             self.say(503, more="Not-Started: 1\r\n")
         elif fails:
+            fleet.ended(self.number, tx)
             self.say(500)
         else:
             asyncio.get_running_loop().call_later(ends - now, self.done, machine, machine.life, tx)
 
     def done(self, machine: Machine, life: int, tx: str) -> None:
         machine.done(life)
+        if life == machine.life:
+            self.fleet.ended(self.number, tx)
         lost = any(self.fleet.chance[self.number].random() < share for share in machine.losing)
         if life == machine.life and not machine.silent and not lost:
             self.say(200, f"{tx} by {self.number}".encode())
@@ -195,6 +198,11 @@
                  for n in numbers if not (full and self.states[n] == "removed")]
         return {"version": self.version, "full": full, "servers": lines}
 
+    def ended(self, number: int, tx: str) -> None:
+        """For the judge of limits, where there are any."""
+        if self.told.fleet is not None and self.told.fleet.limits:
+            self.wire.append(Done(self.clock(), number, tx))
+
     # ---- what faults do
 
     def list_as(self, number: int, state: str) -> None:
@@ -224,6 +232,7 @@
     def restart(self, number: int) -> None:
         """Its process is a new one; whoever had a connection to it is cut off."""
         self.machines[number].start(self.clock())
+        self.ended(number, "")
         self.started_ms[number] = int(time.time() * 1000)
         for end in list(self.ends[number]):
             end.transport.abort()
@@ -232,6 +241,7 @@
     def kill(self, number: int) -> None:
         self.deaf(number)
         self.machines[number].start(self.clock())       # what it had begun is gone
+        self.ended(number, "")
         for end in list(self.ends[number]):
             end.transport.abort()
         self.list_as(number, "removed")
--- a/basalthook/lab/talking.py
+++ b/basalthook/lab/talking.py
@@ -2,14 +2,18 @@
 from collections import Counter
 from random import Random
 
+from ..fleet.counting import Counting
+from ..fleet.limits import KINDS, Limits
 from ..fleet.talk import Talk
 from ..fleet.verdicts import LIVES, OUT, Verdicts
 from ..membership.member import ALIVE, Update
 from .links import spoil
 from .result import mean_and_most
+from .scenario import bound
 
 TICK = 0.05             # seconds between two looks of a member, as the program does
 KEY = b"the lab's own key, known to all of its members"
+VOTERS = 3              # the first so many proxies vote for the keeper of limits
 SEEDS = 3               # the first so many members are told to all as seeds
 BACKLOG = 256           # datagrams that wait at a stopped process, as in a kernel's buffer
 DRIFT = 0.03            # part by which a fact's age may be read off too low: clocks run up to 2 in 100 apart
@@ -22,6 +26,7 @@
         self.fleet, self.count = fleet, count
         self.talks: list[Talk | None] = [None] * count
         self.minds: list[Verdicts | None] = [None] * count
+        self.limits: list[Limits | None] = [None] * count
         self.ways = Random(f"datagrams of {fleet.seed}")
         self.waiting: dict[int, list] = {}      # stopped proxy -> datagrams; emptied as it goes on
         self.said: list[tuple] = []             # (when, proxy, event, fields)
@@ -32,8 +37,9 @@
         self.sent, self.sent_bytes = Counter(), Counter()
         self.false = 0
 
-    def start(self, n: int, proxy, zone: str, first: bool) -> Verdicts:
-        """`first`: with the whole fleet, whose members know one another; else with the seeds alone."""
+    def start(self, n: int, proxy, zone: str, first: bool):
+        """What stands beside the decisions. `first`: with the whole fleet, whose members know one another;
+        else with the seeds alone."""
         fleet, name = self.fleet, f"p{n}"
         self.lives[n] += 1
         life = max(1, int(fleet.wall(n) * 1000))
@@ -49,20 +55,43 @@
             self.told_at[fact.author, fact.life, fact.sequence] = self.fleet.now
             return fact
         talk.table.tell = noted
-        mind = Verdicts(proxy, talk.table, zone, talk.live,
-                        lambda event, **fields: self.said.append((fleet.now, n, event, fields)))
-        mind.hurry = talk.rumours
-        mind.acted = lambda name, kind, words: self.acted(n, kind, words)
+        def say(event, **fields):
+            self.said.append((fleet.now, n, event, fields))
+        mind = None
+        if "verdicts" in fleet.told.fleet.shares:
+            mind = Verdicts(proxy, talk.table, zone, talk.live, say)
+            mind.hurry = talk.rumours
+            mind.acted = lambda name, kind, words: self.acted(n, kind, words)
         known = [Update(f"p{k}", f"p{k}", 1, max(1, int(fleet.wall(k) * 1000)), 0, ALIVE)
                  for k in range(self.count)] if first else []
         talk.begin(fleet.ticks_of(n), known)
         self.talks[n], self.minds[n] = talk, mind
         fleet.later(TICK * self.ways.random(), self.tick, n, self.lives[n])
-        return mind
+        beside = mind or Counting(proxy)
+        if "limits" in fleet.told.fleet.shares:
+            beside = self.limit(n, life, proxy, beside, talk, say)
+            if first and beside.seat is not None:       # a run begins with a fleet that holds nothing
+                beside.seat.silent_until = beside.seat.next = fleet.ticks_of(n)
+                beside.keeper.nothing_out = True
+        return beside
+
+    def limit(self, n: int, life: int, proxy, inner, talk: Talk, say) -> Limits:
+        fleet, told = self.fleet, self.fleet.told
+        names = [p.name for p in told.load.profiles]
+        voters = tuple(f"p{k}" for k in range(min(VOTERS, self.count)))
+        hard_limit = int(max(p.hard_limit for p in told.load.profiles) * 10_000)
+        limits = Limits(inner, proxy, [bound(limit, names) for limit in told.fleet.limits], f"p{n}", life,
+                        voters, proxy.terms.position, proxy.terms.proxies, hard_limit,
+                        Random(f"limits {n} of {fleet.seed}, life {self.lives[n]}"), talk.post, talk.live,
+                        fleet.ticks_of(n), say)
+        limits.wake = lambda event: fleet.later(0, fleet.tell, n, event, fleet.lives[n])
+        talk.kinds, talk.others = KINDS, limits.received
+        self.limits[n] = limits
+        return limits
 
     def end(self, n: int) -> None:
         self.close_books(n)
-        self.talks[n] = self.minds[n] = None
+        self.talks[n] = self.minds[n] = self.limits[n] = None
         self.waiting.pop(n, None)
 
     def close_books(self, n: int) -> None:
@@ -81,7 +110,9 @@
             return
         now = fleet.ticks_of(n)
         talk.tick(now)
-        judged = self.minds[n].look(now, now)
+        if self.limits[n] is not None:
+            self.limits[n].tick(now)
+        judged = self.minds[n].look(now, now) if self.minds[n] is not None else None
         if judged is not None:
             fleet.tell(n, judged)
 
--- a/basalthook/lab/wire.py
+++ b/basalthook/lab/wire.py
@@ -37,6 +37,13 @@
     left: float | None = None       # when it went out, where a way held it up since
 
 
+class Done(NamedTuple):
+    """A host has ended its work on a hop, heard of or not; noted where limits are played."""
+    at: float
+    host: int
+    tx: str                         # "": on all that it held, as its process is gone
+
+
 class Excused(NamedTuple):
     """Its proxy was killed or stopped under it: nobody could answer."""
     at: float
--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -117,6 +117,8 @@
         took = max(1.0, self.strain) * self.quiet_mix + self.unread     # by Little's law, what is out
         turn, left = ahead * took / max(1, len(self.flying)), tx.give_up - self.now
         tx.come_back = int(turn) if turn < left else tx.profile.service_goal    # back when its turn would be
+        if self.allowed.later and self.allowed.left(tx.grant, self.now) < 1:
+            tx.come_back, hope = self.allowed.later, False
         return "held" if hope and PROMPT * turn < left else "hopeless"
 
     def line_up(self, tx):
@@ -153,6 +155,7 @@
             return False
         hop, now, usual = len(tx.tried), self.now, self.latency[tx.kind]
         late_after = int(min(max(usual.mean + 4 * usual.deviation, usual.least), usual.goal / 2))
+        self.allowed.use(tx.grant)
         tx.tried.append(server.id)
         tx.out[hop] = (server, now)
         server.out[tx.id, hop] = self.flying[tx.id, hop] = server, now, late_after
@@ -175,7 +178,8 @@
 
     EVENTS = {
         i.HostsListed: on_listed, i.ListFailed: on_list_failed, i.TxArrived: on_arrived, i.HopEnded: on_ended,
-        i.Judged: on_judged, i.Shared: lambda self, event: vars(self).update(event._asdict()),
+        i.Allowed: lambda self, event: (self.allowed.tell(event), self.fill()), i.Judged: on_judged,
+        i.Shared: lambda self, event: vars(self).update(event._asdict()),
         i.StreamBegan: lambda self, event: self.tell(event.tx, "began"), i.TimerDue: on_timer,
         i.TxGone: lambda self, event: self.tell(event.tx, "gone"),
     }
--- a/basalthook/policy/hosts.py
+++ b/basalthook/policy/hosts.py
@@ -2,7 +2,7 @@
 from random import Random
 
 from . import interface as i
-from .measure import Drag, Latency, Rendezvous, Spread, Window
+from .measure import Allowance, Drag, Latency, Rendezvous, Spread, Window
 
 COOLDOWN, BACKOFF, TIMEOUT_RUN, SPREAD = 100_000, 500, 3, 2     # the design's
 FIRST_BAN, BACKOFF_MOST = 5_000, 25_000     # bans of failed connections double from one, backoffs up to one
@@ -44,6 +44,7 @@
         self.learn_next, self.least = now, max(1.0, BEARABLE // agreement.proxies)
         bound = any(p.zones and agreement.zone in p.zones for p in agreement.profiles)
         self.rooted, self.extra = agreement.zone if bound else None, 0      # hosts elsewhere of free profiles
+        self.allowed = Allowance()  # by the fleet's limits
         self.reset_rankings()
 
     def goes_on(self, tx):
@@ -62,13 +63,16 @@
     def admits(self, tx, server):
         """Whether this host may have it, if it may have a hop: a fresh one its share in a fall time. Under a
         hop luck decides, where a hop of each proxy would be too much: a line at hundreds pushes it over."""
-        if server.fresh_from is None or not self.open_to(tx, server.line):
-            return self.open_to(tx, server.line)
+        if not self.open_to(tx, server.line) or self.allowed.left(tx.grant, self.now) < 1 or (
+                self.allowed.left((i.AT_HOST, server.id), self.now) <= len(server.out)):
+            return False
+        if server.fresh_from is None:
+            return True
         if self.now >= server.redraw:
             server.luck, server.redraw = self.chance.random(), self.now + self.terms.fall_time
         most = self.usual_rate * server.size * self.warmth(server) / self.processes
-        borne = most * self.terms.fall_multiple >= 1.0
-        return server.sent.count(self.now) < (max(1.0, most) if borne else int(most + server.luck))
+        return server.sent.count(self.now) < (
+            max(1.0, most) if most * self.terms.fall_multiple >= 1.0 else int(most + server.luck))
 
     def warmth(self, server):
         """The share that it can carry for sure, a fresh one without knowing a key."""
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -120,6 +120,18 @@
     trial: int | None = None        # one of these that this proxy is to try once; None: none
 
 
+class Allowed(NamedTuple):
+    """What the fleet's limits leave this proxy from now on; what is not named stays as it was told."""
+    rows: tuple                     # (key, so many always, so many more until, until); keys see below
+    same: tuple = ()                # (key, the key whose row it shares)
+    come_back: int = 0              # for those refused for want of them; 0: more may come within moments
+
+
+# Keys of what a limit may bind: (AT_HOST, host), (FIRST, profile), (FURTHER, None). None in place of a number
+# stands for all that are not named.
+AT_HOST, FIRST, FURTHER = "at host", "first", "further"
+
+
 class NewsCame(NamedTuple):
     """For the decider beside the decisions that counts news (`fleet.counting`)."""
     sender: int                     # another proxy's position; whatever it says is no more than its word
--- a/basalthook/policy/measure.py
+++ b/basalthook/policy/measure.py
@@ -2,6 +2,8 @@
 from collections import OrderedDict, deque
 from math import exp, log
 
+from . import interface as i
+
 LANE = (1 << 64) - 1
 
 
@@ -123,3 +125,36 @@
         others = [share for (sort, which), (share, answers, at) in self.heard.items() if sort == group[0] and
                   which != group[1] and answers >= self.known and at > now - self.span]
         return found[0] - min(others) if found and others and found[1] >= 3 * self.known else 0.0
+
+
+class Allowance:
+    """What limits leave: by key, so many always, and so many more until a moment; without a row, any number.
+
+    A key's number of None stands for all that are not named; `same` has keys that share another one's row.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple, tuple] = {}      # as many as hosts and profiles
+        self.used: dict[tuple, int] = {}        # since the row was told
+        self.same: dict[tuple, tuple] = {}
+        self.later = 0                          # a come-back time for those whom limits refuse; 0: none yet
+
+    def tell(self, event: i.Allowed) -> None:
+        self.later = event.come_back
+        self.same.update(event.same)
+        for key, *row in event.rows:
+            self.rows[key], self.used[key] = row, 0
+
+    def key(self, key: tuple) -> tuple:
+        key = self.same.get(key, key)
+        return key if key in self.rows else (key[0], None)
+
+    def left(self, key: tuple, now: int) -> float:
+        if not self.rows or (key := self.key(key)) not in self.rows:
+            return float("inf")
+        always, more, until = self.rows[key]
+        return always + (more if now < until else 0) - self.used[key]
+
+    def use(self, key: tuple) -> None:
+        if (key := self.key(key)) in self.rows:
+            self.used[key] += 1
--- a/basalthook/policy/records.py
+++ b/basalthook/policy/records.py
@@ -1,4 +1,5 @@
 """What is kept of one host and of one transaction: fields alone, nothing is decided here."""
+from . import interface as i
 from .measure import Window
 
 
@@ -32,3 +33,8 @@
         self.goal = min(self.hard_limit, now - event.waited + profile.service_goal)
         self.state, self.tried, self.give_up, self.come_back = "waiting", [], self.goal, profile.service_goal
         self.out, self.ran = {}, None   # hop -> (server, sent at); when and where it may first have run
+
+    @property
+    def grant(self):
+        """The key of what its next hop takes of the fleet's limits."""
+        return (i.FURTHER, None) if self.tried else (i.FIRST, self.kind)
--- a/basalthook/program/fleetline.py
+++ b/basalthook/program/fleetline.py
@@ -85,4 +85,51 @@
                       ", ".join(row["by"]), evidence(row)))
 
 
-COMMANDS = members, verdicts
+@click.command()
+@click.argument("what", metavar="HOST:PORT | explain")
+@click.argument("path", metavar="[FILE]", required=False, type=click.Path(dir_okay=False))
+@click.option("--proxies", default=2, show_default=True, help="With explain: how many proxies there are.")
+@click.option("--hard-limit", default=2.0, show_default=True, help="With explain: the longest, in seconds.")
+@SECONDS
+@JSON
+def limits(what: str, path: str | None, proxies: int, hard_limit: float, seconds: float, plain: bool) -> None:
+    """This proxy's part of each limit, its age, and what it refused; or, with `explain FILE`, what is
+    promised of the limits of a fleet file."""
+    if what == "explain":
+        explain(path, proxies, hard_limit, plain)
+        return
+    found = rows(what, seconds, calls.LIMITS)
+    show(found, plain, f"{len(found)} limits", ("limit", "amount", "own", "lent", "age", "keeper", "refused"),
+         lambda row: (row["limit"], f"{row['amount']:g}", str(row["own"]), str(row["lent"]),
+                      f"{row['age_ms'] / 1000:.1f} of {row['stale_ms'] / 1000:.1f} s", row["keeper"],
+                      str(row["refused"])))
+
+
+def explain(path: str | None, proxies: int, hard_limit: float, plain: bool) -> None:
+    from ..config import fleet  # loaded only here
+    from ..fleet import bounds
+    if path is None:
+        raise click.UsageError("explain: FILE is missing")
+    try:
+        told = fleet.read(path)
+    except fleet.BadFleet as fault:
+        leave(str(fault))
+    longest, found = int(hard_limit * bounds.TICKS), []
+    for row in told.limits:
+        limit = bounds.Limit(row.name, row.kind, row.amount, row.burst, (), row.over, row.floor)
+        own = (f"{int(limit.floor * limit.amount)} places a host over all proxies" if limit.places else
+               f"{limit.own_rate(proxies)[0] * bounds.TICKS:g} a second each")
+        found.append({"limit": limit.name, "kind": limit.kind, "amount": limit.amount, "lent": limit.lent(),
+                      "own": own, "over_most": limit.over_bound(bounds.TICKS),
+                      "stale_s": limit.stale() / bounds.TICKS,
+                      "unused_after_death_s": limit.unused_after_death(longest) / bounds.TICKS,
+                      "paused_after_keeper_s": limit.paused_after_keeper(longest) / bounds.TICKS})
+    show(found, plain, f"{len(found)} limits before {proxies} proxies",
+         ("limit", "amount", "lent by the keeper", "without a message", "over at most", "stale at most",
+          "unused after a death", "no new grants after the keeper's"),
+         lambda row: (row["limit"], f"{row['amount']:g}", f"{row['lent']:g}", row["own"],
+                      f"{row['over_most']:.0%}", f"{row['stale_s']:.2f} s",
+                      f"{row['unused_after_death_s']:.2f} s", f"{row['paused_after_keeper_s']:.2f} s"))
+
+
+COMMANDS = members, verdicts, limits
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -66,8 +66,8 @@
         if told.fleet is not None:      # loaded only here
             from .together import Together
             self.together = self.staff.fleet = Together(
-                told.fleet, told.name, told.agreed.zone, told.seed, self.owner, clock, timers,
-                bool(told.folder), log.say)
+                told.fleet, told.name, told.agreed, told.fleet.bounds(told.profiles), told.longest_patience,
+                told.seed, self.owner, clock, timers, bool(told.folder), log.say)
         if told.folder:
             names = [name for name, _ in sorted(told.profiles.items(), key=lambda each: each[1])]
             self.handover = Handover(Neighbours(told.folder, told.name), self.owner, self.clients, self.watch,
--- a/basalthook/program/startup.py
+++ b/basalthook/program/startup.py
@@ -86,6 +86,8 @@
     name = str(told.get("name") or environ.get("RELAY_NAME") or "proxy")
     if fleet is not None and not fleet.name and not NAME.fullmatch(name):
         raise ValueError(f"name: {name!r} is no name of a member; the fleet file may give another")
+    if fleet is not None:
+        fleet.bounds(terms.profiles(setup))     # a limit of a profile that there is none of
     listed = told.get("known") or {"version": 0, "full": True, "servers": []}
     known = catalogue.listing(listed)
     if known is None:
--- a/basalthook/program/together.py
+++ b/basalthook/program/together.py
@@ -4,6 +4,8 @@
 """
 from random import Random
 
+from ..fleet.counting import Counting
+from ..fleet.limits import KINDS, Limits
 from ..fleet.talk import Talk
 from ..fleet.verdicts import Verdicts
 from ..membership.driver import Driver
@@ -15,15 +17,16 @@
 
 TICK = 0.05             # seconds between two looks
 AGAIN = 0.5             # seconds until an address that the process before this one still holds is tried again
-TALK = 0x7A1C           # sets its chance apart from the decisions', which must not follow it
+TALK, LIMITS = 0x7A1C, 0x11317  # set their chance apart from the decisions', which must not follow it
 
 
 class Together:
     """`begin` once the owner has started; OSError where the address can't be had, unless `wait` is told."""
 
-    def __init__(self, told, name: str, zone: str, seed: int, owner: Owner, clock: Clock, timers: Timers,
-                 wait: bool, say) -> None:
-        """`told`: config.fleet.Told; `wait`: a process before this one may hold the address for a moment."""
+    def __init__(self, told, name: str, agreed, limits: list, longest: float, seed: int,
+                 owner: Owner, clock: Clock, timers: Timers, wait: bool, say) -> None:
+        """`told`: config.fleet.Told; `limits`: fleet.bounds.Limit each, `longest`: hard limit in seconds;
+        `wait`: a process before this one may hold the address for a moment."""
         self.told, self.owner, self.clock, self.timers, self.wait, self.log = (
             told, owner, clock, timers, wait, say)
         lives = {kind: int(seconds * TICKS) for kind, seconds in told.lives.items()}
@@ -31,14 +34,25 @@
         self.driver: Driver | None = None
         self.talk = Talk(told.name or name, told.address, life, list(told.seeds), told.key, lives,
                          Random(seed ^ TALK), self.send, say)
-        self.mind = Verdicts(owner.proxy, self.talk.table, zone, self.talk.live, self.say)
-        self.mind.hurry = self.talk.rumours
-        owner.mind = self.mind
+        self.mind = self.limits = None
+        if told.verdicts:
+            self.mind = Verdicts(owner.proxy, self.talk.table, agreed.zone, self.talk.live, self.say)
+            self.mind.hurry = self.talk.rumours
+        owner.mind = self.mind or Counting(owner.proxy)
+        if limits:
+            hard_limit = int(longest * TICKS)
+            self.limits = Limits(owner.mind, owner.proxy, limits, self.talk.name, life, told.keepers,
+                                 agreed.position, agreed.proxies, hard_limit, Random(seed ^ LIMITS),
+                                 self.talk.post, self.talk.live, clock.now(), self.say)
+            self.limits.wake = owner.post
+            self.talk.kinds, self.talk.others = KINDS, self.limits.received
+            owner.mind = self.limits
         self.timer = None
 
     def say(self, event: str, **fields) -> None:
         """With the host's id, where it is about one."""
-        place = self.owner.roster.places.get(self.mind.numbers.get(fields.get("host", ""), -1))
+        numbers = self.mind.numbers if self.mind is not None else {}
+        place = self.owner.roster.places.get(numbers.get(fields.get("host", ""), -1))
         self.log(event, **fields, **({"id": place.id} if place else {}))
 
     def begin(self) -> None:
@@ -58,7 +72,9 @@
         self.timer = self.timers.set(int(TICK * TICKS), self.tick)
         now = self.clock.now()
         self.talk.tick(now)
-        judged = self.mind.look(now, self.owner.seen(now))
+        if self.limits is not None:
+            self.limits.tick(now)
+        judged = self.mind.look(now, self.owner.seen(now)) if self.mind is not None else None
         if judged is not None:
             self.owner.post(judged)
 
@@ -93,5 +109,10 @@
 
     def verdicts(self) -> list[dict]:
         places = self.owner.roster.places
+        if self.mind is None:
+            return []
         return [{**row, "host": places[row["host"]].id if row["host"] in places else str(row["host"])}
                 for row in self.mind.view(self.clock.now())]
+
+    def shares(self) -> list[dict]:
+        return self.limits.view(self.clock.now()) if self.limits is not None else []
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -186,7 +186,8 @@
 
     TAKES = {Arrived: arrived, Gone: gone, Overdue: overdue, HopOver: hop_over, Listed: listed,
              Ordered: ordered, Shared: lambda self, item: self.decide(i.Shared(item.processes)),
-             ListLost: lambda self, _: self.decide(i.ListFailed()), i.TimerDue: decide, i.Judged: decide}
+             ListLost: lambda self, _: self.decide(i.ListFailed()), i.TimerDue: decide, i.Judged: decide,
+             i.Allowed: decide}
 
     def forget(self, order: Order) -> None:
         if order.closed and not any(order.hops):
--- a/basalthook/routing/staff.py
+++ b/basalthook/routing/staff.py
@@ -16,7 +16,7 @@
     def __init__(self, owner: Owner, roster: Roster, clients: Clients, say) -> None:
         self.owner, self.roster, self.clients, self.say = owner, roster, clients, say
         self.keep = lambda orders: ""
-        self.fleet = None       # gives `members()` and `verdicts()`, where this process talks with others
+        self.fleet = None       # what is told of the fleet, where this process talks with others
 
     def carry_out(self, call: Call) -> Reply:
         return self.DOES[call.what](self, call)
@@ -41,6 +41,9 @@
     def verdicts(self, _: Call) -> Reply:
         return calls.rows(self.fleet.verdicts()) if self.fleet is not None else ALONE
 
+    def limits(self, _: Call) -> Reply:
+        return calls.rows(self.fleet.shares()) if self.fleet is not None else ALONE
+
     def host(self, call: Call) -> Reply:
         orders, out = self.roster.orders, call.what == calls.DISABLE
         if not self.roster.known(call.host) and not orders.out(call.host):
@@ -64,4 +67,5 @@
         return Reply(200, text + (f"; lost with this process: {wrong}" if wrong else ""))
 
     DOES = {calls.READY: ready, calls.HOSTS: hosts, calls.DISABLE: host, calls.ENABLE: host,
-            calls.DRAIN: drain, calls.RESUME: drain, calls.MEMBERS: members, calls.VERDICTS: verdicts}
+            calls.DRAIN: drain, calls.RESUME: drain, calls.MEMBERS: members, calls.VERDICTS: verdicts,
+            calls.LIMITS: limits}
