--- a/basalthook/policy/hosts.py
+++ b/basalthook/policy/hosts.py
@@ -63,11 +63,10 @@
     def admits(self, tx, server):
         """Whether this host may have it, if it may have a hop: a fresh one its share in a fall time. Under a
         hop luck decides, where a hop of each proxy would be too much: a line at hundreds pushes it over."""
-        if not self.open_to(tx, server.line) or self.allowed.left(tx.grant, self.now) < 1 or (
-                self.allowed.left((i.AT_HOST, server.id), self.now) <= len(server.out)):
-            return False
-        if server.fresh_from is None:
-            return True
+        free = self.open_to(tx, server.line) and (not self.allowed.rows or self.allowed.left(
+            tx.grant, self.now) >= 1 and self.allowed.left((i.AT_HOST, server.id), self.now) > len(server.out))
+        if server.fresh_from is None or not free:
+            return free
         if self.now >= server.redraw:
             server.luck, server.redraw = self.chance.random(), self.now + self.terms.fall_time
         most = self.usual_rate * server.size * self.warmth(server) / self.processes
