Limits: random schedules and small worlds in full; floors wait after a start

Twelve processes, a third of the places without message, a voter killed, one stopped, the fleet cut, two in ten datagrams lost: no host over its places.

--- a/basalthook/fleet/bounds.py
+++ b/basalthook/fleet/bounds.py
@@ -46,7 +46,9 @@
     def lent(self) -> float:
         """Places, or tokens a second. Of what is never to be exceeded, floors are taken out first."""
         own = self.floor if self.over == NEVER else 0.0
-        return self.amount - int(self.floor * self.amount) if self.places else self.amount * (1 - own)
+        if self.places:
+            return self.amount - int(self.floor * self.amount)
+        return self.amount * (1 - own) / (1 + CLOCKS)       # the keeper's clock may be fast
 
     def depth(self) -> float:
         """Of the keeper's bucket: what holders may still have in hand counts against the burst."""
@@ -62,8 +64,8 @@
 
     def own_rate(self, proxies: int) -> tuple[float, float]:
         """Tokens a tick and at once of one proxy's floor. Where it holds less than one there is none."""
-        depth = self.floor * self.burst / proxies
-        return (self.floor * self.amount / proxies / TICKS, depth) if depth >= 1 else (0.0, 0.0)
+        depth, rate = self.floor * self.burst / proxies, self.floor * self.amount / proxies / TICKS
+        return (rate / (1 + CLOCKS), depth) if depth >= 1 else (0.0, 0.0)
 
     # ---- what is promised
 
--- a/basalthook/fleet/holder.py
+++ b/basalthook/fleet/holder.py
@@ -50,6 +50,11 @@
         """Ticks since the ask that the keeper's last word answers."""
         return now - (self.until - shorter(LEASE, CLOCKS))
 
+    def drop(self) -> None:
+        """It gives up all, and takes no answer any more."""
+        self.parts, self.tokens, self.until = {}, {}, 0
+        self.sequence += 1
+
     def due(self, now: int, places: dict[Unit, int], tokens: dict[Unit, int]) -> bool:
         """Whether to ask now: an answer is missing, the wish has changed, or what is lent grows old."""
         if self.open:
--- a/basalthook/fleet/limits.py
+++ b/basalthook/fleet/limits.py
@@ -9,10 +9,10 @@
 
 from ..policy import interface as i
 from . import seat as seats
-from .bounds import CLOCKS, HOST, RATE, RETRIES, TERM, TICKS, Limit
+from .bounds import BOUNDED, CLOCKS, HOST, RATE, RETRIES, TERM, TICKS, Limit
 from .holder import Holder
 from .keeper import Keeper, Row, Unit
-from .seat import Seat
+from .seat import Seat, longer
 
 NEED, PART, NOT_ME = 27, 28, 29
 KINDS = {seats.CLAIM: 4, seats.VOTE: 5, seats.GIVE_UP: 4, NEED: 6, PART: 8, NOT_ME: 4}  # and their lengths
@@ -45,19 +45,22 @@
         self.hosts = next((n for n, limit in self.limits.items() if limit.kind == HOST), None)
         self.firsts = [(n, limit) for n, limit in self.limits.items() if limit.kind == RATE]
         self.further = next((n for n, limit in self.limits.items() if limit.kind == RETRIES), None)
-        self.keys = {(n, 0): (i.FIRST, n) for n, _ in self.firsts}
+        self.keys = {(n, 0): (i.FIRST, n if limit.profiles else None) for n, limit in self.firsts}
         if self.further is not None:
             self.keys[self.further, 0] = i.FURTHER, None
         self.ready, self.by_mark, self.marks, self.own = None, {}, {}, {}
         self.peaks: dict[Unit, tuple[int, int]] = {}    # most places in use lately, when; emptied by time
         self.demand = {unit: 0.0 for unit in self.keys}     # tokens used a tick, of late
         self.floors = {unit: 0.0 for unit in self.keys}     # tokens of the floor in hand
+        self.filled = dict.fromkeys(self.keys, now)
         self.seen = dict.fromkeys(self.keys, 0)
         self.told: dict[tuple, tuple] = {}      # of tokens, by key
         self.told_hosts: dict[int, tuple] = {}  # as many as are listed
         self.ticked = now
+        # guards against the hops of a process before this one, which may still be out at its own places
+        self.hard_limit, self.own_from = hard_limit, now + longer(hard_limit, CLOCKS)
         self.refused = Counter()                # unit -> looks at which somebody waited for it in vain
-        self.begun = False
+        self.begun = self.left = False
 
     # ---- between the decisions and whoever drives them
 
@@ -76,17 +79,28 @@
             if self.keeps(now):
                 self.answer(self.keeper.tick(now))
         for unit in self.keys:
-            limit = self.limits[unit[0]]
-            rate, depth = limit.own_rate(self.proxies)
-            far = limit.over == "bounded" and now < self.holder.until
             self.spent(now, unit)
             self.demand[unit] *= max(0.0, 1 - passed / TICKS)
-            self.floors[unit] = min(depth, self.floors[unit] + (0 if far else rate * passed))
         self.give(now)
         self.ask(now)
         if self.proxy.line:     # guards against entries of those that are gone, where no hop ends
             self.wake(i.Allowed((), (), self.proxy.allowed.later))
 
+    def come(self, now: int) -> None:
+        """It is the member from now on; a process before it was until now."""
+        self.own_from, self.left = now + longer(self.hard_limit, CLOCKS), False
+        if self.seat is not None:
+            self.seat.silent_until = self.seat.next = now + TERM
+
+    def leave(self, now: int) -> None:
+        """Another process is this member from now on: what is out may end, nothing more goes out."""
+        self.left = True
+        self.holder.drop()
+        if self.seat is not None:
+            self.seat.give_up(now)
+        self.floors = dict.fromkeys(self.floors, 0.0)
+        self.give(now)
+
     # ---- the hosts' units
 
     def known(self) -> None:
@@ -104,13 +118,17 @@
     def unit(self, host: int) -> Unit:
         return self.hosts, self.marks[host]
 
+    def mine(self, now: int, host: int) -> int:
+        """Its own places there, which need no message."""
+        return self.own.get(host, 0) if now >= self.own_from and not self.left else 0
+
     # ---- what is wanted
 
-    def in_use(self) -> dict[Unit, int]:
+    def in_use(self, now: int) -> dict[Unit, int]:
         """Lent places with a hop out, by unit."""
         out = Counter(server.id for server, _, _ in self.proxy.flying.values())
-        return {self.unit(host): n - self.own[host] for host, n in out.items()
-                if host in self.marks and n > self.own[host]}
+        return {self.unit(host): n - self.mine(now, host) for host, n in out.items()
+                if host in self.marks and n > self.mine(now, host)}
 
     def wishes(self, now: int, used: dict[Unit, int]) -> tuple[dict[Unit, int], dict[Unit, int]]:
         """Places, and tokens more, that would be of use."""
@@ -155,10 +173,10 @@
         return found
 
     def ask(self, now: int) -> None:
-        if now - self.holder.asked_at < GAP and self.holder.sequence:
+        if self.left or now - self.holder.asked_at < GAP and self.holder.sequence:
             return
         self.known()
-        used = self.in_use() if self.hosts is not None else {}
+        used = self.in_use(now) if self.hosts is not None else {}
         places, tokens = self.wishes(now, used)
         if not self.holder.due(now, places, tokens):
             return
@@ -205,8 +223,14 @@
     # ---- what the decisions may use
 
     def spent(self, now: int, unit: Unit) -> None:
-        """What they have used since they were told."""
-        key = self.keys[unit]
+        """What they have used since they were told. The floor's bucket fills first: who went on after a stop
+        has used what it was told before, and must not find it there a second time."""
+        key, limit = self.keys[unit], self.limits[unit[0]]
+        rate, depth = limit.own_rate(self.proxies)
+        far = limit.over == BOUNDED and now < self.holder.until
+        more = 0 if far or self.left else rate * (now - self.filled[unit])
+        self.floors[unit] = min(depth, self.floors[unit] + more)
+        self.filled[unit] = now
         used = self.proxy.allowed.used.get(key, 0) - self.seen[unit]
         if used > 0:
             self.seen[unit] += used
@@ -228,7 +252,7 @@
             lent, until = self.holder.parts, self.holder.until
             now_lent = {self.by_mark[unit[1]]: n for unit, n in lent.items() if unit[1] in self.by_mark}
             for host in {**now_lent, **self.told_hosts}:
-                row = (self.own.get(host, 0), now_lent.get(host, 0), until if host in now_lent else 0)
+                row = (self.mine(now, host), now_lent.get(host, 0), until if host in now_lent else 0)
                 if self.told_hosts.get(host) != row:
                     rows.append(((i.AT_HOST, host), *row))
                 if any(row[:2]) or host in self.own:
--- a/basalthook/lab/talking.py
+++ b/basalthook/lab/talking.py
@@ -70,9 +70,11 @@
         beside = mind or Counting(proxy)
         if "limits" in fleet.told.fleet.shares:
             beside = self.limit(n, life, proxy, beside, talk, say)
-            if first and beside.seat is not None:       # a run begins with a fleet that holds nothing
-                beside.seat.silent_until = beside.seat.next = fleet.ticks_of(n)
-                beside.keeper.nothing_out = True
+            if first:       # a run begins with a fleet that holds nothing
+                beside.own_from = fleet.ticks_of(n)
+                if beside.seat is not None:
+                    beside.seat.silent_until = beside.seat.next = fleet.ticks_of(n)
+                    beside.keeper.nothing_out = True
         return beside
 
     def limit(self, n: int, life: int, proxy, inner, talk: Talk, say) -> Limits:
--- a/basalthook/policy/hosts.py
+++ b/basalthook/policy/hosts.py
@@ -63,8 +63,8 @@
     def admits(self, tx, server):
         """Whether this host may have it, if it may have a hop: a fresh one its share in a fall time. Under a
         hop luck decides, where a hop of each proxy would be too much: a line at hundreds pushes it over."""
-        free = self.open_to(tx, server.line) and (not self.allowed.rows or self.allowed.left(
-            tx.grant, self.now) >= 1 and self.allowed.left((i.AT_HOST, server.id), self.now) > len(server.out))
+        free = self.allowed.left((i.AT_HOST, server.id), self.now) > len(server.out) and (
+            self.allowed.left(tx.grant, self.now) > 0 and self.open_to(tx, server.line))
         if server.fresh_from is None or not free:
             return free
         if self.now >= server.redraw:
--- a/basalthook/program/together.py
+++ b/basalthook/program/together.py
@@ -64,6 +64,8 @@
             self.log("members wait", reason=fault.strerror)
             self.timer = self.timers.set(int(AGAIN * TICKS), self.begin)
             return
+        if self.limits is not None:
+            self.limits.come(self.clock.now())
         self.log("members", listen=list(self.driver.address), name=self.talk.name)
         self.talk.begin(self.clock.now())
         self.tick()
@@ -92,6 +94,8 @@
         """Gone in order; a second call does nothing."""
         self.timers.cancel(self.timer)
         if self.driver is not None:
+            if self.limits is not None:
+                self.limits.leave(self.clock.now())
             self.talk.member.leave()
             self.driver.close()
             self.driver = None
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,234 @@
+"""Limits of the whole fleet: what ships under random schedules and in every small world, judged from outside;
+each promise with the bug planted that would break it."""
+import tempfile
+import unittest
+import unittest.mock
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basalthook.config import fleet as fleet_file
+from basalthook.fleet.bounds import BOUNDED, HOST, NEVER, RATE, TICKS, Limit, wrong
+from basalthook.fleet.holder import Holder
+from basalthook.fleet.keeper import Keeper, Row
+from basalthook.fleet.seat import Seat, shorter
+from basalthook.lab import overrun
+from basalthook.lab.explore import Explorer
+from basalthook.lab.leases import Member, Run
+from basalthook.lab.wire import Done, Got
+from basalthook.policy import interface as i
+from tests.fake import FakeHost, Stage
+
+PLACES, TOKENS = Limit("places", HOST, 3), Limit("rate", RATE, 40, 60)
+UNIT, FLOW = (PLACES.id, 7), (TOKENS.id, 0)
+
+
+class AtOnce(Member):
+    """Uses its own places as soon as it starts: the hops of the life before may still be out there."""
+    def __init__(self, run, n):
+        super().__init__(run, n)
+        self.limits.own_from = 0
+
+
+class Hasty(Member):
+    """A keeper that does not wait for what another has lent."""
+    def __init__(self, run, n):
+        super().__init__(run, n)
+        if self.limits.keeper:
+            self.limits.keeper.lasts = 0
+
+
+class FromTheAnswer(Member):
+    """Counts a lease from the answer, not from its own asking."""
+    def __init__(self, run, n):
+        super().__init__(run, n)
+        holder, answered = self.limits.holder, self.limits.holder.answered
+
+        def late(now, *given):
+            asked, holder.asked_at = holder.asked_at, now
+            found = answered(now, *given)
+            holder.asked_at = asked
+            return found
+        holder.answered = late
+
+
+class AddsTwice(Member):
+    """Takes a later version of an answer for more of the same."""
+    def __init__(self, run, n):
+        super().__init__(run, n)
+        holder, answered = self.limits.holder, self.limits.holder.answered
+
+        def again(now, *given):
+            holder.taken = {}
+            return answered(now, *given)
+        holder.answered = again
+
+
+class SaysFirst(Member):
+    """Says that it gives up, and does so a little later."""
+    def __init__(self, run, n):
+        super().__init__(run, n)
+        give = self.limits.give
+        self.limits.give = lambda now: run.later(30, give, now)
+
+
+class Bold(Seat):
+    """A voter that has forgotten what it voted, and votes."""
+    def __init__(self, *told):
+        super().__init__(*told)
+        self.silent_until = 0
+
+
+class Schedules(unittest.TestCase):
+    def test_no_host_and_no_window_is_over_and_nothing_stays_idle(self):
+        for seed in (*range(10), 36, 59, 154, 432):    # the last of them broke on the way
+            self.assertEqual(Run(seed).play(), [], seed)
+
+    def test_what_would_break_it_is_found(self):
+        for make, seed, rule in ((AtOnce, 432, "over"), (Hasty, 0, "over"), (FromTheAnswer, 36, "over"),
+                                 (AddsTwice, 6, "spent"), (SaysFirst, 1, "over")):
+            self.assertEqual({wrong.rule for wrong in Run(seed, make).play()}, {rule}, make)
+
+
+class Worlds(unittest.TestCase):
+    def test_no_state_of_a_small_world_has_two_holders(self):
+        states, bad = Explorer(steps=2, claims=1, restarts=0).run()
+        self.assertIsNone(bad)
+        self.assertGreater(states, 10_000)
+
+    def test_a_voter_that_forgets_and_votes_is_found(self):
+        self.assertIsNotNone(Explorer(steps=1, claims=1, restarts=1, make=Bold).run()[1])
+
+    def test_a_holder_without_the_clocks_margin_is_found(self):
+        with unittest.mock.patch("basalthook.fleet.seat.shorter", lambda ticks, loss: ticks):
+            self.assertIsNotNone(Explorer(steps=3, claims=1, restarts=0).run()[1])
+
+    @given(st.integers(1, 10 ** 6), st.floats(0, 0.3))
+    def test_what_a_slow_holder_counts_is_over_before_a_fast_keeper_has_counted(self, ticks, loss):
+        self.assertLessEqual(shorter(ticks, loss) / (1 - loss), ticks / (1 + loss) * (1 + 1e-12))
+
+
+class Lending(unittest.TestCase):
+    def setUp(self):
+        self.keeper = Keeper({limit.id: limit for limit in (PLACES, TOKENS)}, 1_000)
+        self.keeper.begin(0)
+        self.now = self.keeper.lasts
+
+    def ask(self, who, sequence, *rows, got=0):
+        """{who: granted} of all that are answered."""
+        told = self.keeper.asked(self.now, (who, 1), sequence, got, [Row(*row) for row in rows])
+        return {name: granted for (name, _), _, _, granted, _ in told}
+
+    def test_a_new_keeper_lends_nothing_beyond_what_is_held_until_that_is_over(self):
+        self.now = 10
+        self.assertEqual(self.ask("a", 1, (UNIT, 2, 3)), {"a": {UNIT: 2}})
+        self.assertEqual(self.ask("b", 1, (UNIT, 0, 1)), {"b": {UNIT: 0}})
+        self.now = self.keeper.lasts
+        told = self.keeper.tick(self.now)
+        self.assertEqual([(who[0], granted[UNIT]) for who, _, _, granted, _ in told], [("a", 3)])
+
+    def test_who_waits_first_gets_first_what_another_gives_back(self):
+        self.assertEqual(self.ask("a", 1, (UNIT, 0, 3)), {"a": {UNIT: 3}})
+        self.ask("b", 1, (UNIT, 0, 1))
+        self.ask("c", 1, (UNIT, 0, 1))
+        self.assertEqual(self.ask("a", 2, (UNIT, 2, 2)), {"a": {UNIT: 2}, "b": {UNIT: 1}})
+        self.assertEqual(self.ask("a", 3), {"a": {}, "c": {UNIT: 1}})
+
+    def test_fewer_granted_counts_as_more_until_the_holder_has_said_so(self):
+        self.ask("a", 1, (UNIT, 0, 3))
+        self.assertEqual(self.ask("a", 2, (UNIT, 3, 1)), {"a": {UNIT: 1}})      # its answer may be lost
+        self.assertEqual(self.ask("b", 1, (UNIT, 0, 1)), {"b": {UNIT: 0}})
+
+    def test_tokens_of_a_lost_answer_come_back_and_taken_ones_do_not(self):
+        self.now += TICKS
+        self.assertEqual(self.ask("a", 1, (FLOW, 0, 10)), {"a": {FLOW: 10}})
+        before = self.keeper.free(self.now, FLOW)
+        self.ask("a", 2, (FLOW, 0, 0), got=0)
+        self.assertEqual(self.keeper.free(self.now, FLOW), before + 10)
+        self.ask("a", 3, (FLOW, 0, 8))
+        self.ask("a", 4, (FLOW, 8, 0), got=3)
+        self.assertEqual(self.keeper.free(self.now, FLOW), before + 2)
+
+    def test_asks_that_come_late_or_twice_are_nothing(self):
+        self.ask("a", 2, (UNIT, 0, 1))
+        self.assertEqual(self.ask("a", 2, (UNIT, 0, 3)), {})
+        self.assertEqual(self.ask("a", 1, (UNIT, 0, 3)), {})
+
+    def test_a_holder_takes_no_answer_to_an_earlier_ask(self):
+        holder = Holder(0)
+        first, _, _ = holder.ask(0, {UNIT: 2}, {}, {})
+        holder.ask(2_000, {UNIT: 1}, {}, {})
+        self.assertFalse(holder.answered(2_010, first, 1, {UNIT: 2}, set(), lambda unit: False))
+        self.assertEqual(holder.places(2_010, UNIT), 0)
+
+    def test_hops_out_past_a_lease_are_told_as_held_and_no_more_begins(self):
+        holder = Holder(0)
+        sequence, _, _ = holder.ask(0, {UNIT: 2}, {}, {})
+        holder.answered(10, sequence, 1, {UNIT: 2}, set(), lambda unit: False)
+        _, _, rows = holder.ask(90_000, {}, {}, {UNIT: 1})
+        self.assertEqual((rows, holder.places(90_000, UNIT)), ([Row(UNIT, 1, 1)], 0))
+
+
+class Decisions(unittest.TestCase):
+    def test_hops_go_where_a_place_is_allowed_and_wait_for_one(self):
+        stage = Stage([FakeHost(n, outcome=None) for n in range(2)])
+        stage.tell(i.Allowed((((i.AT_HOST, None), 0, 0, 0), ((i.AT_HOST, 1), 0, 1, 10 ** 9))))
+        stage.many(2)
+        self.assertEqual(stage.sends(), [1])
+        stage.tell(i.Allowed((((i.AT_HOST, 0), 1, 0, 0),)))
+        self.assertEqual(sorted(stage.sends()), [0, 1])
+
+    def test_a_part_that_is_too_old_is_none_and_tokens_are_used_up(self):
+        stage = Stage([FakeHost(n, outcome=None) for n in range(2)])
+        stage.tell(i.Allowed((((i.FIRST, None), 1, 1, stage.now + 100),)))
+        stage.many(1)
+        stage.wait(200)
+        stage.many(1)
+        self.assertEqual(len(stage.sends()), 1)
+
+    def test_the_refused_are_told_when_to_come_back(self):
+        stage = Stage([FakeHost(n, outcome=None) for n in range(2)])
+        stage.tell(i.Allowed((((i.FIRST, None), 0, 0, 0),), (), 7_000))
+        stage.many(1)
+        back, = [e for e in stage.record if isinstance(e, i.RollBack)]
+        self.assertTrue(5_000 < back.come_back < 9_000)
+
+
+class Judging(unittest.TestCase):
+    def test_one_hop_more_than_the_places_is_seen(self):
+        def got(at, tx):
+            return Got(at, 0, tx, 0.01, 1.0, None, True)
+        kept = [got(1, "a"), got(2, "b"), Done(3, 0, "a"), got(4, "c")]
+        self.assertEqual(overrun.held(kept, 2, set())[0], 2)
+        self.assertEqual(overrun.held([*kept, got(5, "d")], 2, set())[0], 3)
+
+    def test_a_proxy_that_spends_twice_is_seen(self):
+        times = [n / 40 for n in range(400)]
+        self.assertEqual(overrun.beyond(times, 40, 20), 0.0)
+        self.assertGreater(overrun.beyond(sorted(times + times[100:200]), 40, 20), 0.2)
+
+    def test_bounds_are_formulas_of_the_settings(self):
+        self.assertEqual(Limit("r", RATE, 40, 60, floor=0.25).over_bound(TICKS), 0.0)
+        self.assertEqual(Limit("r", RATE, 40, 60, over=BOUNDED, floor=0.25).over_bound(TICKS), 0.25)
+        limit = Limit("p", HOST, 8, floor=0.5)
+        own = sum(limit.own_places(99, position, 5) for position in range(5))
+        self.assertEqual((own, limit.lent()), (4, 4))
+
+    def test_what_no_limit_can_mean_is_said(self):
+        for limit in (Limit("p", HOST, 1.5), Limit("p", HOST, 2, over=BOUNDED), Limit("r", RATE, 40, 30),
+                      Limit("r", RATE, -1, over=NEVER)):
+            self.assertIn("Expected", wrong(limit))
+
+    def test_a_fleet_file_is_refused_with_the_place(self):
+        head = 'listen = "127.0.0.1:1"\nseeds = []\nkey_file = "k"\nshares = ["limits"]\n'
+        place = '[[limits]]\nname = "p"\nkind = "host"\namount = 8\n'
+        for text, where in ((head + place, "$.keepers"), (head + 'keepers = ["a"]\n', "$.shares"),
+                            (head + 'keepers = ["a"]\n' + place + place, "$.limits[1].name"),
+                            (head + 'keepers = ["a"]\n' + place.replace("8", "1.5"), "$.limits[0]")):
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder, "fleet.toml")
+                path.write_text(text)
+                with self.assertRaises(fleet_file.BadFleet) as found:
+                    fleet_file.read(str(path))
+            self.assertIn(f"`{where}`", str(found.exception))
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -44,6 +44,19 @@
         self.assertEqual((result.talk["over_age"], result.talk["younger"]), (0, 0))
         return rig[0], result
 
+    def test_no_host_is_over_its_places_whoever_of_the_voters_dies_or_stands_still(self):
+        head = BASE[:BASE.index("[[faults]]")].replace("proxies = 60", "proxies = 12")
+        faults = ("[[faults]]\nwhat = 'kill_proxy'\nat = 5\nlasts = 1\nproxies = [0]\n",
+                  "[[faults]]\nwhat = 'stop_proxy'\nat = 8\nlasts = 3\nproxies = [1, 5]\n",
+                  "[[faults]]\nwhat = 'cut'\nat = 3\nlasts = 7\nbetween = [['p6-8'], ['p0-5']]\n",
+                  LOSSY, "[fleet]\nshares = ['limits', 'verdicts']\n[[fleet.limits]]\nname = 'places'\n"
+                  "kind = 'host'\namount = 3\nfloor = 0.34\n")
+        told = scenario.parse("\n".join((head.replace("seconds = 50", "seconds = 13"), *faults)), "day.toml")
+        result = processes.play(told)
+        self.assertEqual((result.faults, result.talk["limits"]["places"]["over_most"]), ([], 0.0))
+        self.assertTrue(result.verdict.kept, result.verdict.first)
+        self.assertGreater(result.verdict.service, 0.5)
+
     def out(self, rig):
         return {(fields["id"], n) for _, n, event, fields in rig.said
                 if event == "verdict" and fields["state"] == OUT}
@@ -171,6 +184,7 @@
         self.assertEqual(states({"one": "alive", "two": "alive"}), {"one": "alive", "two": "alive"})
         self.assertIn("two", self.run_it("members", consoles[0]).stdout)
         self.assertEqual(self.run_it("verdicts", consoles[0], "--json").stdout, "")
+        self.assertEqual(self.run_it("limits", consoles[0], "--json").stdout, "")
         running[1].terminate()
         self.assertEqual(states({"one": "alive", "two": "dead"}), {"one": "alive", "two": "dead"})
         self.assertEqual(self.run_it("members", consoles[1]).returncode, 1)
