--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -55,7 +55,7 @@
                f"{told.sockets} descriptors")
     if told.fleet is not None:
         click.echo(f"{told.fleet.name or told.name}: talks on {told.fleet.listen[0]}:{told.fleet.listen[1]}, "
-                   f"{len(told.fleet.seeds)} seeds")
+                   f"{len(told.fleet.seeds)} seeds, {len(told.fleet.limits)} limits")
 
 
 @main.command()
