Limits: hosts that left the list stay named while in use; asks and answers fit a datagram

Cause, found in reading: a place with a hop out at a host that discovery no longer lists was given up, and an ask of more than its rows was cut at the keeper, which took the rest for given up; an answer of 96 units that are short was longer than a datagram may be. What is in use comes first now, 48 units at most.

--- a/basalthook/fleet/limits.py
+++ b/basalthook/fleet/limits.py
@@ -17,7 +17,7 @@
 
 NEED, PART, NOT_ME = 27, 28, 29
 KINDS = {seats.CLAIM: 4, seats.VOTE: 5, seats.GIVE_UP: 4, NEED: 6, PART: 8, NOT_ME: 4}  # and their lengths
-UNITS = 96              # in one ask; who would hold more places gives up the longest unused
+UNITS = 48              # in one ask, as one datagram holds; beyond, those longest unused are given up
 HOLD = 1_500            # ticks that a place is kept after its last use, while nobody waits for it
 GAP = 20                # ticks between two asks at least
 AHEAD, AHEAD_MOST = 2_500, TOKEN_LIFE * 3 // 4  # ticks of demand that are asked for; where asks are slow
@@ -115,7 +115,7 @@
     def known(self) -> None:
         if self.ready is not self.proxy.ready and self.hosts is not None:
             limit, self.ready = self.limits[self.hosts], self.proxy.ready
-            self.marks = {server.id: server.line.hash & 0xFFFFFFFF or 1 for server in self.ready}
+            self.marks = {server.id: mark_of(server) for server in self.ready}
             self.by_mark = {mark: host for host, mark in self.marks.items()}
             self.own = {host: self.own[host] if host in self.own else
                         limit.own_places(mark, self.position, self.proxies)
@@ -135,9 +135,10 @@
 
     def in_use(self, now: int) -> dict[Unit, int]:
         """Lent places with a hop out, by unit."""
-        out = Counter(server.id for server, _, _ in self.proxy.flying.values())
-        return {self.unit(host): n - self.mine(now, host) for host, n in out.items()
-                if host in self.marks and n > self.mine(now, host)}
+        # guards against giving up places with a hop out at hosts that have left the list meanwhile
+        servers = {server.id: server for server, _, _ in self.proxy.flying.values()}
+        return {(self.hosts, mark_of(server)): len(server.out) - own for server in servers.values()
+                if len(server.out) > (own := self.mine(now, server.id))}
 
     def wishes(self, now: int, used: dict[Unit, int]) -> tuple[dict[Unit, int], dict[Unit, int]]:
         """Places, and tokens more, that would be of use."""
@@ -160,9 +161,10 @@
                     unit = self.unit(host)
                     places[unit] = min(max(places.get(unit, 0), used.get(unit, 0)) + 1,
                                        int(self.limits[self.hosts].lent()))
-            if len(places) > UNITS:
-                keep = sorted(places, key=lambda u: self.peaks.get(u, (0, now))[1])[-UNITS:]
-                places = {unit: places[unit] for unit in keep}
+            # what is in use has to be named in the same datagram
+            free = sorted(places.keys() - used.keys(), key=lambda u: self.peaks.get(u, (0, now))[1])
+            for unit in free[:max(0, len(free) - max(0, UNITS - len(used)))]:
+                del places[unit]
         for unit, key in self.keys.items():
             wait = sum(self.proxy.allowed.key(tx.grant) == key for tx in waiting)
             ahead = max(AHEAD, min(AHEAD_MOST, 2 * self.holder.slow))
@@ -348,6 +350,11 @@
             self.give(now)
 
 
+def mark_of(server) -> int:
+    """Of a host, the same at every proxy; 0 is for tokens."""
+    return server.line.hash & 0xFFFFFFFF or 1
+
+
 def whole(row, length: int) -> bool:
     """So many whole numbers from 0 on."""
     return isinstance(row, list) and len(row) == length and all(
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,11 +12,13 @@
 from basalthook.fleet.bounds import BOUNDED, CLOCKS, HOST, LEASE, NEVER, RATE, TICKS, Limit, wrong
 from basalthook.fleet.holder import Holder
 from basalthook.fleet.keeper import Keeper, Row
+from basalthook.fleet.limits import NEED, PART, UNITS
 from basalthook.fleet.seat import Seat, shorter
 from basalthook.lab import overrun
 from basalthook.lab.explore import Explorer
 from basalthook.lab.leases import HARD_LIMIT, Member, Run
 from basalthook.lab.wire import Done, Got
+from basalthook.membership import wire
 from basalthook.policy import interface as i
 from tests.fake import FakeHost, Stage
 
@@ -105,6 +107,39 @@
         self.assertLessEqual(shorter(ticks, loss) / (1 - loss), ticks / (1 + loss) * (1 + 1e-12))
 
 
+class Many(unittest.TestCase):
+    """A proxy before hundreds of hosts, and one that has left the list."""
+    def setUp(self):
+        self.run, self.asked = Run(1), []
+        self.run.hosts, self.run.send = 200, lambda n, name, message: self.asked.append(message)
+        self.member = Member(self.run, 1)
+        self.limits, self.proxy = self.member.limits, self.member.proxy
+
+    def out(self, host):
+        server = self.proxy.servers[host]
+        server.out[host] = self.proxy.flying[host] = server, 0, 0
+
+    def test_all_that_is_in_use_is_named_and_an_ask_and_its_answer_fit_a_datagram(self):
+        now = self.run.clock(1)
+        for host in range(120):
+            self.limits.peaks[self.limits.unit(host)] = 1, now - host
+        for host in range(100, 130):
+            self.out(host)
+        self.limits.tick(now + 100)
+        need, = [message for message in self.asked if message[0] == NEED]
+        marks = {row[1] for row in need[5] if row[1]}
+        self.assertEqual(len(marks), UNITS)
+        self.assertLessEqual({1000 + host for host in range(100, 130)}, marks)
+        part = [PART, "p0", 1, 2 ** 40, 9, [[*row[:2], 4] for row in need[5]], [row[:2] for row in need[5]], 0]
+        self.assertLess(max(len(wire.sealed(b"k" * 16, message)) for message in (need, part)), wire.MOST)
+
+    def test_a_place_in_use_at_a_host_that_left_the_list_is_not_given_up(self):
+        self.out(7)
+        self.proxy.ready = self.proxy.ready[:5]
+        self.limits.known()
+        self.assertEqual(self.limits.in_use(self.run.clock(1)), {(self.limits.hosts, 1007): 1})
+
+
 class Lending(unittest.TestCase):
     def setUp(self):
         self.keeper = Keeper({limit.id: limit for limit in (PLACES, TOKENS)}, 1_000)
