--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -130,7 +130,8 @@
         marks = {row[1] for row in need[5] if row[1]}
         self.assertEqual(len(marks), UNITS)
         self.assertLessEqual({1000 + host for host in range(100, 130)}, marks)
-        part = [PART, "p0", 1, 2 ** 40, 9, [[*row[:2], 4] for row in need[5]], [row[:2] for row in need[5]], 0]
+        rows = need[5]
+        part = [PART, "p0", 1, 2 ** 40, 9, [[*row[:2], 4] for row in rows], [row[:2] for row in rows], 0]
         self.assertLess(max(len(wire.sealed(b"k" * 16, message)) for message in (need, part)), wire.MOST)
 
     def test_a_place_in_use_at_a_host_that_left_the_list_is_not_given_up(self):
