--- a/basalthook/fleet/bounds.py
+++ b/basalthook/fleet/bounds.py
@@ -69,13 +69,10 @@
 
     # ---- what is promised
 
-    def over_bound(self, window: int) -> float:
-        """The largest part over the limit in any window of so many ticks, links and clocks as they may be.
-        Against `amount` places; or `amount` a second and `burst` at once."""
-        if self.over == NEVER:
-            return 0.0
-        allowed = self.amount * window / TICKS + self.burst
-        return self.floor * (self.amount * window / TICKS + self.burst) / allowed
+    def over_bound(self) -> float:
+        """The largest part over the limit in any window, links and clocks as they may be: against `amount`
+        places; or, of tokens, `amount` a second and `burst` at once."""
+        return self.floor if self.over == BOUNDED else 0.0
 
     def unused_after_death(self, hard_limit: int) -> int:
         """Ticks that what a dead proxy held lies unused at most; `hard_limit`: the longest of all."""
--- a/basalthook/fleet/limits.py
+++ b/basalthook/fleet/limits.py
@@ -16,7 +16,7 @@
 from .seat import Seat, longer
 
 NEED, PART, NOT_ME = 27, 28, 29
-KINDS = {seats.CLAIM: 4, seats.VOTE: 5, seats.GIVE_UP: 4, NEED: 6, PART: 8, NOT_ME: 4}  # and their lengths
+KINDS = {seats.CLAIM: 4, seats.VOTE: 5, seats.GIVE_UP: 4, NEED: 6, PART: 7, NOT_ME: 4}  # and their lengths
 UNITS = 48              # in one ask, as one datagram holds; beyond, those longest unused are given up
 HOLD = 1_500            # ticks that a place is kept after its last use, while nobody waits for it
 GAP = 20                # ticks between two asks at least
@@ -63,7 +63,7 @@
         self.ticked = now
         # guards against the hops of a process before this one, which may still be out at its own places
         self.hard_limit, self.own_from = hard_limit, now + longer(hard_limit, CLOCKS)
-        self.refused = Counter()                # unit -> looks at which somebody waited for it in vain
+        self.refused = Counter()                # limit -> transactions rolled back while it was short
         self.begun = self.left = False
         self.give(now)      # guards against hops before the first look: nothing is allowed until it is lent
 
@@ -76,6 +76,9 @@
             if unit is not None:
                 self.demand[unit] += 1 / TICKS
         effects = self.inner.handle(now, event, seen)
+        if self.holder.short and any(isinstance(effect, i.RollBack) for effect in effects):
+            short = {unit[0] for unit in self.holder.short}
+            self.refused.update(dict.fromkeys(short, sum(isinstance(e, i.RollBack) for e in effects)))
         if self.proxy.line or self.holder.short and isinstance(event, i.HopEnded):
             self.ask(now)
         return effects
@@ -209,7 +212,7 @@
                    "over": limit.over, "age_ms": max(0, self.holder.age(now)) // 10,
                    "stale_ms": limit.stale() // 10, "keeper": self.asks,
                    "short": sum(unit[0] == n for unit in self.holder.short),
-                   "refused": sum(c for unit, c in self.refused.items() if unit[0] == n)}
+                   "refused": self.refused[n]}
             if limit.places:
                 lent = self.holder.parts if now < self.holder.until else {}
                 found.append({**row, "own": sum(self.own.values()), "lent": sum(lent.values()),
@@ -283,7 +286,6 @@
                 rows.append((key, *row))
         later = int(SPREAD * (1 + 2 * self.chance.random()) / 3) if short else 0
         if rows or same or bool(later) != bool(self.proxy.allowed.later):
-            self.refused.update(u for u in self.holder.short)
             # at once, not through a queue: what is given up must not be used once the keeper is told
             self.proxy.allowed.tell(i.Allowed(tuple(rows), same, later))
             self.wake(i.Allowed((), (), later))
@@ -309,7 +311,7 @@
     def answer(self, answers: list[tuple]) -> None:
         for (name, life), sequence, version, granted, short in answers:
             self.send(name, [PART, self.me, life, sequence, version, [[*u, n] for u, n in granted.items()],
-                             [list(u) for u in short], 0])
+                             [list(u) for u in short]])
 
     def received(self, now: int, message: list) -> None:
         """A message of a member, of the length that KINDS has; unsound parts of it count for nothing."""
@@ -340,7 +342,7 @@
             self.answer(self.keeper.asked(now, (name, life), sequence, got, sound))
 
     def parted(self, now: int, message: list) -> None:
-        _, name, life, sequence, version, rows, short, _ = message
+        _, name, life, sequence, version, rows, short = message
         if life != self.life or not whole([sequence, version], 2):
             return
         granted = {(row[0], row[1]): row[2] for row in rows if whole(row, 3) and row[0] in self.limits}
--- a/basalthook/lab/leases.py
+++ b/basalthook/lab/leases.py
@@ -62,7 +62,7 @@
 class Member:
     def __init__(self, run: "Run", n: int) -> None:
         self.run, self.n, self.name, self.proxy = run, n, f"p{n}", Decisions(run.hosts)
-        self.life, self.waiting, self.numbers = run.lives[n], [], count()
+        self.life, self.numbers = run.lives[n], count()
         chance = Random(f"{run.seed} {n} {self.life}")
         self.limits = Limits(self.proxy, self.proxy, run.limits, self.name, self.life, run.voters, n,
                              run.size, HARD_LIMIT, chance, self.out, run.names, run.clock(n))
--- a/basalthook/lab/overrun.py
+++ b/basalthook/lab/overrun.py
@@ -22,7 +22,7 @@
         else:
             times = first_hops(wire, set(limit.profiles)) if rule.kind == bounds.RATE else further(wire)
             over, used = beyond(times, rule.amount, rule.burst), served(times, rule.amount, refused)
-        found[limit.name] = {"over_most": round(over, 3), "over_bound": rule.over_bound(0), "used": used}
+        found[limit.name] = {"over_most": round(over, 3), "over_bound": rule.over_bound(), "used": used}
     return found
 
 
--- a/basalthook/lab/processes.py
+++ b/basalthook/lab/processes.py
@@ -25,7 +25,7 @@
 from .scenario import BadScenario, ClockFault, LongWay, Maintain, Scenario, StopProxy, Vanish, moments
 from .standins import Fleet
 from .start import settings
-from .talking import VOTERS
+from .talking import keepers
 from .underclock import VARIABLE, worded
 from .wire import Excused
 
@@ -82,7 +82,7 @@
             lines = [f'listen = "127.0.0.1:{self.relays.real[n][1]}"', f"seeds = {seeds}", 'key_file = "key"',
                      f'address = "127.0.0.1:{self.relays.told[n][1]}"', f"shares = {self.told.fleet.shares}"]
             if self.told.fleet.limits:
-                lines.append(f"keepers = {[f'p{k}' for k in range(min(VOTERS, self.told.proxies))]}")
+                lines.append(f"keepers = {keepers(self.told.proxies)}")
             for limit in self.told.fleet.limits:
                 lines.append("[[limits]]")
                 lines += [f"{name} = {orjson.dumps(value).decode()}"
--- a/basalthook/lab/scenario.py
+++ b/basalthook/lab/scenario.py
@@ -377,6 +377,9 @@
                     at = f"$.faults[{n}].between[{side}][{which}]"
                     raise BadScenario(f"{path}: {wrong} - at `{at}`") from None
     names = [profile.name for profile in found.load.profiles]
+    if found.fleet and bool(found.fleet.limits) != ("limits" in found.fleet.shares):
+        raise BadScenario(f"{path}: Expected `limits` in shares where there are some, and only there - at "
+                          "`$.fleet.shares`")
     for n, limit in enumerate(found.fleet.limits if found.fleet else ()):
         wrong = bounds.wrong(bound(limit, names)) if set(limit.profiles) <= set(names) else (
             f"Expected profiles of this scenario, got {limit.profiles}")
--- a/basalthook/lab/talking.py
+++ b/basalthook/lab/talking.py
@@ -13,12 +13,16 @@
 
 TICK = 0.05             # seconds between two looks of a member, as the program does
 KEY = b"the lab's own key, known to all of its members"
-VOTERS = 3              # the first so many proxies vote for the keeper of limits
 SEEDS = 3               # the first so many members are told to all as seeds
 BACKLOG = 256           # datagrams that wait at a stopped process, as in a kernel's buffer
 DRIFT = 0.03            # part by which a fact's age may be read off too low: clocks run up to 2 in 100 apart
 
 
+def keepers(proxies: int) -> list[str]:
+    """Who votes for the keeper of limits: the first three, an odd number also where there are fewer."""
+    return [f"p{n}" for n in range(3 if proxies >= 3 else 1)]
+
+
 class Talking:
     """`fleet`: the run that they are part of, with its heap, clocks and links."""
 
@@ -80,7 +84,7 @@
     def limit(self, n: int, life: int, proxy, inner, talk: Talk, say) -> Limits:
         fleet, told = self.fleet, self.fleet.told
         names = [p.name for p in told.load.profiles]
-        voters = tuple(f"p{k}" for k in range(min(VOTERS, self.count)))
+        voters = tuple(keepers(self.count))
         hard_limit = int(max(p.hard_limit for p in told.load.profiles) * 10_000)
         limits = Limits(inner, proxy, [bound(limit, names) for limit in told.fleet.limits], f"p{n}", life,
                         voters, proxy.terms.position, proxy.terms.proxies, hard_limit,
--- a/basalthook/program/fleetline.py
+++ b/basalthook/program/fleetline.py
@@ -120,7 +120,7 @@
         own = (f"{int(limit.floor * limit.amount)} places a host over all proxies" if limit.places else
                f"{limit.own_rate(proxies)[0] * bounds.TICKS:g} a second each")
         found.append({"limit": limit.name, "kind": limit.kind, "amount": limit.amount, "lent": limit.lent(),
-                      "own": own, "over_most": limit.over_bound(bounds.TICKS),
+                      "own": own, "over_most": limit.over_bound(),
                       "stale_s": limit.stale() / bounds.TICKS,
                       "unused_after_death_s": limit.unused_after_death(longest) / bounds.TICKS,
                       "paused_after_keeper_s": limit.paused_after_keeper(longest) / bounds.TICKS})
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -131,7 +131,7 @@
         self.assertEqual(len(marks), UNITS)
         self.assertLessEqual({1000 + host for host in range(100, 130)}, marks)
         rows = need[5]
-        part = [PART, "p0", 1, 2 ** 40, 9, [[*row[:2], 4] for row in rows], [row[:2] for row in rows], 0]
+        part = [PART, "p0", 1, 2 ** 40, 9, [[*row[:2], 4] for row in rows], [row[:2] for row in rows]]
         self.assertLess(max(len(wire.sealed(b"k" * 16, message)) for message in (need, part)), wire.MOST)
 
     def test_a_place_in_use_at_a_host_that_left_the_list_is_not_given_up(self):
@@ -247,8 +247,9 @@
         self.assertGreater(overrun.beyond(sorted(times + times[100:200]), 40, 20), 0.2)
 
     def test_bounds_are_formulas_of_the_settings(self):
-        self.assertEqual(Limit("r", RATE, 40, 60, floor=0.25).over_bound(TICKS), 0.0)
-        self.assertEqual(Limit("r", RATE, 40, 60, over=BOUNDED, floor=0.25).over_bound(TICKS), 0.25)
+        self.assertEqual(Limit("r", RATE, 40, 60, floor=0.25).over_bound(), 0.0)
+        self.assertEqual(Limit("r", RATE, 40, 60, over=BOUNDED, floor=0.25).over_bound(), 0.25)
+        self.assertEqual(Limit("r", RATE, 0, 0, over=BOUNDED, floor=0.25).over_bound(), 0.25)   # was 0 / 0
         limit = Limit("p", HOST, 8, floor=0.5)
         own = sum(limit.own_places(99, position, 5) for position in range(5))
         self.assertEqual((own, limit.lent()), (4, 4))
