A silent or broken watch is replaced before its news counts, pushed or asked

Its news counts at 22.57, 2 s past the wait. "at":1796172903.1698 "list lost" "reason":"not within 22 s" (22.57) "at":1796172904.7166 "list" "version":3 "lines":6 (24.12) So it was taken for silent in the very moment its news counted (Watch.ANSWER_MOST), and called again 1.55 s later (Hosts.on_list_failed: ask_within / 8 * 2 * 0.5 to 1), against a grace of 0.5 s; 29 sends between 23.12 and 24.12. Where lists are pushed it was never called again: on_list_failed sets to_ask = list_on_request, which is false there. Ruled out for this case: the hop (each looks at the roster as it writes; the roster did not know), the list's lines (version 3 was taken whole at once), size (six processes, 12 hosts).

Now recovery/following.py says it once, by formula, for both kinds of list: waits of 1 to 2 x ask_within, each proxy its own part; another connection beside a call that is (2 s + grace) / 5 late, asking with a wait of 0 what has changed, a third and fourth after 1/5 and 2/5 more, the first answer of any counts; after a failure where news counts already, again within grace / 2. A discovery whose versions run backwards is asked for its whole list. A process with a pushed list is ready once it was answered or found nobody there, at the latest after 2 s.

--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -51,6 +51,7 @@
     live_weights: bool = False      # listed weights are size / (1 + transactions held a core), and late
     peers: bool = False             # proxies may tell one another news, which may be lost
     only_draining_binds: bool = False       # hosts gone or left out, but not seen draining, may be sent to
+    grace: int = 0                  # after it was told that a host drains nothing goes there
 
 
 class Host(NamedTuple):
--- a/basalthook/program/migrate.py
+++ b/basalthook/program/migrate.py
@@ -19,8 +19,8 @@
         "profiles": [PROFILE], "areas": True, "host_types": True,
         "allowed": dict.fromkeys(("max_hops", "second_copies", "cancelling", "retry_after", "peers",
                                   "max_retry_after_ns", "connect_timeout_ns", "keepalive_ns"), True),
-        "rules": dict.fromkeys(("ask_within_ns", "cold_from", "cold_ns", "fall_ns", "overload_factor",
-                                "only_draining_binds"), True),
+        "rules": dict.fromkeys(("ask_within_ns", "cold_from", "cold_ns", "drain_grace_ns", "fall_ns",
+                                "overload_factor", "only_draining_binds"), True),
         "prices": {"cross_zone": True}, "family_info": {"warm_keys": True}}}
 # What the new shape says in place of what the old one said.
 CHANGED = {"discovery": "pushed", "weights": "live"}
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -10,6 +10,7 @@
 from ..handover.inherited import NotOurs, listening
 from ..handover.neighbours import Neighbours
 from ..recovery.door import Door
+from ..recovery.following import SILENT, Following
 from ..routing.clients import IDLE, NEW, Clients
 from ..routing.clock import TICKS, Clock
 from ..routing.hops import Hops
@@ -31,6 +32,7 @@
 ACCEPT_ON = 0.6         # seconds after SIGTERM: new connections still come for up to 0.4 s
 AT_START_ONLY = ("listen", "console", "inherited", "folder", "agreed", "profiles", "fleet")
 DOOR = 0xD008           # sets the door's chance apart from the decisions', which must not follow it
+LIST = 0x1157           # and that of following the list
 RESTED = 0.3            # seconds without a request after which the next one is not just being sent
 READ_ON = 0.1           # seconds for what the last of them carry
 
@@ -52,9 +54,10 @@
         door = Door(min(p.service_goal for p in told.agreed.profiles), Random(told.seed ^ DOOR))
         self.pool = HostPool(buffers, descriptors, timers, told.idle_seconds, told.connect_seconds)
         self.hops = Hops(self.pool, clock, timers, roster, self.owner, log.say)
-        self.watch = Watch(told.discovery, 2 * told.agreed.ask_within / TICKS, told.known.version, self.owner,
-                           buffers, descriptors, timers, log.say)
-        self.owner.begin_hop, self.owner.begin_watch = self.hops.begin, self.watch.begin
+        following = Following(told.agreed, Random(told.seed ^ LIST))
+        self.watch = Watch(told.discovery, told.known.version, following, self.owner, buffers, descriptors,
+                           timers, log.say)
+        self.owner.begin_hop = self.hops.begin
         roster.left = self.pool.close_idle
         self.clients = Clients(self.owner, clock, timers, door, told.profiles, buffers, descriptors,
                                Room(told.bodies_most), log.say)
@@ -124,20 +127,28 @@
         self.listener = listener = self.listen(self.told.listen, self.clients.take, inherited)
         listener.open()
         # guards against a successor to whom news counts as told before it has asked
-        if not self.told.agreed.list_on_request or self.handover is not None and self.handover.other:
-            self.watch.begin()
-        self.clients.ready = True
+        self.watch.begin(at_once=self.handover is not None and self.handover.other)
         if self.together is not None:
             try:
                 self.together.begin()
             except OSError as fault:
                 where = ":".join(map(str, self.told.fleet.listen))
                 raise BadStart(f"cannot talk on {where}: {fault.strerror}") from None
+        if self.told.agreed.list_on_request:
+            self.say_ready()
+        else:       # guards against hosts that left before this process began: their news counts already
+            self.watch.heard = self.say_ready
+            self.timers.set(SILENT, self.say_ready)
+        return listener
+
+    def say_ready(self) -> None:
+        if self.clients.ready or self.ending.is_set():
+            return
+        self.clients.ready = True
         if self.handover is not None:
             self.handover.ready()
-        self.log.say("ready", listen=list(listener.address), hosts=len(known.lines),
+        self.log.say("ready", listen=list(self.listener.address), hosts=len(self.owner.roster.places),
                      **({"console": list(self.console.address)} if self.console else {}))
-        return listener
 
     @staticmethod
     def listen(address: tuple[str, int], take, inherited=None) -> Listener:
--- /dev/null
+++ b/basalthook/recovery/following.py
@@ -0,0 +1,61 @@
+"""Following discovery's list: when to call, what to ask first, when a watch is taken for silent, and how
+often to try again. Pure: waits go out, nothing is waited for here.
+
+Whatever discovery has to tell binds at a stated time, whether or not it arrived, so each wait below is a part
+of what is left then. Names are those of `Agreement`; L is the longest grace for silence, `SILENT` + `grace`:
+
+    a call's wait               ask_within x (1 to 2), each proxy its own part: the fleet's calls never
+                                fall together again after a change that answers them all at once
+    silent                      no answer L / 5 past a call's wait, or after a connection was begun
+    beside it, not in its place another connection asks what has changed since, at once (a wait of 0); a third
+                                after 1/5 more, a fourth after 2/5 more. The first answer of any counts, so a
+                                discovery that is only slow is not asked for ever anew
+    given up                    `SILENT` past its wait
+    again, once all have failed where the news counts already (the list is pushed, or a watch fell silent):
+                                within grace / 2; else ask_within / 4, doubled up to ask_within. Each is
+                                times (1/2 to 1), each proxy its own part
+"""
+from random import Random
+
+from ..policy import interface as i
+
+SILENT = 20_000         # tenths of a millisecond past a call's wait: by then its news counts as told
+PARTS = 5               # of what is left until the grace is over; calls beside begin after 1, 2 and 4 of them
+BESIDE_MOST = 4         # calls out at a time
+URGENT_MOST = 8         # quick tries after a silence, or at a new address; then news is late anyway
+LEAST = 200             # no shorter wait between two tries
+
+
+class Following:
+    def __init__(self, agreed: i.Agreement, chance: Random) -> None:
+        self.agreed, self.chance, self.failures = agreed, chance, 0
+        self.pushed, self.urgent = not agreed.list_on_request, False
+
+    def part(self) -> float:
+        """This proxy's own part of a span that the fleet shares, from 0 up to 1."""
+        return (self.agreed.position % self.agreed.proxies + self.chance.random()) / self.agreed.proxies
+
+    def first(self) -> int:
+        """Before the first call: pushed news counts from the first moment on."""
+        return 0 if self.pushed else int(self.agreed.ask_within / 2 * self.part())
+
+    def wait(self) -> int:
+        return int(self.agreed.ask_within * (1 + self.part()))
+
+    def late(self, calls: int) -> int:
+        """So long after its wait, or its beginning, the newest of so many calls gets another beside it."""
+        return (SILENT + self.agreed.grace) // PARTS * (1, 1, 2)[min(calls, 3) - 1]
+
+    def answered(self) -> None:
+        self.failures, self.urgent = 0, False
+
+    def silent(self) -> None:
+        self.urgent = True
+
+    def again(self, turned_away: bool) -> int:
+        """All calls have failed. `turned_away`: discovery lives, and has too many callers."""
+        self.failures += 1
+        part = 0.5 + self.part() / 2
+        if self.pushed and not turned_away or self.urgent and self.failures <= URGENT_MOST:
+            return max(LEAST, int(self.agreed.grace / 2 * part))
+        return int(self.agreed.ask_within / 8 * 2 ** min(self.failures, 3) * part)
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -69,10 +69,6 @@
     answered: bool
 
 
-class ListLost(NamedTuple):
-    pass
-
-
 class Ordered(NamedTuple):
     """The staff's word on these hosts has changed."""
     hosts: set[str]
@@ -98,10 +94,9 @@
         self.queue: deque = deque()
         self.running, self.next = False, 0
         self.orders: dict[int, Order] = {}
-        self.begin_hop = self.begin_watch = None      # set by whoever builds the program
+        self.begin_hop = None           # set by whoever builds the program
 
     def start(self, known: Listing) -> None:
-        self.carry_out(self.proxy.begin())
         self.decide(self.roster.told(known, answered=False))
 
     def post(self, item) -> None:
@@ -186,8 +181,7 @@
 
     TAKES = {Arrived: arrived, Gone: gone, Overdue: overdue, HopOver: hop_over, Listed: listed,
              Ordered: ordered, Shared: lambda self, item: self.decide(i.Shared(item.processes)),
-             ListLost: lambda self, _: self.decide(i.ListFailed()), i.TimerDue: decide, i.Judged: decide,
-             i.Allowed: decide}
+             i.TimerDue: decide, i.Judged: decide, i.Allowed: decide}
 
     def forget(self, order: Order) -> None:
         if order.closed and not any(order.hops):
@@ -226,4 +220,4 @@
         self.timers.set(effect.delay, self.due, effect.mark)
 
     GIVES = {i.SendHop: send, i.RollBack: roll_back, i.Abandon: abandon, i.CancelHop: cancel,
-             i.SetTimer: set_timer, i.WatchList: lambda self, _: self.begin_watch()}
+             i.SetTimer: set_timer}
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -1,103 +1,148 @@
-"""Discovery's watch: one connection, one call after the other, every answer to the owner in order."""
+"""Discovery's watch: one call after the other on one connection, and others beside it while it is silent."""
 import asyncio
 from contextlib import contextmanager
 
 from ..protocol import catalogue
 from ..protocol.http1 import Message, Parser
+from ..recovery.following import BESIDE_MOST, SILENT, Following
 from ..transport.buffers import BufferPool
 from ..transport.connection import Connection, Fault, Stage
 from ..transport.descriptors import Descriptors
 from ..transport.timers import Timers
-from .owner import Listed, ListLost, Owner
+from .owner import Listed, Owner
 
-ANSWER_MOST = 2.0       # seconds past the time asked for: discovery may vanish without a word, and what it
-                        # has to tell counts as told by then
-TRIES = 4               # calls at a new address before it counts as failed
 PAUSE = 0.1             # seconds after an answer with nothing in it: guards against a discovery that answers
                         # at once; a watch goes on as long as the next call comes within 0.2 s
 
 
 class Watch:
-    def __init__(self, address: tuple[str, int], wait: float, version: int, owner: Owner, buffers: BufferPool,
-                 descriptors: Descriptors, timers: Timers, say) -> None:
-        self.address, self.wait, self.version = address, wait, version
+    """Follows the list until it is ended; every answer goes to the owner, in order."""
+
+    def __init__(self, address: tuple[str, int], version: int, following: Following, owner: Owner,
+                 buffers: BufferPool, descriptors: Descriptors, timers: Timers, say) -> None:
+        self.address, self.version, self.following = address, version, following
         self.owner, self.buffers, self.descriptors, self.say = owner, buffers, descriptors, say
         self.timers = timers
-        self.task: asyncio.Task | None = None
-        self.told = False       # whether this watch has been answered yet
-        self.moved = False      # whether discovery is elsewhere and has not answered there yet
+        self.calls: list[asyncio.Task] = []     # the newest last; at most BESIDE_MOST, emptied as they fail
+        self.next = None                        # the timer of the next try, while there is no call
+        self.whole = False      # whether the whole list comes first: versions may be counted differently
+        self.reasons: list[str] = []            # of the calls that have failed since the last answer
+        self.heard = lambda: None               # told once, at the first answer or failure
 
-    def begin(self) -> None:
-        if self.task is None or self.task.done():
-            self.task = asyncio.get_running_loop().create_task(self.run())
+    def begin(self, at_once: bool = False) -> None:
+        if not self.calls and self.next is None:
+            self.next = self.timers.set(0 if at_once else self.following.first(), self.call_on, False)
 
     def end(self) -> None:
-        if self.task is not None:
-            self.task.cancel()
+        self.timers.cancel(self.next)
+        self.next = None
+        for call in self.calls:
+            call.cancel()
+        self.calls = []
 
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is at another address: the list stays as it is until there is a whole one from there."""
         if address != self.address:
             self.end()
-            self.address, self.moved, self.task = address, True, None
-            self.begin()
+            self.address, self.whole = address, True
+            self.following.silent()     # its news counts as told soon
+            self.call_on(False)
+
+    def call_on(self, at_once: bool) -> None:
+        """One more connection. `at_once`: it first asks only what has changed."""
+        self.next = None
+        call = asyncio.get_running_loop().create_task(self.run(at_once))
+        self.calls.append(call)
+
+    def beside(self, call: asyncio.Task) -> None:
+        """That call has had no answer: guards against waiting for a silent one until its news counts."""
+        if self.calls and self.calls[-1] is call and len(self.calls) < BESIDE_MOST:
+            self.say("list late", calls=len(self.calls))
+            self.following.silent()
+            self.call_on(True)
 
-    async def run(self) -> None:
-        """Until something fails: the decisions say when to ask again."""
-        reason, tries, self.told = "", 1, False
+    async def run(self, at_once: bool) -> None:
+        me, reason = asyncio.current_task(), ""
         while not reason:       # a connection that ends between two calls is no failure
-            reason = await self.once()
-            if reason and self.moved and tries < TRIES:
-                # guards against one call lost after a move: its news counts as told soon after
-                reason, tries = "", tries + 1
-                await asyncio.sleep(PAUSE)
-        self.say("list lost", reason=reason)
-        self.task = None
-        self.owner.post(ListLost())
-
-    async def once(self) -> str:
+            reason = await self.once(me, at_once)
+            at_once = False
+        self.calls.remove(me)
+        self.reasons.append(reason)
+        if self.calls:
+            return              # one of the others may still be answered
+        wait = self.following.again(all(r.startswith("status") for r in self.reasons))
+        self.say("list lost", reason="; ".join(dict.fromkeys(self.reasons)),
+                 again_ms=wait * 1000 // self.timers.second)
+        self.reasons = []
+        self.next = self.timers.set(wait, self.call_on, False)
+        self.told()
+
+    def told(self) -> None:
+        heard, self.heard = self.heard, lambda: None
+        heard()
+
+    async def once(self, me: asyncio.Task, at_once: bool) -> str:
         """One connection, for as long as it lasts, and what went wrong."""
         connection = Connection.towards(self.address, self.buffers, self.descriptors)
         if isinstance(connection, Fault):
             return connection.reason
         try:
-            return await self.follow(connection)
+            return await self.follow(connection, me, at_once)
         except Exception as fault:      # exceptions stop at the connection
             return repr(fault)
         finally:
             connection.close()
 
-    async def follow(self, connection: Connection) -> str:
+    async def follow(self, connection: Connection, me: asyncio.Task, at_once: bool) -> str:
         """What went wrong; nothing, if discovery has closed the connection after an answer."""
-        up = asyncio.get_running_loop().create_future()
+        up, late = asyncio.get_running_loop().create_future(), self.following.late(len(self.calls))
         connection.connect(self.address, up.set_result)
-        with self.within(connection, ANSWER_MOST):
+        with self.within(connection, 0, late, me):
             fault = await up
         if fault is not None:
             return fault.reason
         while True:
-            with self.within(connection, ANSWER_MOST if self.moved else self.wait + ANSWER_MOST):
-                found = await self.call(connection)
+            wait = 0 if at_once or self.whole else self.following.wait()
+            with self.within(connection, wait, late, me):
+                found = await self.call(connection, wait)
             if isinstance(found, Fault):
                 return found.reason
             listing = catalogue.read(found.body) if found.status == 200 else None
             if listing is None:
-                return f"status {found.status}, no sound list"
-            self.version, self.moved = listing.version, False
-            if not self.told or listing.lines or listing.complete:
-                self.say("list", version=listing.version, complete=listing.complete, lines=len(listing.lines))
-                self.owner.post(Listed(listing, answered=True))
-            else:
-                await asyncio.sleep(PAUSE)
-            self.told = True
+                return f"status {found.status}, no sound list" if found.status == 200 else (
+                    f"status {found.status}")
+            await self.took(listing, me, at_once)
+            at_once, late = False, self.following.late(1)
             if not found.keep:
                 return ""
 
-    async def call(self, connection: Connection) -> Message | Fault:
+    async def took(self, listing: catalogue.Listing, me: asyncio.Task, at_once: bool) -> None:
+        """The first answer of any call counts, and its connection is the watch from here on."""
+        for call in self.calls:
+            if call is not me:
+                call.cancel()
+        self.calls, self.reasons = [me], []
+        self.following.answered()
+        if listing.version < self.version and not self.whole:
+            # guards against a discovery that counts anew: it would be asked for what it never reaches, and
+            # what it has changed would be taken for changes of another list
+            self.whole = True
+            self.say("list behind", version=listing.version, ours=self.version)
+            return
+        news = listing.lines or listing.complete or listing.version != self.version
+        self.version, self.whole = listing.version, False
+        if news or at_once:
+            self.say("list", version=listing.version, complete=listing.complete, lines=len(listing.lines))
+            self.owner.post(Listed(listing, answered=True))
+        self.told()
+        if not news and not at_once:
+            await asyncio.sleep(PAUSE)
+
+    async def call(self, connection: Connection, wait: int) -> Message | Fault:
         answer = Parser(responses=True, body_most=catalogue.BODY_MOST)
-        # guards against versions counted differently there: after a move the whole list first
-        version = None if self.moved else self.version
-        call = catalogue.call(f"{self.address[0]}:{self.address[1]}", version, int(self.wait * 1000))
+        version = None if self.whole else self.version
+        call = catalogue.call(f"{self.address[0]}:{self.address[1]}", version,
+                              wait * 1000 // self.timers.second)
         over = asyncio.get_running_loop().create_future()
         if connection.closed:
             return Fault(Stage.WRITING, "ended between two calls")
@@ -122,11 +167,13 @@
         return answer.found
 
     @contextmanager
-    def within(self, connection: Connection, seconds: float):
-        """What is waited for inside ends with the connection, if it takes longer."""
-        ticks, why = int(seconds * self.timers.second), f"not within {seconds:g} s"
-        late = self.timers.set(ticks, connection.fail, why)
+    def within(self, connection: Connection, wait: int, late: int, me: asyncio.Task):
+        """What is waited for inside gets a call beside it if it is late, and ends with the connection."""
+        why = f"not within {(wait + SILENT) / self.timers.second:g} s"
+        due = (self.timers.set(wait + late, self.beside, me),
+               self.timers.set(wait + SILENT, connection.fail, why))
         try:
             yield
         finally:
-            self.timers.cancel(late)
+            for timer in due:
+                self.timers.cancel(timer)
--- a/basalthook/terms.py
+++ b/basalthook/terms.py
@@ -71,7 +71,8 @@
         cancelling=bool(allowed.get("cancelling")),
         come_back_max=allowed.get("max_retry_after_ns", 0) // TENTH if allowed.get("retry_after") else 0,
         live_weights=word(setup, "weights", ("nominal", "off", "rough", "live"), "nominal") == "live",
-        peers=yes(allowed, "peers"), only_draining_binds=yes(rules, "only_draining_binds", "rules"))
+        peers=yes(allowed, "peers"), only_draining_binds=yes(rules, "only_draining_binds", "rules"),
+        grace=rules.get("drain_grace_ns", 0) // TENTH)
 
 
 def profiles(setup: dict) -> dict[str, int]:
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,158 @@
+"""Leaving hosts are left however the list comes: silent, reset, slow and lying discoveries."""
+import asyncio
+import unittest
+import unittest.mock
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basalthook.policy import interface as i
+from basalthook.recovery.following import BESIDE_MOST, SILENT, URGENT_MOST, Following
+from tests.fake import TERMS, SocketDiscovery, SocketHost
+from tests.loopback import Loopback
+
+
+def following(seed=1, **terms):
+    return Following(i.Agreement(**{**TERMS, "grace": 5_000, **terms}), Random(seed))
+
+
+class Rule(unittest.TestCase):
+    @given(st.integers(0, 50_000), st.integers(0, 2**32))
+    def test_the_last_call_beside_a_silent_one_has_a_part_of_the_grace_left(self, grace, seed):
+        rule = following(seed, grace=grace)
+        begun = sum(rule.late(calls) for calls in range(1, BESIDE_MOST))
+        self.assertLessEqual(begun + (SILENT + grace) // 5, SILENT + grace)
+
+    @given(st.integers(1, 2_000), st.integers(0, 2**32))
+    def test_a_fleet_whose_calls_were_all_answered_at_once_does_not_call_at_once_again(self, proxies, seed):
+        waits = sorted(following(seed, proxies=proxies, position=n).wait() for n in range(proxies))
+        self.assertGreaterEqual(waits[0], 100_000)
+        self.assertLess(waits[-1], 200_000)
+        for n, wait in enumerate(waits):        # each in its own part
+            self.assertEqual((wait - 100_000) * proxies // 100_000, n)
+
+    @given(st.integers(0, 2**32), st.integers(0, 15_000))
+    def test_a_pushed_list_is_asked_for_within_half_of_the_grace_however_long_it_is_down(self, seed, grace):
+        rule = following(seed, list_on_request=False, grace=grace)
+        self.assertEqual(rule.first(), 0)
+        for _ in range(50):
+            self.assertLessEqual(rule.again(turned_away=False), max(200, grace // 2))
+
+    def test_a_discovery_with_too_many_callers_is_left_alone_for_longer_each_time(self):
+        for rule in (following(), following(list_on_request=False)):
+            waits = [rule.again(turned_away=True) for _ in range(4)]
+            self.assertTrue(all(12_500 <= wait < 100_000 for wait in waits))
+            self.assertGreater(waits[2], 2 * waits[0])
+
+    def test_after_a_silence_tries_are_quick_and_then_few(self):
+        rule = following()
+        rule.silent()
+        waits = [rule.again(turned_away=False) for _ in range(URGENT_MOST + 1)]
+        self.assertLessEqual(max(waits[:-1]), 2_500)
+        self.assertGreaterEqual(waits[-1], 50_000)
+        rule.answered()
+        self.assertGreaterEqual(rule.again(turned_away=False), 12_500)
+
+
+class Followed(Loopback):
+    """One proxy that knows two hosts; the first begins to leave while discovery misbehaves."""
+
+    async def leaves(self, seconds, mode="on_request", then=None):
+        """The watch has been answered once and then says nothing; the news is there for whoever asks anew."""
+        caller = await self.play(SocketHost(), SocketHost(), mode=mode)
+        self.discovery.tell(2)
+        await self.until(lambda: self.service.watch.version == 2)
+        await self.discovery.got.get()
+        await self.discovery.got.get()
+        if then is not None:
+            then()
+        self.assertIn("index=2", await asyncio.wait_for(self.discovery.got.get(), seconds))
+        return caller
+
+    async def left(self, caller):
+        self.discovery.tell(3, self.hosts[0].line("s-0", state="draining"))
+        await self.until(lambda: not self.service.owner.roster.ready(0))
+        self.assertEqual({await caller.outcome(key=f"k{n}") for n in range(10)}, {200})
+        self.assertEqual(self.hosts[0].got.qsize(), 0)
+        await self.until(lambda: len(self.service.watch.calls) == 1)
+
+    async def test_a_silent_watch_gets_a_call_beside_it_before_its_news_counts(self):
+        # guards against waiting for it until its news counts, 2 s past its wait, and then for a while more
+        for mode in ("on_request", "pushed"):
+            caller = await self.leaves(2.0, mode)
+            self.discovery.news.put_nowait(b"")     # taken by the silent one
+            await self.left(caller)
+            await self.stop()
+
+    async def test_a_call_beside_that_is_silent_too_gets_others_in_time(self):
+        caller = await self.leaves(2.0)
+        for _ in range(2):
+            self.assertIn("wait=0", await asyncio.wait_for(self.discovery.got.get(), 2.0))
+        self.assertGreaterEqual(len(self.service.watch.calls), BESIDE_MOST - 1)   # the first is given up now
+        for _ in range(3):      # whoever is silent takes a word, and keeps it
+            self.discovery.news.put_nowait(b"")
+        await self.left(caller)
+
+    async def test_a_reset_watch_of_a_pushed_list_is_opened_again_within_the_grace(self):
+        # guards against a watch that is never opened again: from then on the process followed no list
+        caller = await self.leaves(0.5, "pushed", lambda: self.discovery.writers[-1].transport.abort())
+        self.discovery.news.put_nowait(b"")     # taken by the one that was reset
+        await self.left(caller)
+
+    async def test_a_discovery_that_is_only_slow_is_answered_by_its_first_call(self):
+        await self.leaves(2.0)
+        self.discovery.tell(3, self.hosts[0].line("s-0", state="draining"))
+        await self.until(lambda: not self.service.owner.roster.ready(0))
+        self.assertEqual(len(self.service.watch.calls), 1)
+        self.assertEqual([line["event"] for line in self.log.lines if line["event"] == "list lost"], [])
+
+    async def test_a_discovery_that_counts_anew_is_asked_for_the_whole_list(self):
+        # guards against asking for ever for what is newer than a version it will never reach
+        await self.play(SocketHost(), SocketHost())
+        self.discovery.tell(5)
+        self.discovery.tell(2, self.hosts[0].line("s-0"))
+        leaves = self.hosts[0].line("s-0", state="draining")
+        self.discovery.tell(2, leaves, self.hosts[1].line("s-1"), full=True)
+        asked = [await self.discovery.got.get() for _ in range(4)]
+        self.assertEqual(asked[2], "/catalog/members")
+        self.assertIn("index=2&", asked[3])
+        self.assertFalse(self.service.owner.roster.ready(0))
+        self.assertTrue(self.service.owner.roster.ready(1))
+
+    async def test_a_pushed_process_is_ready_only_once_it_has_heard_or_found_nobody(self):
+        await self.play(SocketHost(), mode="pushed")
+        self.assertFalse(self.service.clients.ready)
+        await self.discovery.got.get()
+        self.discovery.tell(2, self.hosts[0].line("s-0", state="draining"))
+        await self.until(lambda: self.service.clients.ready)
+        self.assertFalse(self.service.owner.roster.ready(0))
+
+    async def test_a_pushed_process_serves_with_what_it_knows_while_discovery_is_down(self):
+        down = await SocketDiscovery().start()
+        await down.stop()
+        with unittest.mock.patch("tests.loopback.SocketDiscovery", lambda: Down(down.address)):
+            caller = await self.play(SocketHost(), mode="pushed")
+        await self.until(lambda: self.service.clients.ready)
+        self.assertEqual(await caller.outcome(), 200)
+        await asyncio.sleep(0.6)        # asked on and on, within half of the grace
+        lost = [line for line in self.log.lines if line["event"] == "list lost"]
+        self.assertIn(len(lost), range(3, 8))
+        self.assertTrue(all(line["again_ms"] <= 250 for line in lost))
+
+
+class Down:
+    """A discovery that refuses connections."""
+
+    def __init__(self, address):
+        self.address = address
+
+    async def start(self):
+        return self
+
+    async def stop(self):
+        pass
+
+
+if __name__ == "__main__":
+    unittest.main()
