Lists: who is named twice leaves, endless answers are paced, pushed starts ask at once

By reading: a list that names a host as draining and again as up let the later line win; now the line by which it leaves counts, and the log says how many were doubled. A discovery that answers the same list at once for ever was called as fast as it answered, since a whole list counted as news; now 0.1 s apart, and 5 ms where versions grow.

--- a/basalthook/protocol/catalogue.py
+++ b/basalthook/protocol/catalogue.py
@@ -27,7 +27,8 @@
 class Listing(NamedTuple):
     version: int
     complete: bool
-    lines: tuple[Line, ...]
+    lines: tuple[Line, ...]         # one a host
+    doubled: int = 0                # lines of hosts named before in the same list, of which one counts
 
 
 def call(host: str, version: int | None, wait_ms: int) -> bytes:
@@ -58,7 +59,11 @@
         lines = tuple(line(entry) for entry in found["servers"])
         if not all(entry.id and entry.weight > 0 for entry in lines):
             return None
-        return Listing(int(found["version"]), bool(found["full"]), lines)
+        once: dict[str, Line] = {}
+        for each in lines:      # guards against a host that leaves by one line and is up by another
+            once[each.id] = min(once.get(each.id, each), each, key=lambda x: (x.ready, not x.removed))
+        return Listing(int(found["version"]), bool(found["full"]), tuple(once.values()),
+                       len(lines) - len(once))
     except (ValueError, TypeError, KeyError, AttributeError, OverflowError):
         return None
 
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -11,8 +11,9 @@
 from ..transport.timers import Timers
 from .owner import Listed, Owner
 
-PAUSE = 0.1             # seconds after an answer with nothing in it: guards against a discovery that answers
-                        # at once; a watch goes on as long as the next call comes within 0.2 s
+PAUSE = 0.1             # seconds after an answer with nothing newer in it: guards against a discovery that
+                        # answers at once; a watch goes on as long as the next call comes within 0.2 s
+GAP = 0.005             # after one with news: guards against versions without end
 
 
 class Watch:
@@ -31,7 +32,8 @@
 
     def begin(self, at_once: bool = False) -> None:
         if not self.calls and self.next is None:
-            self.next = self.timers.set(0 if at_once else self.following.first(), self.call_on, False)
+            self.next = self.timers.set(0 if at_once else self.following.first(), self.call_on,
+                                        at_once or self.following.pushed)
 
     def end(self) -> None:
         self.timers.cancel(self.next)
@@ -129,14 +131,15 @@
             self.whole = True
             self.say("list behind", version=listing.version, ours=self.version)
             return
-        news = listing.lines or listing.complete or listing.version != self.version
-        self.version, self.whole = listing.version, False
-        if news or at_once:
-            self.say("list", version=listing.version, complete=listing.complete, lines=len(listing.lines))
+        newer, self.version, self.whole = listing.version != self.version, listing.version, False
+        if newer or listing.lines or listing.complete:
+            doubled = {"doubled": listing.doubled} if listing.doubled else {}
+            self.say("list", version=listing.version, complete=listing.complete, lines=len(listing.lines),
+                     **doubled)
             self.owner.post(Listed(listing, answered=True))
         self.told()
-        if not news and not at_once:
-            await asyncio.sleep(PAUSE)
+        if not at_once:
+            await asyncio.sleep(GAP if newer else PAUSE)
 
     async def call(self, connection: Connection, wait: int) -> Message | Fault:
         answer = Parser(responses=True, body_most=catalogue.BODY_MOST)
