Asking for the list leaves the decisions: one rule, recovery/following.py, on every wire

Waits are as they were there, but each proxy's own part of the span in place of chance alone. It draws from the one generator of the instance, so that asked lists give the same plays as before.

Lists that are pushed draw one number less at the start. Tried and left: a generator of its own for the list, which moved every play.

--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -27,11 +27,6 @@
 
 
 class Proxy(Hosts):
-    def begin(self):
-        """Ask for the list, each proxy in its own part of the time allowed, so that they don't jam it."""
-        wait = self.terms.ask_within / 2 * (self.terms.position + self.chance.random()) / self.terms.proxies
-        return [i.SetTimer(int(wait), 0)] if self.to_ask else []
-
     def handle(self, now, event, seen=None):
         """`seen`: up to then all that came in is told; a silence since may be that of the caller."""
         self.now, self.seen, self.effects = now, now if seen is None else seen, []
@@ -54,9 +49,6 @@
             self.tell(event.mark - 2, "late")
         elif event.mark:
             self.fill()
-        elif self.to_ask:
-            self.to_ask = False
-            self.effects.append(i.WatchList())
 
     def tell(self, tx, given):
         if tx in self.txs:
@@ -73,8 +65,6 @@
         self.fill()
 
     def on_listed(self, event):
-        if event.answered:
-            self.to_ask, self.list_failures = False, 0
         named = {line.host for line in event.hosts}
         for server in self.servers.values():
             if server.doubted or event.complete and server.id not in named:
@@ -93,12 +83,6 @@
         self.reset_rankings()
         self.fill()
 
-    def on_list_failed(self, event):
-        """It may also mean that the watch broke, so ask again, ever later, never all at once."""
-        self.to_ask, self.list_failures = self.terms.list_on_request, min(self.list_failures + 1, 3)
-        wait = self.terms.ask_within / 8 * 2 ** self.list_failures * (0.5 + self.chance.random() / 2)
-        self.effects.append(i.SetTimer(int(wait), 0))
-
     def place(self, tx):
         """Send; or hold in line if a turn comes soon; else give up, and tell the client when to come back."""
         server = self.chosen or self.tried(tx) or (None if self.full() else self.pick(tx))
@@ -177,7 +161,7 @@
                 self.effects.append(i.SetTimer(max(0, shut - self.now), 1))
 
     EVENTS = {
-        i.HostsListed: on_listed, i.ListFailed: on_list_failed, i.TxArrived: on_arrived, i.HopEnded: on_ended,
+        i.HostsListed: on_listed, i.TxArrived: on_arrived, i.HopEnded: on_ended,
         i.Allowed: lambda self, event: (self.allowed.tell(event), self.fill()), i.Judged: on_judged,
         i.Shared: lambda self, event: vars(self).update(event._asdict()),
         i.StreamBegan: lambda self, event: self.tell(event.tx, "began"), i.TimerDue: on_timer,
--- a/basalthook/policy/hosts.py
+++ b/basalthook/policy/hosts.py
@@ -33,7 +33,7 @@
         self.terms, self.chance, self.now, self.born, self.seen = agreement, Random(seed), now, now, now
         self.servers, self.txs = {}, {}     # listed, or with hops out; open, or answered with a hop out
         self.line, self.chosen = [], None   # (tried, give up, tx): emptied by answers, time; the next's host
-        self.to_ask, self.list_failures, self.last_commit = agreement.list_on_request, 0, now
+        self.last_commit = now
         self.flying = {}            # hops out: (tx, hop) -> server, sent at, late after; emptied as they end
         self.sent = Window(agreement.fall_time)     # our hops
         self.rankings = {}          # key -> first servers; bounded, cleared by the list, a ban or a step
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -32,7 +32,6 @@
 ACCEPT_ON = 0.6         # seconds after SIGTERM: new connections still come for up to 0.4 s
 AT_START_ONLY = ("listen", "console", "inherited", "folder", "agreed", "profiles", "fleet")
 DOOR = 0xD008           # sets the door's chance apart from the decisions', which must not follow it
-LIST = 0x1157           # and that of following the list
 RESTED = 0.3            # seconds without a request after which the next one is not just being sent
 READ_ON = 0.1           # seconds for what the last of them carry
 
@@ -54,7 +53,7 @@
         door = Door(min(p.service_goal for p in told.agreed.profiles), Random(told.seed ^ DOOR))
         self.pool = HostPool(buffers, descriptors, timers, told.idle_seconds, told.connect_seconds)
         self.hops = Hops(self.pool, clock, timers, roster, self.owner, log.say)
-        following = Following(told.agreed, Random(told.seed ^ LIST))
+        following = Following(told.agreed, self.owner.proxy.chance)
         self.watch = Watch(told.discovery, told.known.version, following, self.owner, buffers, descriptors,
                            timers, log.say)
         self.owner.begin_hop = self.hops.begin
--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -24,6 +24,7 @@
 BESIDE_MOST = 4         # calls out at a time
 URGENT_MOST = 8         # quick tries after a silence, or at a new address; then news is late anyway
 LEAST = 200             # no shorter wait between two tries
+MARK = 0                # of the timer to ask; the decisions' own are above it
 
 
 class Following:
@@ -59,3 +60,31 @@
         if self.pushed and not turned_away or self.urgent and self.failures <= URGENT_MOST:
             return max(LEAST, int(self.agreed.grace / 2 * part))
         return int(self.agreed.ask_within / 8 * 2 ** min(self.failures, 3) * part)
+
+
+class Asking:
+    """The same where a protocol has one word for a watch, and one for its end: beside the decisions, which it
+    hands on all else to."""
+
+    def __init__(self, following: Following, mind) -> None:
+        self.following, self.mind = following, mind
+        self.to_ask = False             # while a timer of ours is to ask; what is pushed comes unasked
+
+    def begin(self) -> list:
+        return [] if self.following.pushed else self.ask(self.following.first())
+
+    def ask(self, wait: int) -> list:
+        self.to_ask = True
+        return [i.SetTimer(wait, MARK)]
+
+    def handle(self, now: int, event, seen: int | None = None) -> list:
+        kind = type(event)
+        if kind is i.ListFailed:        # it may also mean that the watch broke
+            return [] if self.following.pushed else self.ask(self.following.again(turned_away=True))
+        if kind is i.TimerDue and event.mark == MARK:
+            to_ask, self.to_ask = self.to_ask, False
+            return [i.WatchList()] if to_ask else []
+        if kind is i.HostsListed and event.answered:
+            self.to_ask = False
+            self.following.answered()
+        return self.mind.handle(now, event, seen)
--- a/basalthook/simwire/codec.py
+++ b/basalthook/simwire/codec.py
@@ -4,6 +4,7 @@
 from ..policy import interface as i
 from ..policy.decide import Proxy
 from ..protocol import news
+from ..recovery.following import Asking, Following
 from ..terms import TENTH
 
 OUTCOMES = {"success": i.COMMITTED, "failure": i.ERROR, "overloaded": i.REFUSED, "timed_out": i.TIMED_OUT,
@@ -15,7 +16,7 @@
 
     def __init__(self, seed: int, setup: dict, now: int) -> None:
         self.proxy = Proxy(terms.agreement(setup), seed, now)
-        self.counting = Counting(self.proxy)
+        self.mind = Asking(Following(self.proxy.terms, self.proxy.chance), Counting(self.proxy))
         self.profiles = terms.profiles(setup)
         self.hosts: dict[str, int] = {}      # grows with hosts ever listed, emptied at restart
         self.addresses: list[str] = []
@@ -132,7 +133,7 @@
                     self.lists[fields.get("slot", 0)] = fields["records"]
                 elif name == "SPAWN":
                     seat = self.seats[who] = Seat(fields["nonce64"], fields["setup"], now)
-                    decisions += map(seat.action, seat.proxy.begin())
+                    decisions += map(seat.action, seat.mind.begin())
                 elif name == "KILL":
                     self.seats.pop(who, None)
                     decisions.clear()        # what was decided before in this batch died with it
@@ -140,7 +141,7 @@
                     seat = self.seats[who]
                     told = seat.event(name, fields, self.lists)
                     if told is not None:
-                        decisions += map(seat.action, seat.counting.handle(now, told))
+                        decisions += map(seat.action, seat.mind.handle(now, told))
             if decisions:
                 parts.append({"who": who, "decisions": decisions})
         return {"parts": parts}
