--- a/basalthook/lab/scenario.py
+++ b/basalthook/lab/scenario.py
@@ -63,6 +63,7 @@
     mode: Annotated[str, msgspec.Meta(pattern=r"^(pushed|on_request)$")] = "pushed"
     notice: Seconds = 0.3           # until it tells of a change; and up to as much more, for each proxy
     fails: Share = 0.0              # of calls for the list; in virtual time alone
+    ask_within: Positive = 10.0     # told to the proxies: within which they have to ask
     told_proxies: Count | None = None   # how many proxies they are told there are; None: as many as there are
 
 
@@ -253,6 +254,23 @@
         fleet.set_clock(proxy, 0.0, 1.0)
 
 
+class Watches(msgspec.Struct, tag_field="what", tag="watches", forbid_unknown_fields=True, frozen=True,
+              kw_only=True):
+    """Every open watch falls silent for good, or is reset; and so many that each proxy opens next are silent
+    from the first. On sockets alone."""
+    at: Seconds
+    silent: bool = True
+    more: Annotated[int, msgspec.Meta(ge=0)] = 0
+    hosts: tuple[()] = ()
+    lasts = 0.0
+
+    def begin(self, fleet) -> None:
+        fleet.watches_fail(self.silent, self.more)
+
+    def end(self, fleet) -> None:
+        """What has fallen silent stays so."""
+
+
 class Limit(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """A bound on all proxies together."""
     name: Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9-]+$")]
@@ -309,7 +327,8 @@
     load: Load
     rules: Rules = msgspec.field(default_factory=Rules)
     faults: list[Kill | Slow | Silent | Errors | LoseAnswers | Vanish | Drain | Maintain | Burst | LongWay |
-                 Cut | Lossy | KillProxy | StopProxy | ClockFault] = msgspec.field(default_factory=list)
+                 Cut | Lossy | KillProxy | StopProxy | ClockFault | Watches] = (
+                     msgspec.field(default_factory=list))
     fleet: Shares | None = None
     network: Network = msgspec.field(default_factory=Network)
     proxies: Count = 1              # at depth `sockets` there is one
--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -20,6 +20,9 @@
 WATCH = re.compile(r"[?&](index|wait)=(\d+)")
 
 
+SILENCE, LATE = 6.0, 2.0    # seconds after which what a silent watch misses counts: from then, past its wait
+
+
 class Messages(asyncio.Protocol):
     """Whole messages, sized by Content-Length or without a body: `message(first line, fields, body)`."""
 
@@ -97,12 +100,25 @@
     def __init__(self, fleet: "Fleet", proxy: int) -> None:
         super().__init__()
         self.fleet, self.proxy, self.waits, self.timer = fleet, proxy, None, None
+        self.silent: float | None = None        # since when, for good
+        self.asked, self.until = 0.0, 0.0       # when the last call came, and when its wait is over
+
+    def connection_made(self, transport) -> None:
+        super().connection_made(transport)
+        self.fleet.watching.add(self)
+        if self.fleet.to_silence[self.proxy]:
+            self.fleet.to_silence[self.proxy] -= 1
+            self.silent = self.fleet.clock()
 
     def connection_lost(self, _) -> None:
         self.over()
+        self.fleet.watching.discard(self)
 
     def message(self, first: str, fields: dict, body: bytes) -> None:
-        self.fleet.carry(f"p{self.proxy}", "d", self.called, first)
+        self.asked = self.until = self.fleet.last_call[self.proxy] = self.fleet.clock()
+        self.until += min(60_000, int(dict(WATCH.findall(first)).get("wait", 0))) / 1000
+        if self.silent is None:
+            self.fleet.carry(f"p{self.proxy}", "d", self.called, first)
 
     def called(self, first: str) -> None:
         asked = dict(WATCH.findall(first))
@@ -120,6 +136,10 @@
         if self.timer is not None:
             self.timer.cancel()
 
+    def counts(self) -> float:
+        """When what this silent one misses counts as told, whether or not it came."""
+        return max(self.silent + SILENCE, self.until + LATE)
+
     def tell(self, since: int | None) -> None:
         self.over()
         numbers = [n for n, changed in enumerate(self.fleet.changed) if since is None or changed > since]
@@ -149,6 +169,9 @@
         self.states, self.changed, self.version = ["up"] * count, [1] * count, 1
         self.started_ms = [0] * count
         self.watches: set[DiscoveryEnd] = set()     # emptied as they are answered or end
+        self.watching: set[DiscoveryEnd] = set()    # connections to discovery, emptied as they end
+        self.to_silence = [0] * proxies             # so many of the next of each are silent
+        self.last_call = [0.0] * proxies
         self.console: tuple[str, int] | None = None     # the proxy's second address
         self.calls: set[asyncio.Task] = set()       # of the staff, emptied as they are answered
 
@@ -188,7 +211,7 @@
             self.deaf(number)
         for server in self.discovery:
             server.close()
-        for end in [end for ends in self.ends for end in ends] + list(self.watches):
+        for end in [end for ends in self.ends for end in ends] + list(self.watching):
             end.transport.abort()
 
     def listing(self, numbers, full: bool, proxy: int = 0) -> dict:
@@ -211,9 +234,38 @@
     def change(self, number: int, state: str) -> None:
         self.version += 1
         self.states[number], self.changed[number] = state, self.version
+        for proxy in range(self.count):
+            self.count_as_told(proxy, number, state)
         for watch in list(self.watches):
             watch.tell(watch.waits)
 
+    def count_as_told(self, proxy: int, number: int, state: str) -> None:
+        """News binds also where it does not arrive: of a silent watch by that one's clock; else pushed news
+        at once, and asked news after the time within which a proxy has to ask."""
+        now, ends = self.clock(), [end for end in self.watching if end.proxy == proxy]
+        silent = [end.counts() for end in ends if end.silent is not None]
+        pushed, within = self.told.discovery.mode == "pushed", self.told.discovery.ask_within
+        if len(ends) > len(silent) and not pushed:
+            return              # a watch is open: it is told when it is written
+        if len(ends) > len(silent):
+            at = now
+        else:
+            at = min(silent, default=now if pushed else max(now, self.last_call[proxy]) + within)
+        asyncio.get_running_loop().call_later(max(0.0, at - now), self.note_told, proxy, number, state)
+
+    def note_told(self, proxy: int, number: int, state: str) -> None:
+        if self.states[number] == state:        # not what has changed again since
+            self.wire.append(Told(self.clock(), number, state, proxy))
+
+    def watches_fail(self, silent: bool, more: int) -> None:
+        self.to_silence = [more] * self.count
+        for end in list(self.watching):
+            end.over()
+            if silent:
+                end.silent = self.clock()
+            else:
+                end.transport.abort()
+
     def order(self, number: int, out: bool) -> None:
         """The staff calls; what the proxy says yes to is noted when its answer is there."""
         call = asyncio.get_running_loop().create_task(self.call(number, out))
--- a/basalthook/lab/start.py
+++ b/basalthook/lab/start.py
@@ -17,7 +17,7 @@
         "allowed": {"max_hops": 3, "cancelling": True, "retry_after": True,
                     "max_retry_after_ns": 2 * NANO, "connect_timeout_ns": NANO // 4,
                     "keepalive_ns": 30 * NANO},
-        "rules": {"ask_within_ns": 10 * NANO, "drain_grace_ns": int(rules.drain_grace * NANO),
-                  "cold_from": rules.cold_share,
+        "rules": {"ask_within_ns": int(told.discovery.ask_within * NANO),
+                  "drain_grace_ns": int(rules.drain_grace * NANO), "cold_from": rules.cold_share,
                   "cold_ns": int(rules.cold_time * NANO), "fall_ns": int(rules.fall_time * NANO),
                   "overload_factor": rules.fall_multiple}}
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -15,6 +15,7 @@
 from basalthook.lab import processes, scenario
 from basalthook.lab.links import Links
 from basalthook.lab.relays import Relays
+from basalthook.lab.wire import Told
 from basalthook.membership import wire
 
 BASE = files("basalthook.lab").joinpath("scenarios/three-silent.toml").read_text("utf-8")
@@ -32,6 +33,22 @@
 """
 
 
+class Leaving(unittest.TestCase):
+    def test_leaving_hosts_are_left_while_watches_are_reset_or_silent_however_the_list_comes(self):
+        # guards against a pushed list that nobody follows any more once a watch has broken, and against one
+        # that is asked for anew only after its news has counted
+        day = files("basalthook.lab").joinpath("scenarios/leaving.toml").read_text("utf-8")
+        for mode in ("pushed", "on_request"):
+            rig = []
+            result = processes.play(scenario.parse(day.replace("pushed", mode), "leaving.toml"), rig)
+            self.assertEqual((result.faults, result.verdict.first), ([], None))
+            self.assertTrue(result.verdict.kept)
+            self.assertGreater(result.verdict.service, 0.95)
+            told = {(entry.host, entry.proxy) for entry in rig[0].wire
+                    if isinstance(entry, Told) and entry.state == "draining"}
+            self.assertEqual(told, {(host, proxy) for host in range(3) for proxy in range(6)})
+
+
 class Together(unittest.TestCase):
     def play(self, *faults, seconds=13):
         """The rig after its run, and the result; in each the four rules hold and nothing old is acted on."""
