--- a/basalthook/fleet/facts.py
+++ b/basalthook/fleet/facts.py
@@ -12,7 +12,7 @@
 
 import xxhash
 
-OF_AN_AUTHOR, AUTHORS = 64, 8192        # facts, the newest sequences stay; authors, the longest unheard go
+OF_AN_AUTHOR, AUTHORS = 2048, 8192        # facts, the newest sequences stay; authors, the longest unheard go
 CONTACTS = 2            # rounds of telling a fact anew, and one more for each doubling of the members
 SUBJECT_MOST = 120      # bytes
 
--- a/basalthook/fleet/talk.py
+++ b/basalthook/fleet/talk.py
@@ -22,7 +22,7 @@
 REPAIR = 20_000         # ticks between two exchanges of digests
 RATE, BURST = 1.6, 32_000       # bytes a tick that facts may take going out (16 kB a second), and at once
 IN_RATE, IN_BURST = 0.2, 2_000  # datagrams a tick that are read at all (2,000 a second), and at once
-OPEN_FOR, OPEN_MOST = 50_000, 256       # ticks that a question stays open
+OPEN_FOR, OPEN_LEAST = 50_000, 256       # ticks that a question stays open
 ROOM = wire.MOST - 40   # bytes for what a datagram carries
 COMPLAIN = 100_000      # ticks between two log lines on unsound datagrams
 
@@ -112,7 +112,7 @@
                      [ASK_DIFFERING, self.name, self.ask(now), low, end, [list(pair) for pair in digests]])
 
     def ask(self, now: int) -> int:
-        while len(self.asked) >= OPEN_MOST:
+        while len(self.asked) >= OPEN_LEAST + len(self.member.known):
             del self.asked[next(iter(self.asked))]
         nonce = self.chance.getrandbits(48)
         self.asked[nonce] = now
--- a/basalthook/membership/member.py
+++ b/basalthook/membership/member.py
@@ -25,7 +25,7 @@
 RETOLD = 3              # an update is told so many times for each doubling of the members
 FORGET = 6_000_000      # ticks after which a dead member is no more asked whether it is back
 BACK, REFRESH = 20_000, 150_000     # ticks between two such questions, between two pages asked of a member
-MEMBERS_MOST, OPEN_MOST, OPEN_FOR = 8_192, 512, 100_000
+MEMBERS_MOST, OPEN_LEAST, OPEN_FOR = 8_192, 512, 100_000
 
 
 class Update(NamedTuple):
@@ -223,7 +223,7 @@
         self.send(address, [ASK_PAGE, self.name, nonce, list(self.me), after])
 
     def ask(self, now: int, what: tuple) -> int:
-        while len(self.open) >= OPEN_MOST:
+        while len(self.open) >= OPEN_LEAST + len(self.known):
             del self.open[next(iter(self.open))]
         nonce = self.chance.getrandbits(48)
         self.open[nonce] = now, *what
--- a/basalthook/membership/wire.py
+++ b/basalthook/membership/wire.py
@@ -11,7 +11,8 @@
 import msgpack
 
 VERSION, CHECK, MOST = 1, 8, 1400
-DEPTH = {"max_array_len": 512, "max_map_len": 0, "max_str_len": 512, "max_bin_len": 0, "max_ext_len": 0}
+# no more elements than a datagram has bytes
+DEPTH = {"max_array_len": MOST, "max_map_len": 0, "max_str_len": 512, "max_bin_len": 0, "max_ext_len": 0}
 SPOILT, OTHER_VERSION, TOO_LONG = "spoilt", "another version", "too long"
 
 
--- a/basalthook/protocol/catalogue.py
+++ b/basalthook/protocol/catalogue.py
@@ -1,5 +1,6 @@
 """Discovery's messages: the call for the host list, and the lists that come back."""
 import ipaddress
+from functools import lru_cache
 from typing import NamedTuple
 
 import orjson
@@ -45,12 +46,17 @@
     return host, int(port)
 
 
+# a list comes again and again with the same addresses; text alone, bounded by the largest list
+known_address = lru_cache(8_192)(address)
+
+
 def line(entry: dict) -> Line:
-    entry = {name: value for name, value in entry.items() if value is not None}
-    return Line(str(entry["id"]), address(entry["addr"]), str(entry.get("zone", "")),
-                int(entry.get("cell", 0)), READY[entry["state"]], entry["state"] == "removed",
-                float(entry.get("weight", 1.0)), int(entry.get("started_ms", 0)) * 1_000_000,
-                str(entry.get("kind", "")), entry["state"] == "draining")
+    if None in entry.values():
+        entry = {name: value for name, value in entry.items() if value is not None}
+    state, get = entry["state"], entry.get
+    return Line(str(entry["id"]), known_address(entry["addr"]), str(get("zone", "")), int(get("cell", 0)),
+                READY[state], state == "removed", float(get("weight", 1.0)),
+                int(get("started_ms", 0)) * 1_000_000, str(get("kind", "")), state == "draining")
 
 
 def listing(found: dict) -> Listing | None:
@@ -59,9 +65,10 @@
         lines = tuple(line(entry) for entry in found["servers"])
         if not all(entry.id and entry.weight > 0 for entry in lines):
             return None
-        once: dict[str, Line] = {}
-        for each in lines:      # guards against a host that leaves by one line and is up by another
-            once[each.id] = min(once.get(each.id, each), each, key=lambda x: (x.ready, not x.removed))
+        once = {each.id: each for each in lines}
+        if len(once) < len(lines):      # guards against a host that leaves by one line and is up by another
+            for each in lines:
+                once[each.id] = min(once[each.id], each, key=lambda x: (x.ready, not x.removed))
         return Listing(int(found["version"]), bool(found["full"]), tuple(once.values()),
                        len(lines) - len(once))
     except (ValueError, TypeError, KeyError, AttributeError, OverflowError):
--- a/basalthook/routing/orders.py
+++ b/basalthook/routing/orders.py
@@ -47,9 +47,9 @@
 
     def over(self, line: Line) -> Line:
         """A line of the list under these orders: out is draining, put back is cold from then on."""
-        since, out = self.words.get(line.id, (0, False))
-        if line.removed:
+        if line.removed or line.id not in self.words:
             return line
+        since, out = self.words[line.id]
         if out:
             return line._replace(ready=False, draining=True)
         return line._replace(started_ns=max(line.started_ns, since))
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -140,6 +140,19 @@
             self.assertIn(self.discovery.got.qsize(), range(3, most))
             await self.stop()
 
+    async def test_a_list_of_eleven_hundred_hosts_is_followed_and_those_that_leave_are_left(self):
+        caller = await self.play(SocketHost())
+        await self.discovery.got.get()
+        lines = [self.hosts[0].line(f"s-{n}", kind="m" * 20) for n in range(1_100)]
+        self.discovery.tell(2, *lines, full=True)
+        await self.discovery.got.get()
+        self.assertEqual(len(self.service.owner.proxy.ready), 1_100)
+        self.assertEqual(await caller.outcome(), 200)
+        self.discovery.tell(3, *({**line, "state": "draining"} for line in lines[:1_099]))
+        await self.discovery.got.get()
+        self.assertEqual([s.line.ready for s in self.service.owner.proxy.ready], [True])
+        self.assertEqual(await caller.outcome(), 200)
+
     async def test_a_pushed_process_is_ready_only_once_it_has_heard_or_found_nobody(self):
         await self.play(SocketHost(), mode="pushed")
         self.assertFalse(self.service.clients.ready)
