--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -20,6 +20,7 @@
 from ..policy import interface as i
 
 SILENT = 20_000         # tenths of a millisecond past a call's wait: by then its news counts as told
+WAIT_MOST = 600_000     # discovery waits no longer: a longer one would be taken for silent too late
 PARTS = 5               # of what is left until the grace is over; calls beside begin after 1, 2 and 4 of them
 BESIDE_MOST = 4         # calls out at a time
 URGENT_MOST = 8         # quick tries after a silence, or at a new address; then news is late anyway
@@ -41,7 +42,7 @@
         return 0 if self.pushed else int(self.agreed.ask_within / 2 * self.part())
 
     def wait(self) -> int:
-        return int(self.agreed.ask_within * (1 + self.part()))
+        return min(WAIT_MOST, int(self.agreed.ask_within * (1 + self.part())))
 
     def late(self, calls: int) -> int:
         """So long after its wait, or its beginning, the newest of so many calls gets another beside it."""
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -33,6 +33,10 @@
         for n, wait in enumerate(waits):        # each in its own part
             self.assertIn(wait - 100_000 - n * 100_000 // proxies, range(-1, 100_000 // proxies + 2))
 
+    def test_no_call_waits_for_longer_than_discovery_does(self):
+        # guards against noticing a silence only past a wait that had been over long before
+        self.assertEqual(following(ask_within=900_000).wait(), 600_000)
+
     @given(st.integers(0, 2**32), st.integers(0, 15_000))
     def test_a_pushed_list_is_asked_for_within_half_of_the_grace_however_long_it_is_down(self, seed, grace):
         rule = following(seed, list_on_request=False, grace=grace)
