--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -101,7 +101,7 @@
         super().__init__()
         self.fleet, self.proxy, self.waits, self.timer = fleet, proxy, None, None
         self.silent: float | None = None        # since when, for good
-        self.asked, self.until = 0.0, 0.0       # when the last call came, and when its wait is over
+        self.until = 0.0                        # when the wait of the last call is over
 
     def connection_made(self, transport) -> None:
         super().connection_made(transport)
@@ -115,7 +115,7 @@
         self.fleet.watching.discard(self)
 
     def message(self, first: str, fields: dict, body: bytes) -> None:
-        self.asked = self.until = self.fleet.last_call[self.proxy] = self.fleet.clock()
+        self.until = self.fleet.last_call[self.proxy] = self.fleet.clock()
         self.until += min(60_000, int(dict(WATCH.findall(first)).get("wait", 0))) / 1000
         if self.silent is None:
             self.fleet.carry(f"p{self.proxy}", "d", self.called, first)
