Log: calls for the list, endpoint changes, successful attempts, reasons of refusals

Change: list call, list unchanged, list call failed, list calls cancelled, list moved; endpoints (what a list changed); attempt (at most 50 a second); client gone; reason in answer; failures, urgent and address in list lost; figures every 10 s with list_age_s. The rate limit of lines is one class now. The decisions are unchanged: reasons are written beside them.

--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -61,6 +61,8 @@
         server, sent_at = tx.out.pop(event.hop)
         del server.out[tx.id, event.hop], self.flying[tx.id, event.hop]
         at_fault = self.judge(server, sent_at, tx, event)
+        if at_fault:
+            tx.refusal = "it fails at several endpoints"
         self.step(tx, "won" if event.closed else "at fault" if at_fault else "fell")
         self.fill()
 
@@ -88,22 +90,40 @@
         server = self.chosen or self.tried(tx) or (None if self.full() else self.pick(tx))
         self.chosen = None
         if self.drags(tx) and any(t.out and t.groups == tx.groups for t in self.txs.values()):
+            tx.refusal = "its group is slow at every endpoint"
             return "hopeless"       # one at a time looks whether that is over: more would fill the hosts
         if self.terms.live_weights:     # guards against hosts that all answer too late
             part = max(self.cores, self.strain) * self.latency[tx.kind].quiet / max(1, tx.goal - self.now)
             if self.chance.random() < min(MOST, STEEP * (part - EARLY)):
+                tx.refusal = "all endpoints answer late"
                 return "hopeless"
         if server is not None and self.send(tx, server):
             return "sent"
         tx.give_up = tx.goal - int(self.latency[tx.kind].usual)     # kept: the estimate behind it moves
         ahead = bisect(self.line, (bool(tx.tried), tx.give_up, tx.id))
-        hope = self.goes_on(tx) and (not self.servers or any(self.open_to(tx, s.line) for s in self.ready))
+        tx.refusal = self.obstacle(tx)
+        hope = not tx.refusal
         took = max(1.0, self.strain) * self.quiet_mix + self.unread     # by Little's law, what is out
         turn, left = ahead * took / max(1, len(self.flying)), tx.give_up - self.now
         tx.come_back = int(turn) if turn < left else tx.profile.service_goal    # back when its turn would be
         if self.allowed.later and self.allowed.left(tx.grant, self.now) < 1:
-            tx.come_back, hope = self.allowed.later, False
-        return "held" if hope and PROMPT * turn < left else "hopeless"
+            tx.come_back, hope, tx.refusal = self.allowed.later, False, "over the fleet's limit"
+        if hope and PROMPT * turn < left:
+            return "held"
+        tx.refusal = tx.refusal or ("out of time in the queue" if left <= 0 else "queue too long")
+        return "hopeless"
+
+    def obstacle(self, tx):
+        """What keeps it from any further attempt, in a word or two for the log; nothing: it may have one."""
+        if self.now >= tx.hard_limit:
+            return "deadline"
+        if len(tx.tried) >= self.terms.max_hops:
+            return "attempts used up"
+        if not self.goes_on(tx):
+            return "it may have run"
+        if self.servers and not any(self.open_to(tx, server.line) for server in self.ready):
+            return "no endpoint open to it"
+        return ""
 
     def line_up(self, tx):
         """First hops, then the shortest patience: a short goal is lost behind long ones that could wait."""
@@ -132,7 +152,8 @@
         harmless = tx.ran is None or tx.profile.kind == i.IDEMPOTENT or (
             tx.profile.kind == i.JOURNALLED and tx.profile.group == i.EVERYWHERE)
         come_back = min(self.terms.come_back_max, int(tx.come_back * (0.75 + self.chance.random() / 2)))
-        self.effects.append(i.RollBack(tx.id, come_back) if harmless else i.Abandon(tx.id))
+        self.effects.append(i.RollBack(tx.id, come_back, tx.refusal) if harmless
+                            else i.Abandon(tx.id, tx.refusal))
 
     def send(self, tx, server):
         if not (self.goes_on(tx) and self.admits(tx, server)):      # the rules, at every hop
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -151,10 +151,12 @@
 class RollBack(NamedTuple):
     tx: int
     come_back: int                  # 0: nothing said
+    reason: str = ""                # for the log
 
 
 class Abandon(NamedTuple):
     tx: int
+    reason: str = ""
 
 
 class CancelHop(NamedTuple):
--- a/basalthook/policy/records.py
+++ b/basalthook/policy/records.py
@@ -32,6 +32,7 @@
         self.hard_limit = now + event.patience
         self.goal = min(self.hard_limit, now - event.waited + profile.service_goal)
         self.state, self.tried, self.give_up, self.come_back = "waiting", [], self.goal, profile.service_goal
+        self.refusal = ""               # why it may get no attempt now: for the log
         self.out, self.ran = {}, None   # hop -> (server, sent at); when and where it may first have run
 
     @property
--- /dev/null
+++ b/basalthook/program/figures.py
@@ -0,0 +1,28 @@
+"""A line of figures in the log at a steady pace: what an operator plots, and raises alarms on."""
+from ..routing.clients import Clients
+from ..routing.hops import Hops
+from ..routing.owner import Owner
+from ..routing.watch import Watch
+from ..transport.timers import Timers
+
+EVERY = 10.0            # seconds between two lines
+
+
+class Figures:
+    """Counts are since the start of the process; `list_age_s` is the time since discovery last answered."""
+
+    def __init__(self, owner: Owner, clients: Clients, hops: Hops, watch: Watch, timers: Timers, log) -> None:
+        self.owner, self.clients, self.hops, self.watch = owner, clients, hops, watch
+        self.timers, self.log = timers, log
+
+    def begin(self) -> None:
+        self.timers.set(int(EVERY * self.timers.second), self.write)
+
+    def write(self) -> None:
+        following = self.watch.following
+        self.log("figures", list_age_s=round(self.watch.age(), 1), list_failures=following.failures,
+                 list_urgent=following.urgent, list_calls=self.watch.begun,
+                 endpoints_ready=sum(place.ready for place in self.owner.roster.places.values()),
+                 requests_open=len(self.owner.orders), connections=len(self.clients.open),
+                 answers=dict(self.clients.answers), attempts=dict(self.hops.outcomes))
+        self.begin()
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -24,6 +24,7 @@
 from ..transport.listener import Listener
 from ..transport.timers import Timers
 from ..transport.turns import Turns
+from .figures import Figures
 from .log import Log
 from .startup import BadStart, StartUp
 
@@ -60,6 +61,7 @@
         roster.left = self.pool.close_idle
         self.clients = Clients(self.owner, clock, timers, door, told.profiles, buffers, descriptors,
                                Room(told.bodies_most), log.say)
+        self.figures = Figures(self.owner, self.clients, self.hops, self.watch, timers, log.say)
         self.staff = Staff(self.owner, roster, self.clients, log.say)
         self.callers = Callers(self.staff.carry_out, timers, buffers, urgent, log.say)
         self.console: Listener | None = None
@@ -127,6 +129,7 @@
         listener.open()
         # guards against a successor to whom news counts as told before it has asked
         self.watch.begin(at_once=self.handover is not None and self.handover.other)
+        self.figures.begin()
         if self.together is not None:
             try:
                 self.together.begin()
@@ -178,7 +181,8 @@
 
     async def end(self, listener: Listener) -> None:
         """Idle connections go at once, while whoever crosses that can come anew; then all is finished."""
-        self.log.say("ending", connections=len(self.clients.open), transactions=len(self.owner.orders))
+        self.log.say("ending", connections=len(self.clients.open), transactions=len(self.owner.orders),
+                     list_age_s=round(self.watch.age(), 1))
         self.clients.ready = False
         if self.handover is not None:
             self.handover.end()
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -1,5 +1,6 @@
 """The application's connections: a transaction read whole, handed to the owner, answered once."""
 import asyncio
+from collections import Counter
 
 from ..bodies.room import STEP, Room
 from ..protocol import application, http1
@@ -12,6 +13,7 @@
 from ..transport.timers import Timers
 from .clock import TICK, TICKS, Clock
 from .owner import Answer, Arrived, Gone, Order, Overdue, Owner
+from .ratelog import RateLimitedLog
 
 STALLED = 2.5       # seconds that a message may take to come in: the first from connecting, others once begun
 STUCK = 0.8         # seconds without a byte after which a message has stopped, where places are short
@@ -205,10 +207,11 @@
         try:
             clients, order = self.clients, self.settled()
             self.keep = self.keep and clients.stay()
+            clients.answers[answer.kind] += 1
             if answer.kind != "committed":
                 clients.sparingly("answer", tx=order.asked.id, kind=answer.kind, hops=len(order.hops),
                                   left_ms=(order.hard_limit - clients.clock.now()) / 10,
-                                  come_back_ms=answer.come_back / 10)
+                                  come_back_ms=answer.come_back / 10, reason=answer.reason)
             if answer.relay is not None:
                 return self.pass_on(answer, order)
             self.write(clients.worded(answer, order, self.keep))
@@ -308,6 +311,9 @@
             relay.stop()
         self.clients.drop(self)
         if order is not None:
+            self.clients.answers["client gone"] += 1
+            self.clients.sparingly("client gone", tx=order.asked.id, hops=len(order.hops),
+                                   left_ms=(order.hard_limit - self.clients.clock.now()) / 10)
             self.clients.owner.post(Gone(order))
 
     def close(self) -> None:
@@ -325,7 +331,8 @@
         self.sending_away = None                # while drained by the staff: the next look at who is here
         self.sweeping = False
         self.ids: set[str] = set()              # of transactions not yet answered
-        self.loud: dict[str, list] = {}         # event -> second, lines said in it, and left out since
+        self.sparingly = RateLimitedLog(say, clock, LOUD)   # clients may ask again as soon as turned away
+        self.answers: Counter[str] = Counter()  # by kind, and clients that went before theirs
         self.open: dict[Client, None] = {}      # longest idle first; emptied as they end
         self.none_left: asyncio.Future | None = None
 
@@ -441,14 +448,3 @@
         if answer.kind == "rolled back":
             return application.rolled_back(answer.come_back / TICKS, keep),
         return application.abandoned(self.clock.now() >= order.hard_limit, keep),
-
-    def sparingly(self, event: str, **fields) -> None:
-        """Guards against a log, and its CPU, taken up by those who ask again as soon as turned away."""
-        second, loud = self.clock.now() // TICKS, self.loud.setdefault(event, [0, 0, 0])
-        if second != loud[0]:
-            loud[:2] = second, 0
-        if loud[1] < LOUD:
-            self.say(event, unsaid=loud[2], **fields)
-            loud[1:] = loud[1] + 1, 0
-        else:
-            loud[2] += 1
--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -1,4 +1,6 @@
 """One hop: a message to a host and its answer, or how far it had come. From that alone follows what ran."""
+from collections import Counter
+
 from ..bodies.relay import Relay
 from ..policy import interface as i
 from ..protocol import hosts
@@ -8,10 +10,12 @@
 from ..transport.timers import Timers
 from .clock import TICK, TICKS, Clock
 from .owner import HopOver, Order, Owner
+from .ratelog import RateLimitedLog
 from .roster import Place, Roster
 
 # bytes of an answer of no told length that are kept whole: a slow host's first ones may not wait for the rest
 OPEN_MOST = 4 * 1024
+SUCCEEDED_MOST = 50     # lines a second on attempts that succeeded
 
 
 class Hop:
@@ -110,6 +114,7 @@
         late += connection.noticed_late // TICK if not self.reused else 0
         relay = Relay(connection, self.answer, hops.timers, lambda kept: pool.keep(kept, door))
         elapsed = max(0, hops.clock.now() - late - self.begun)
+        hops.outcomes[i.COMMITTED] += 1
         hops.owner.post(HopOver(self.order, self.index, self.host, i.COMMITTED, elapsed, late, begun, relay))
         if relay.client is None:        # nobody waits for it
             relay.stop()
@@ -136,7 +141,11 @@
                 self.connection = None
         outcome, message = hops.outcome(self, found), found if isinstance(found, Message) else None
         elapsed = max(0, hops.clock.now() - late - self.begun)
-        if outcome != i.COMMITTED:
+        hops.outcomes[outcome] += 1
+        if outcome == i.COMMITTED:
+            hops.sparingly("attempt", tx=self.order.asked.id, number=self.index, endpoint=self.place.id,
+                           outcome="succeeded", reused=self.reused, ms=elapsed / 10)
+        else:
             reason = "" if found is None or message else found.reason
             hops.say("hop", tx=self.order.asked.id, hop=self.index, host=self.place.id, outcome=outcome,
                      stage=self.stage.name.lower(), reused=self.reused, ms=elapsed / 10, reason=reason,
@@ -150,6 +159,8 @@
                  say) -> None:
         self.pool, self.clock, self.timers, self.roster = pool, clock, timers, roster
         self.owner, self.say = owner, say
+        self.sparingly = RateLimitedLog(say, clock, SUCCEEDED_MOST)
+        self.outcomes: Counter[str] = Counter()     # of attempts that are over
 
     def begin(self, order: Order, index: int, host: int, place: Place, limit: int, over: bool) -> Hop:
         """What ends at once is told to the owner after this has returned: the owner is at an event now."""
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -12,6 +12,7 @@
 from .clock import TICK, Clock
 from .roster import Roster
 
+NAMED = 16              # endpoints of each kind of change that a line of the log names
 OVERDUE = 50            # tenths of a millisecond: timers later than this are told between two events
 
 
@@ -21,6 +22,7 @@
     message: Message | None = None
     come_back: int = 0
     relay: object = None            # of a host's long answer: what is still to come of it
+    reason: str = ""                # why it is none of a host's
 
 
 class Order:
@@ -154,7 +156,7 @@
     def overdue(self, item: Overdue) -> None:
         if not item.order.closed:
             self.say("fault", where="owner", error="no answer in time")
-            self.end(item.order, Answer("abandoned"))
+            self.end(item.order, Answer("abandoned", reason="no answer in time"))
 
     def end(self, order: Order, answer: Answer | None) -> None:
         if not order.closed:
@@ -175,6 +177,10 @@
     def listed(self, item: Listed) -> None:
         self.decide(self.roster.told(item.listing, item.answered))
         self.roster.let_go(self.proxy.servers)
+        if changes := self.roster.changes:
+            self.say("endpoints", version=item.listing.version,
+                     **{change: ids[:NAMED] for change, ids in changes.items()},
+                     count=sum(map(len, changes.values())))
 
     def ordered(self, item: Ordered) -> None:
         self.decide(self.roster.ordered(item.hosts))
@@ -201,10 +207,10 @@
         order.hops.append(self.begin_hop(order, len(order.hops), effect.host, place, limit, over))
 
     def roll_back(self, effect: i.RollBack) -> None:
-        self.answer(effect.tx, Answer("rolled back", None, effect.come_back))
+        self.answer(effect.tx, Answer("rolled back", None, effect.come_back, reason=effect.reason))
 
     def abandon(self, effect: i.Abandon) -> None:
-        self.answer(effect.tx, Answer("abandoned"))
+        self.answer(effect.tx, Answer("abandoned", reason=effect.reason))
 
     def answer(self, tx: int, answer: Answer) -> None:
         if tx in self.orders:
--- a/basalthook/routing/roster.py
+++ b/basalthook/routing/roster.py
@@ -28,10 +28,12 @@
         self.out: dict[int, int] = {}           # hops out, by host; emptied as they end
         self.next = 0
         self.orders = Orders()                  # the staff's; they stand over every list
+        self.changes: dict[str, list[str]] = {}     # by the newest list: kind of change -> ids of endpoints
         self.left = lambda door: None           # told of the doors of hosts that have left
 
     def told(self, listing: Listing, answered: bool) -> i.HostsListed:
         """Take a list in and turn it into the decisions' event."""
+        self.changes = {}
         event = i.HostsListed(tuple(self._line(line) for line in listing.lines), listing.complete, answered)
         named = {line.host for line in event.hosts}
         removed = {self.numbers[line.id] for line in listing.lines if line.removed}
@@ -58,6 +60,8 @@
 
     def _drop(self, numbers) -> None:
         for number in numbers:
+            if self.places[number].ready:
+                self._changed("gone", self.places[number].id)
             self.places[number] = self.places[number]._replace(ready=False)
             self.left(self.places[number].door)
             self._forget(number)
@@ -85,10 +89,23 @@
         known = self.places.get(number)     # hashed once: lists may come often
         mark = known.mark if known else terms.number(line.id)
         ready = line.ready or line.removed and self.only_draining_binds and bool(known and known.ready)
+        self._note(known, line, ready)
         self.places[number] = Place(line.id, line.address, ready, mark, told)
         return terms.host(number, mark, line.zone, line.cell, line.ready, line.weight, line.started_ns,
                           line.kind, line.draining)
 
+    def _note(self, known: Place | None, line: Line, ready: bool) -> None:
+        """Write down what a line changes, for the log."""
+        if known is None or known.ready != ready:
+            self._changed("ready" if ready else "draining" if line.draining else "gone", line.id)
+        elif known.address != line.address:
+            self._changed("moved", line.id)
+        elif known.line.started_ns != line.started_ns:
+            self._changed("restarted", line.id)
+
+    def _changed(self, change: str, endpoint: str) -> None:
+        self.changes.setdefault(change, []).append(endpoint)
+
     def _forget(self, number: int) -> None:
         """A host that comes back later is a new one to the decisions as well, which have dropped it."""
         if number not in self.out and not self.places[number].ready:
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -28,8 +28,14 @@
         self.next = None                        # the timer of the next try, while there is no call
         self.whole = False      # whether the whole list comes first: versions may be counted differently
         self.reasons: list[str] = []            # of the calls that have failed since the last answer
+        self.begun = 0                          # calls since the start: numbers them in the log
+        self.answered_at = timers.now()         # of the last sound answer, or of the start
         self.heard = lambda: None               # told once, at the first answer or failure
 
+    def age(self) -> float:
+        """Seconds since discovery last answered, or since the start."""
+        return (self.timers.now() - self.answered_at) / self.timers.second
+
     def begin(self, at_once: bool = False) -> None:
         if not self.calls and self.next is None:
             self.next = self.timers.set(0 if at_once else self.following.first(), self.call_on,
@@ -45,6 +51,8 @@
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is at another address: the list stays as it is until there is a whole one from there."""
         if address != self.address:
+            self.say("list moved", old=list(self.address), new=list(address), cancelled=len(self.calls),
+                     waiting=self.next is not None)
             self.end()
             self.address, self.whole = address, True
             self.following.silent()     # its news counts as told soon
@@ -70,11 +78,12 @@
             at_once = False
         self.calls.remove(me)
         self.reasons.append(reason)
-        if self.calls:
-            return              # one of the others may still be answered
+        if self.calls:          # one of the others may still be answered
+            return self.say("list call failed", reason=reason, others=len(self.calls))
         wait = self.following.again(all(r.startswith("status") for r in self.reasons))
         self.say("list lost", reason="; ".join(dict.fromkeys(self.reasons)),
-                 again_ms=wait * 1000 // self.timers.second)
+                 again_ms=wait * 1000 // self.timers.second, failures=self.following.failures,
+                 urgent=self.following.urgent, to=list(self.address))
         self.reasons = []
         self.next = self.timers.set(wait, self.call_on, False)
         self.told()
@@ -120,10 +129,12 @@
 
     async def took(self, listing: catalogue.Listing, me: asyncio.Task, at_once: bool) -> None:
         """The first answer of any call counts, and its connection is the watch from here on."""
-        for call in self.calls:
-            if call is not me:
-                call.cancel()
-        self.calls, self.reasons = [me], []
+        others = [call for call in self.calls if call is not me]
+        for call in others:
+            call.cancel()
+        if others:
+            self.say("list calls cancelled", count=len(others), reason="another was answered first")
+        self.calls, self.reasons, self.answered_at = [me], [], self.timers.now()
         self.following.answered()
         if listing.version < self.version and not self.whole:
             # guards against a discovery that counts anew: it would be asked for what it never reaches, and
@@ -137,6 +148,8 @@
             self.say("list", version=listing.version, complete=listing.complete, lines=len(listing.lines),
                      **doubled)
             self.owner.post(Listed(listing, answered=True))
+        else:
+            self.say("list unchanged", version=listing.version)
         self.told()
         if not at_once:
             await asyncio.sleep(GAP if newer else PAUSE)
@@ -147,6 +160,9 @@
         call = catalogue.call(f"{self.address[0]}:{self.address[1]}", version,
                               wait * 1000 // self.timers.second)
         over = asyncio.get_running_loop().create_future()
+        self.begun += 1
+        self.say("list call", number=self.begun, to=list(self.address), version=version,
+                 wait_ms=wait * 1000 // self.timers.second, reused=bool(connection.took))
         if connection.closed:
             return Fault(Stage.WRITING, "ended between two calls")
 
