Discovery moved in a row: quick tries count from each move, none waits ten seconds

Cause: Following.again granted eight quick tries and counted all failures since the last answer (recovery/following.py, failures <= URGENT_MOST), so that failures before a SIGHUP, or of the addresses before, used them up; then the wait was ask_within, 10 s, while news counts 4 s after SIGHUP and 6 s after discovery is back. Change: a move starts anew; urgent tries thin out by half each time, from 0.2 s to 1 s; no other wait is over 2 s, so that the longest backoff itself can't outlast the 6 s.

--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -11,9 +11,13 @@
                                 after 1/5 more, a fourth after 2/5 more. The first answer of any counts, so a
                                 discovery that is only slow is not asked for ever anew
     given up                    `SILENT` past its wait
-    again, once all have failed where the news counts already (the list is pushed, or a watch fell silent):
-                                within grace / 2; else ask_within / 4, doubled up to ask_within. Each is
-                                times (1/2 to 1), each proxy its own part
+    again, once all have failed, times (1/2 to 1), each proxy its own part:
+      where the news counts soon or already (a watch fell silent, discovery moved): `URGENT_FIRST`, longer by
+      half each time, up to `URGENT_MOST`, for `URGENT_TRIES`. They are counted from that event: what
+      failed before it uses none of them up
+      where the list is pushed and nobody is there: grace / 2
+      else, and after these: ask_within / 4, `RETRY_MOST` at most. However long discovery has been away, its
+      news counts at a fixed time after it is back
 """
 from random import Random
 
@@ -23,15 +27,21 @@
 WAIT_MOST = 600_000     # discovery waits no longer: a longer one would be taken for silent too late
 PARTS = 5               # of what is left until the grace is over; calls beside begin after 1, 2 and 4 of them
 BESIDE_MOST = 4         # calls out at a time
-URGENT_MOST = 8         # quick tries after a silence, or at a new address; then news is late anyway
+RETRY_MOST = 20_000     # tenths of a millisecond: what discovery has counts as told 6 s after it is back
+URGENT_FIRST = 2_000    # the first wait after a silence, or at a new address
+URGENT_MOST = 10_000    # the longest after a silence, or at a new address
+URGENT_TRIES = 8        # after that the news has counted for a while
+URGENT_GROWTH = 1.5     # of each wait against the one before: too many callers must thin out
 LEAST = 200             # no shorter wait between two tries
 MARK = 0                # of the timer to ask; the decisions' own are above it
 
 
 class Following:
     def __init__(self, agreed: i.Agreement, chance: Random) -> None:
-        self.agreed, self.chance, self.failures = agreed, chance, 0
-        self.pushed, self.urgent = not agreed.list_on_request, False
+        self.agreed, self.chance = agreed, chance
+        self.pushed = not agreed.list_on_request
+        self.failures = 0               # since the last answer
+        self.urgent_tries = 0           # left since a watch fell silent, or discovery moved
 
     def part(self) -> float:
         """This proxy's own part of a span that the fleet shares, from 0 up to 1."""
@@ -48,19 +58,35 @@
         """So long after its wait, or its beginning, the newest of so many calls gets another beside it."""
         return (SILENT + self.agreed.grace) // PARTS * (1, 1, 2)[min(calls, 3) - 1]
 
+    @property
+    def urgent(self) -> bool:
+        return self.urgent_tries > 0
+
     def answered(self) -> None:
-        self.failures, self.urgent = 0, False
+        self.failures = self.urgent_tries = 0
 
     def silent(self) -> None:
-        self.urgent = True
+        if not self.urgent:
+            self.urgent_tries = URGENT_TRIES
+
+    def moved(self) -> None:
+        """Discovery is at another address: nothing is known of how that one does."""
+        self.failures, self.urgent_tries = 0, URGENT_TRIES
 
     def again(self, turned_away: bool) -> int:
-        """All calls have failed. `turned_away`: discovery lives, and has too many callers."""
+        """Ticks until the next try, as all calls have failed.
+
+        `turned_away`: discovery lives, and has too many callers.
+        """
         self.failures += 1
         part = 0.5 + self.part() / 2
-        if self.pushed and not turned_away or self.urgent and self.failures <= URGENT_MOST:
+        if self.urgent:
+            made = URGENT_TRIES - self.urgent_tries
+            self.urgent_tries -= 1
+            return int(min(URGENT_FIRST * URGENT_GROWTH ** made, URGENT_MOST) * part)
+        if self.pushed and not turned_away:
             return max(LEAST, int(self.agreed.grace / 2 * part))
-        return int(self.agreed.ask_within / 8 * 2 ** min(self.failures, 3) * part)
+        return int(min(self.agreed.ask_within / 4, RETRY_MOST) * part)
 
 
 class Asking:
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -55,7 +55,7 @@
                      waiting=self.next is not None)
             self.end()
             self.address, self.whole = address, True
-            self.following.silent()     # its news counts as told soon
+            self.following.moved()
             self.call_on(False)
 
     def call_on(self, at_once: bool) -> None:
