An attempt asks once more at its first byte whether it may begin

Cause: Proxy.goes_on and open_to were asked when an attempt was decided; Hop.send wrote once its connection was up, up to 1.5 s later, and asked only whether the request was closed and the endpoint ready (routing/hops.py). A window of 300 to 600 ms could be over by then, or the endpoint in another group. Change: Hosts.may_begin answers from the same rules (open request, time left, window, group, drain, placement); Hop.send asks it right before it writes. An attempt that may not begin is UNSENT, as before, and the request goes on or is answered at once. Tests: of four in test_first_byte, two failed before (2 attempts instead of 1, for the window and for the group), all pass now.

--- a/basalthook/policy/hosts.py
+++ b/basalthook/policy/hosts.py
@@ -50,9 +50,19 @@
     def goes_on(self, tx):
         if self.now >= tx.hard_limit or len(tx.tried) >= self.terms.max_hops or tx.state == "done" or tx.out:
             return False
+        return self.repeatable(tx)
+
+    def repeatable(self, tx):
+        """Whether a further attempt now is known to have no second effect."""
         return tx.profile.kind == i.IDEMPOTENT or not tx.ran or (
             tx.profile.kind == i.JOURNALLED and self.now < tx.ran[0] + tx.profile.repeat_window)
 
+    def may_begin(self, now, tx_id, host):
+        """Whether an attempt decided earlier may still begin: asked right before its first byte goes out."""
+        tx, server, self.now = self.txs.get(tx_id), self.servers.get(host), now
+        return tx is not None and server is not None and tx.state == "out" and now < tx.hard_limit and (
+            self.repeatable(tx) and self.open_to(tx, server.line))
+
     def open_to(self, tx, line):
         """Drains; placement: a bound profile goes to the named zones and kinds only; and repeat groups."""
         profile, ran = tx.profile, tx.ran[1] if tx.ran and tx.profile.kind == i.JOURNALLED else line
--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -65,8 +65,7 @@
 
     def send(self) -> None:
         hops, connection = self.hops, self.connection
-        if self.order.closed or not hops.roster.ready(self.host):
-            # guards against sending what was answered, or to a host that left, while the connection came up
+        if not hops.owner.may_begin(self.order, self.host):     # what was decided may have changed meanwhile
             self.stopped, self.stage = i.UNSENT, Stage.UNTRIED
             self.keep()
             return self.finish(None)
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -206,6 +206,11 @@
         place = self.roster.hop_out(effect.host)
         order.hops.append(self.begin_hop(order, len(order.hops), effect.host, place, limit, over))
 
+    def may_begin(self, order: Order, host: int) -> bool:
+        """Whether an attempt decided earlier may still send its first byte now."""
+        return not order.closed and self.roster.ready(host) and (
+            self.proxy.may_begin(self.clock.now(), order.number, host))
+
     def roll_back(self, effect: i.RollBack) -> None:
         self.answer(effect.tx, Answer("rolled back", None, effect.come_back, reason=effect.reason))
 
--- /dev/null
+++ b/tests/test_first_byte.py
@@ -0,0 +1,57 @@
+"""What holds when an attempt is decided has to hold still at its first byte."""
+import asyncio
+import unittest
+
+from tests.fake import RESET, SocketHost
+from tests.loopback import Loopback
+
+LATE = 0.5              # seconds that a connection takes to come up
+SCAN = {"name": "scan", "effect": "by_key", "group": "cell", "hard_limit_ns": 2 * 10**9,
+        "service_goal_ns": 6 * 10**8}
+
+
+class LateConnections(Loopback):
+    async def retried(self, meanwhile=lambda: None, window=0.3):
+        """The first attempt is reset under its request; the second one's connection comes up late."""
+        profile = {**SCAN, "repeat_window_ns": int(window * 1e9)}
+        caller = await self.play(SocketHost(RESET), SocketHost(RESET), profiles=[profile])
+        fresh, connecting = self.service.pool.fresh, asyncio.Event()
+
+        def late(address, up):
+            if not self.hosts[0].got.qsize() + self.hosts[1].got.qsize():
+                return fresh(address, up)
+            connecting.set()
+            return fresh(address, lambda fault: asyncio.get_running_loop().call_later(LATE, up, fault))
+        self.service.pool.fresh = late
+        caller.ask("scan")
+        await connecting.wait()
+        meanwhile()
+        return caller
+
+    def attempts(self):
+        return sum(host.got.qsize() for host in self.hosts)
+
+    async def test_a_keyed_request_is_not_sent_again_after_its_window(self):
+        caller = await self.retried()
+        self.assertEqual(((await caller.answer())[0], self.attempts()), (502, 1))
+
+    async def test_a_keyed_request_is_sent_again_within_its_window(self):
+        caller = await self.retried(window=1.9)
+        self.assertEqual(((await caller.answer())[0], self.attempts()), (502, 2))
+
+    async def test_a_keyed_request_is_not_sent_to_an_endpoint_that_left_its_group(self):
+        def leave():
+            second, = (n for n, host in enumerate(self.hosts) if not host.got.qsize())
+            self.discovery.tell(2, self.hosts[second].line(f"s-{second}", cell=1))
+        caller = await self.retried(leave, window=1.9)
+        self.assertEqual(((await caller.answer())[0], self.attempts()), (502, 1))
+
+    async def test_nothing_is_sent_for_a_client_that_left_meanwhile(self):
+        caller = await self.retried(window=1.9)
+        caller.writer.transport.abort()
+        await asyncio.sleep(LATE + 0.2)
+        self.assertEqual(self.attempts(), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
