A keyed request that may have run is not refused as harmless after its window

What callers need: a refusal (429, 503) promises that trying again is harmless; for a keyed request that may have run this holds only while its endpoints still know the key. Cause: Proxy.answer looked at the group alone (all), not at the window (policy/decide.py). Change: the refusal asks the same rule as a further attempt; after the window the request is answered as failed.

--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -150,7 +150,7 @@
     def answer(self, tx):
         """The gate that every answer of ours passes: an early rollback only where a retry is harmless."""
         harmless = tx.ran is None or tx.profile.kind == i.IDEMPOTENT or (
-            tx.profile.kind == i.JOURNALLED and tx.profile.group == i.EVERYWHERE)
+            tx.profile.group == i.EVERYWHERE and self.repeatable(tx))
         come_back = min(self.terms.come_back_max, int(tx.come_back * (0.75 + self.chance.random() / 2)))
         self.effects.append(i.RollBack(tx.id, come_back, tx.refusal) if harmless
                             else i.Abandon(tx.id, tx.refusal))
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -2,7 +2,8 @@
 import asyncio
 import unittest
 
-from tests.fake import RESET, SocketHost
+from basalthook.policy import interface as i
+from tests.fake import RESET, UPLOAD, FakeHost, SocketHost, Stage
 from tests.loopback import Loopback
 
 LATE = 0.5              # seconds that a connection takes to come up
@@ -53,5 +54,12 @@
         self.assertEqual(self.attempts(), 1)
 
 
+class Refusals(unittest.TestCase):
+    def test_a_keyed_request_that_may_have_run_is_not_refused_as_harmless_after_its_window(self):
+        for elapsed, answer in ((1_000, i.RollBack), (7_000, i.Abandon)):
+            stage = Stage([FakeHost(0, outcome=i.RESET)], elapsed=elapsed, max_hops=1)
+            self.assertEqual(stage.answers.get(stage.arrive(UPLOAD, key=1)), answer)
+
+
 if __name__ == "__main__":
     unittest.main()
