--- a/basalthook/policy/hosts.py
+++ b/basalthook/policy/hosts.py
@@ -3,6 +3,7 @@
 
 from . import interface as i
 from .measure import Allowance, Drag, Latency, Rendezvous, Spread, Window
+from .rules import Rules
 
 COOLDOWN, BACKOFF, TIMEOUT_RUN, SPREAD = 100_000, 500, 3, 2     # the design's
 FIRST_BAN, BACKOFF_MOST = 5_000, 25_000     # bans of failed connections double from one, backoffs up to one
@@ -12,7 +13,6 @@
 SPARE, UNHURRIED = 0.7, 64  # held a core, by the list, at hosts with room; a goal's part that is quick
 AT_HOME, FROM, SWIFT, SPILL = 2.0, 1.5, 1.5, 3  # a crowd at home, in a fleet; elsewhere; so many a proxy
 REACH = 2               # while busy, a key waits for one of its first so many hosts before it goes elsewhere
-COLD_KEYS = 2.5         # a fresh host knows no key: a hop may cost it several times what a warm one pays
 DRAGS, KNOWN, ERRING = 0.5, 3, 0.3  # share of slow answers that is a group's; by so many; of errors, a host's
 SELDOM, LEARN = 0.4, 3  # weight of a host's one answer in a fall time; over all, of answers as far apart
 LEARN_EVERY, COLD_STEPS = 10_000, 16    # how often slow changes are looked at; steps of a fresh slice
@@ -28,7 +28,7 @@
 SPOKEN, KEYED_FAILURES = {i.COMMITTED, i.ERROR, i.REFUSED, i.DECLINED}, {i.ERROR, i.TIMED_OUT, i.RESET}
 
 
-class Hosts:
+class Hosts(Rules):
     def __init__(self, agreement, seed, now):
         self.terms, self.chance, self.now, self.born, self.seen = agreement, Random(seed), now, now, now
         self.servers, self.txs = {}, {}     # listed, or with hops out; open, or answered with a hop out
@@ -47,51 +47,6 @@
         self.allowed = Allowance()  # by the fleet's limits
         self.reset_rankings()
 
-    def goes_on(self, tx):
-        if self.now >= tx.hard_limit or len(tx.tried) >= self.terms.max_hops or tx.state == "done" or tx.out:
-            return False
-        return self.repeatable(tx)
-
-    def repeatable(self, tx):
-        """Whether a further attempt now is known to have no second effect."""
-        return tx.profile.kind == i.IDEMPOTENT or not tx.ran or (
-            tx.profile.kind == i.JOURNALLED and self.now < tx.ran[0] + tx.profile.repeat_window)
-
-    def may_begin(self, now, tx_id, host):
-        """Whether an attempt decided earlier may still begin: asked right before its first byte goes out."""
-        tx, server, self.now = self.txs.get(tx_id), self.servers.get(host), now
-        return tx is not None and server is not None and tx.state == "out" and now < tx.hard_limit and (
-            self.repeatable(tx) and self.open_to(tx, server.line))
-
-    def open_to(self, tx, line):
-        """Drains; placement: a bound profile goes to the named zones and kinds only; and repeat groups."""
-        profile, ran = tx.profile, tx.ran[1] if tx.ran and tx.profile.kind == i.JOURNALLED else line
-        return line.ready and (profile.zones is None or line.zone in profile.zones) and (
-            profile.host_kinds is None or line.kind in profile.host_kinds) and {
-            i.ZONE: line.zone == ran.zone, i.CELL: line.cell == ran.cell}.get(profile.group, True)
-
-    def admits(self, tx, server):
-        """Whether this host may have it, if it may have a hop: a fresh one its share in a fall time. Under a
-        hop luck decides, where a hop of each proxy would be too much: a line at hundreds pushes it over."""
-        free = self.allowed.left((i.AT_HOST, server.id), self.now) > len(server.out) and (
-            self.allowed.left(tx.grant, self.now) > 0 and self.open_to(tx, server.line))
-        if server.fresh_from is None or not free:
-            return free
-        if self.now >= server.redraw:
-            server.luck, server.redraw = self.chance.random(), self.now + self.terms.fall_time
-        most = self.usual_rate * server.size * self.warmth(server) / self.processes
-        return server.sent.count(self.now) < (
-            max(1.0, most) if most * self.terms.fall_multiple >= 1.0 else int(most + server.luck))
-
-    def warmth(self, server):
-        """The share that it can carry for sure, a fresh one without knowing a key."""
-        if server.fresh_from is None or self.now >= server.fresh_from + self.terms.cold_time:
-            server.fresh_from = None
-            return 1.0
-        age = max(0, self.now - server.fresh_from) / self.terms.cold_time
-        share = self.terms.cold_share + (1.0 - self.terms.cold_share) * age
-        return share * min(1.0, self.terms.fall_multiple / COLD_KEYS)
-
     def pick(self, tx):
         if not self.goes_on(tx):
             return None
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -54,6 +54,23 @@
         self.assertEqual(self.attempts(), 1)
 
 
+class SlowStart(unittest.TestCase):
+    def test_attempts_whose_connections_come_up_late_count_in_a_cold_endpoints_window_when_they_begin(self):
+        cold = FakeHost(0, started=990_000, outcome=None)
+        stage = Stage([cold])
+        stage.proxy.usual_rate = 40.0
+        stage.many(40)
+        first = len(cold.got)
+        self.assertIn(first, range(3, 40))
+        stage.now += 10_000         # of a window of 30,000
+        self.assertTrue(all(stage.proxy.may_begin(stage.now, tx, 0) for tx in cold.got))
+        for tx in list(cold.got):
+            stage.end(tx, 0, 0, i.COMMITTED)
+        stage.now += 21_000
+        stage.many(40)
+        self.assertLessEqual(len(cold.got), first + 1)      # its slice has grown a little meanwhile
+
+
 class Refusals(unittest.TestCase):
     def test_a_keyed_request_that_may_have_run_is_not_refused_as_harmless_after_its_window(self):
         for elapsed, answer in ((1_000, i.RollBack), (7_000, i.Abandon)):
