A slow discovery is waited for: calls are given up after 5 s, not 2

What callers need: drain holds also where discovery is slow or crowded. Cause: Watch.within gave every call up 2 s past its wait, and all calls beside it likewise; a discovery that needs 3 s for a call was asked anew at the end of its queue for ever and never answered (routing/watch.py). Change: a call is given up 5 s past its wait, as news counts after 6; up to six calls are out, the newest replaced as others fail.

--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -100,6 +100,7 @@
         self.fleet, self.proxy, self.waits, self.timer = fleet, proxy, None, None
         self.silent: float | None = None        # since when, for good
         self.until = 0.0                        # when the wait of the last call is over
+        self.owes = False                       # whether it has a call without an answer
 
     def connection_made(self, transport) -> None:
         super().connection_made(transport)
@@ -113,20 +114,27 @@
     def connection_lost(self, _) -> None:
         self.over()
         self.fleet.watching.discard(self)
+        if self.owes:           # given up by the proxy
+            self.fleet.failed[self.proxy] = True
 
     def message(self, first: str, fields: dict, body: bytes) -> None:
+        self.owes = True
         self.until = self.fleet.last_call[self.proxy] = self.fleet.clock()
         self.until += min(60_000, int(dict(WATCH.findall(first)).get("wait", 0))) / 1000
-        if self.silent is None:
+        if self.silent is None and self.fleet.discovery_delay:
+            asyncio.get_running_loop().call_later(self.fleet.discovery_delay, self.called, first)
+        elif self.silent is None:
             self.fleet.carry(f"p{self.proxy}", "d", self.called, first)
 
     def refuse(self) -> None:
         """Discovery has too many callers."""
         self.over()
-        self.fleet.failed[self.proxy] = True
+        self.owes, self.fleet.failed[self.proxy] = False, True
         self.answer(503)
 
     def called(self, first: str) -> None:
+        if self.transport.is_closing():
+            return
         if self.fleet.failing == "refuses":
             return self.refuse()
         asked = dict(WATCH.findall(first))
@@ -156,7 +164,9 @@
         self.fleet.carry("d", f"p{self.proxy}", self.write, told, states)
 
     def write(self, told: bytes, states: list) -> None:
-        now, fleet = self.fleet.clock(), self.fleet
+        if self.transport.is_closing():
+            return
+        now, fleet, self.owes = self.fleet.clock(), self.fleet, False
         fleet.wire += [Told(now, n, state, self.proxy) for n, state in states]
         fleet.failed[self.proxy], fleet.moved[self.proxy] = False, None
         self.answer(200, told)
@@ -183,6 +193,7 @@
         self.last_call = [0.0] * proxies
         self.failed = [False] * proxies             # the last call of each was refused, or could not be made
         self.moved: list[float | None] = [None] * proxies   # when its discovery moved, until that one answers
+        self.discovery_delay = 0.0                  # seconds until discovery looks at a call
         self.failing = ""                           # how discovery fails at present
         self.reachable = 0.0                        # since when it has worked
         self.untold: list[tuple[int, str]] = []     # changes made while it failed; emptied when it works
--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -8,9 +8,10 @@
                                 fall together again after a change that answers them all at once
     silent                      no answer L / 5 past a call's wait, or after a connection was begun
     beside it, not in its place another connection asks what has changed since, at once (a wait of 0); a third
-                                after 1/5 more, a fourth after 2/5 more. The first answer of any counts, so a
-                                discovery that is only slow is not asked for ever anew
-    given up                    `SILENT` past its wait
+                                after 1/5 more, then one each 2/5 more, `BESIDE_MOST` at a time. The first
+                                answer of any counts
+    given up                    `GIVE_UP` past its wait. Who gives up a slow discovery sooner, and asks it
+                                anew at the end of its queue, is never answered
     again, once all have failed, times (1/2 to 1), each proxy its own part:
       where the news counts soon or already (a watch fell silent, discovery moved): `URGENT_FIRST`, longer by
       half each time, up to `URGENT_MOST`, for `URGENT_TRIES`. They are counted from that event: what
@@ -26,7 +27,8 @@
 SILENT = 20_000         # tenths of a millisecond past a call's wait: by then its news counts as told
 WAIT_MOST = 600_000     # discovery waits no longer: a longer one would be taken for silent too late
 PARTS = 5               # of what is left until the grace is over; calls beside begin after 1, 2 and 4 of them
-BESIDE_MOST = 4         # calls out at a time
+BESIDE_MOST = 6         # calls out at a time
+GIVE_UP = 50_000        # past a call's wait; news counts 6 s after discovery had it, answered or not
 RETRY_MOST = 20_000     # tenths of a millisecond: what discovery has counts as told 6 s after it is back
 URGENT_FIRST = 2_000    # the first wait after a silence, or at a new address
 URGENT_MOST = 10_000    # the longest after a silence, or at a new address
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -4,7 +4,7 @@
 
 from ..protocol import catalogue
 from ..protocol.http1 import Message, Parser
-from ..recovery.following import BESIDE_MOST, SILENT, Following
+from ..recovery.following import BESIDE_MOST, GIVE_UP, Following
 from ..transport.buffers import BufferPool
 from ..transport.connection import Connection, Fault, Stage
 from ..transport.descriptors import Descriptors
@@ -79,6 +79,7 @@
         self.calls.remove(me)
         self.reasons.append(reason)
         if self.calls:          # one of the others may still be answered
+            self.timers.set(self.following.late(len(self.calls)), self.beside, self.calls[-1])
             return self.say("list call failed", reason=reason, others=len(self.calls))
         wait = self.following.again(all(r.startswith("status") for r in self.reasons))
         self.say("list lost", reason="; ".join(dict.fromkeys(self.reasons)),
@@ -188,9 +189,9 @@
     @contextmanager
     def within(self, connection: Connection, wait: int, late: int, me: asyncio.Task):
         """What is waited for inside gets a call beside it if it is late, and ends with the connection."""
-        why = f"not within {(wait + SILENT) / self.timers.second:g} s"
+        why = f"not within {(wait + GIVE_UP) / self.timers.second:g} s"
         due = (self.timers.set(wait + late, self.beside, me),
-               self.timers.set(wait + SILENT, connection.fail, why))
+               self.timers.set(wait + GIVE_UP, connection.fail, why))
         try:
             yield
         finally:
--- a/tests/test_incidents.py
+++ b/tests/test_incidents.py
@@ -19,6 +19,10 @@
         self.assertEqual((result.faults, result.verdict.first), ([], None))
         self.assertGreater(result.verdict.service, 0.95)
 
+    def test_drained_hosts_get_nothing_though_discovery_answers_each_call_three_seconds_late(self):
+        result = play("slow-discovery.toml")
+        self.assertEqual((result.faults, result.verdict.first), ([], None))
+
 
 if __name__ == "__main__":
     unittest.main()
