A start-up file refused at SIGHUP is looked at again until it is whole

What callers need: after SIGHUP the news of the new discovery counts 4 s later, whether or not the file was whole when it was read. Change: program/reload.py looks again every 0.1 s for 3 s and says so in the log; a SIGHUP during the end is heeded as well.

--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -26,6 +26,7 @@
 from ..transport.turns import Turns
 from .figures import Figures
 from .log import Log
+from .reload import Reload
 from .startup import BadStart, StartUp
 
 BUFFER = 16 * 1024
@@ -40,10 +41,11 @@
 class Service:
     def __init__(self, told: StartUp, log: Log, reread=None, turns: Turns | None = None) -> None:
         """`turns`: of the loop this runs on; without them it can't tell its own lateness from silence."""
-        self.told, self.log, self.reread, self.ending = told, log, reread, asyncio.Event()
+        self.told, self.log, self.ending = told, log, asyncio.Event()
         self.handover: Handover | None = None
         clock, roster = Clock(), Roster(told.agreed.only_draining_binds)
         self.timers = timers = Timers(clock.now, TICKS)
+        self.reload = Reload(reread, self.take, timers, log.say)
         buffers, descriptors = BufferPool(BUFFER, BUFFERS_KEPT), Descriptors(self.sockets(told))
         self.descriptors = descriptors
         self.owner = Owner(told.agreed, told.seed, clock, timers, roster,
@@ -99,7 +101,7 @@
         """From start to SIGTERM, or SIGINT; a second one changes nothing."""
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, self.ending.set)
-        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.renew)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload.hangup)
         listener = self.begin()
         gc.collect()
         gc.freeze()             # what is here stays; looking at it again stopped everything for 4 ms
@@ -160,15 +162,8 @@
             where = ":".join(map(str, address))
             raise BadStart(f"cannot listen on {where}: {fault.strerror}") from None
 
-    def renew(self) -> None:
-        """SIGHUP: the start-up file as it is now, checked whole, then taken over in one step, or left."""
-        if self.ending.is_set():
-            return
-        try:
-            told = self.reread()
-        except BadStart as fault:       # guards against half a file: what is in force stays
-            self.log.say("file refused", reason=str(fault))
-            return
+    def take(self, told: StartUp) -> None:
+        """A new start-up file, checked whole, is taken over in one step; also while this process ends."""
         kept = {name: getattr(self.told, name) for name in AT_START_ONLY}
         left = [name for name, value in kept.items() if getattr(told, name) != value]
         self.told = told._replace(**kept)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -6,9 +6,12 @@
 import sys
 import tempfile
 import unittest
+from pathlib import Path
 
 from tests.fake import OK, SILENT, Caller, SocketDiscovery, SocketHost, start_up
 
+ROOT = Path(__file__).parent.parent
+
 
 async def start(*words, **more):
     return await asyncio.create_subprocess_exec(
@@ -89,6 +92,19 @@
         self.assertIn("index=1&", await moved.got.get())
         self.assertEqual(await caller.outcome(), 200)
 
+    async def test_a_file_that_is_whole_only_a_moment_after_sighup_is_taken(self):
+        process, _ = await self.serve()
+        with open(self.path) as file:
+            whole = file.read()
+        for half in ("", whole[:len(whole) // 2]):
+            with open(self.path, "w") as file:
+                file.write(half)
+            process.send_signal(signal.SIGHUP)
+            await self.line(process, "file refused")
+            with open(self.path, "w") as file:
+                file.write(whole)
+            await asyncio.wait_for(self.line(process, "file taken"), 2)
+
     async def asks_on(self, process, answers):
         """Like an application at a planned restart: on while its connection is open, then anew, for 0.4 s."""
         caller, clock = await Caller().to(self.listen.split(":")), asyncio.get_running_loop().time
