A SIGHUP during the start neither ends the process nor is lost

What callers need: restarts and new configurations together, at any moment. Cause: until the event loop ran, some 0.3 s, SIGHUP had its default action, which ends the process; and a file replaced after it was read, but before the handler was there, was not read again. Test: test_a_sighup_at_any_moment_of_the_start_is_survived_and_its_file_taken (48 signals at six spacings) failed before: the process was gone.

--- a/basalthook/__main__.py
+++ b/basalthook/__main__.py
@@ -1,4 +1,10 @@
 """python -m basalthook"""
-from .program.commands import main
+import signal
+import sys
+
+if sys.argv[1:2] == ["serve"]:      # a SIGHUP while the rest is imported would end the process
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from .program.commands import main  # noqa: E402
 
 main(prog_name="basalthook")
--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -12,6 +12,7 @@
 from . import fleetline, staffline, startup
 from . import migrate as migration
 from .log import Log
+from .reload import EarlyHangup
 from .service import Service
 
 FILE = click.option("--file", "path", envvar="RELAY_CONFIG", required=True, type=click.Path(dir_okay=False),
@@ -30,18 +31,19 @@
 @FLEET
 def serve(path: str, fleet: str | None) -> None:
     """Run one client proxy in the foreground until SIGTERM; SIGHUP takes the file over anew."""
+    early = EarlyHangup()       # before the file is read
     told = read(path, fleet)
     log = Log(told.name)
     try:
         turns = Turns()
-        run_loop(run(told, log, lambda: startup.read(path, os.environ, fleet), turns), turns)
+        run_loop(run(told, log, lambda: startup.read(path, os.environ, fleet), turns, early), turns)
     except startup.BadStart as fault:
         leave(fault)
     log.close()
 
 
-async def run(told: startup.StartUp, log: Log, reread, turns: Turns) -> None:
-    await Service(told, log, reread, turns).run()
+async def run(told: startup.StartUp, log: Log, reread, turns: Turns, early: EarlyHangup) -> None:
+    await Service(told, log, reread, turns, early).run()
 
 
 @main.command()
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -26,7 +26,7 @@
 from ..transport.turns import Turns
 from .figures import Figures
 from .log import Log
-from .reload import Reload
+from .reload import EarlyHangup, Reload
 from .startup import BadStart, StartUp
 
 BUFFER = 16 * 1024
@@ -39,9 +39,10 @@
 
 
 class Service:
-    def __init__(self, told: StartUp, log: Log, reread=None, turns: Turns | None = None) -> None:
+    def __init__(self, told: StartUp, log: Log, reread=None, turns: Turns | None = None,
+                 early: EarlyHangup | None = None) -> None:
         """`turns`: of the loop this runs on; without them it can't tell its own lateness from silence."""
-        self.told, self.log, self.ending = told, log, asyncio.Event()
+        self.told, self.log, self.early, self.ending = told, log, early, asyncio.Event()
         self.handover: Handover | None = None
         clock, roster = Clock(), Roster(told.agreed.only_draining_binds)
         self.timers = timers = Timers(clock.now, TICKS)
@@ -103,6 +104,8 @@
             asyncio.get_running_loop().add_signal_handler(number, self.ending.set)
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload.hangup)
         listener = self.begin()
+        if self.early is not None and self.early.came:
+            self.reload.hangup()
         gc.collect()
         gc.freeze()             # what is here stays; looking at it again stopped everything for 4 ms
         await self.ending.wait()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import tempfile
+import tomllib
 import unittest
 from pathlib import Path
 
@@ -105,6 +106,31 @@
                 file.write(whole)
             await asyncio.wait_for(self.line(process, "file taken"), 2)
 
+    async def test_a_sighup_at_any_moment_of_the_start_is_survived_and_its_file_taken(self):
+        moved = await SocketDiscovery().start()
+        self.addAsyncCleanup(moved.stop)
+        whole = start_up([self.host], self.discovery, self.listen)
+        run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        run = run.replace(".venv/bin/python", sys.executable)
+        for hundredths in range(1, 7):
+            with open(self.path, "w") as file:
+                json.dump(whole, file)
+            process = await asyncio.create_subprocess_exec(
+                "/bin/sh", "-c", run, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": self.path},
+                stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+            self.addAsyncCleanup(self.kill, process)
+            await asyncio.sleep(0.05)           # the shell has begun
+            for n in range(8):
+                await asyncio.sleep(hundredths / 100)
+                if n == 4:
+                    with open(self.path + ".new", "w") as file:
+                        json.dump({**whole, "discovery": moved.address}, file)
+                    os.replace(self.path + ".new", self.path)
+                process.send_signal(signal.SIGHUP)
+            await self.line(process, "ready")
+            await asyncio.wait_for(moved.got.get(), 10)
+            await self.kill(process)
+
     async def asks_on(self, process, answers):
         """Like an application at a planned restart: on while its connection is open, then anew, for 0.4 s."""
         caller, clock = await Caller().to(self.listen.split(":")), asyncio.get_running_loop().time
