--- a/basalthook/lab/processes.py
+++ b/basalthook/lab/processes.py
@@ -18,7 +18,7 @@
 import orjson
 
 from ..fleet.verdicts import LIVES, OUT
-from . import overrun
+from . import overrun, syscalls
 from .load import Clients
 from .relays import Relays
 from .result import Result, found, mean_and_most
@@ -96,11 +96,18 @@
         module, clocks = "basalthook", self.clocks_of(n)
         if clocks:
             module, environ[VARIABLE] = "basalthook.lab.underclock", worded(clocks)
+        if self.told.system_calls is not None:
+            chances = msgspec.structs.replace(self.told.system_calls, seed=self.told.seed * 1000 + n)
+            module = "basalthook.lab.underclock"
+            environ[syscalls.VARIABLE] = msgspec.json.encode(chances).decode()
         call = [sys.executable, "-m", module, "serve", "--file", str(folder / "start.json")]
         if self.told.fleet is not None:
             call += ["--fleet", str(folder / "fleet.toml")]
+        errors = await asyncio.to_thread(open, folder / "stderr", "ab")
         process = await asyncio.create_subprocess_exec(*call, stdout=asyncio.subprocess.PIPE, env=environ,
-                                                       stdin=asyncio.subprocess.DEVNULL, limit=2**20)
+                                                       stdin=asyncio.subprocess.DEVNULL, stderr=errors,
+                                                       limit=2**20)
+        errors.close()
         self.running[n] = process
         reader = asyncio.get_running_loop().create_task(self.read(n, process))
         self.readers.add(reader)
@@ -202,6 +209,10 @@
             if process is not None and process.returncode is None:
                 process.kill()
                 await process.wait()
+        for n in range(self.told.proxies):
+            errors = self.folder / f"p{n}" / "stderr"
+            if errors.exists() and (text := errors.read_text("utf-8", "replace")):
+                self.faults.append({"proxy": n, "stderr": text[-500:]})
         self.relays.close()
         self.close()
 
--- a/basalthook/lab/scenario.py
+++ b/basalthook/lab/scenario.py
@@ -11,6 +11,7 @@
 
 from ..fleet import bounds
 from . import links
+from .syscalls import Chances
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -374,6 +375,7 @@
     key_memory: Seconds = 10.0      # a host that met a key so lately does less work for it ...
     key_saves: Share = 0.5          # ... by this share
     seed: Annotated[int, msgspec.Meta(ge=0)] = 1
+    system_calls: Chances | None = None     # that fail in every proxy; on processes alone
 
     def rate(self, at: float) -> float:
         """Transactions a second, so many seconds after the start."""
--- a/basalthook/lab/underclock.py
+++ b/basalthook/lab/underclock.py
@@ -1,13 +1,15 @@
-"""Starts the program with clocks of the lab's: `python -m basalthook.lab.underclock serve ...`.
+"""Starts the program with clocks and system calls of the lab's: `python -m basalthook.lab.underclock serve`.
 
-The variable has one entry a fault: from and until, in nanoseconds of the machine's monotonic clock, by how
-many seconds the wall clock is ahead meanwhile, and the rate of the monotonic one. Only this file reads it.
+The variable of the clocks has one entry a fault: from and until, in nanoseconds of the machine's monotonic
+clock, by how many seconds the wall clock is ahead meanwhile, and the rate of the monotonic one. Nothing else
+reads it.
 """
 import os
 import time
 
 from ..program.commands import main
 from ..routing import clock
+from . import syscalls
 
 VARIABLE = "BASALTHOOK_LAB_CLOCK"
 
@@ -37,6 +39,9 @@
 
 
 if __name__ == "__main__":
-    clocks = Clocks(os.environ[VARIABLE])
-    clock.monotonic_ns, clock.wall_ns = clocks.monotonic_ns, clocks.wall_ns
+    if VARIABLE in os.environ:
+        clocks = Clocks(os.environ[VARIABLE])
+        clock.monotonic_ns, clock.wall_ns = clocks.monotonic_ns, clocks.wall_ns
+    if syscalls.VARIABLE in os.environ:
+        syscalls.install(os.environ[syscalls.VARIABLE])
     main()
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -157,10 +157,9 @@
         self.log.say("ready", listen=list(self.listener.address), hosts=len(self.owner.roster.places),
                      **({"console": list(self.console.address)} if self.console else {}))
 
-    @staticmethod
-    def listen(address: tuple[str, int], take, inherited=None) -> Listener:
+    def listen(self, address: tuple[str, int], take, inherited=None) -> Listener:
         try:
-            return Listener(address, take, inherited)
+            return Listener(address, take, inherited, self.clients.sparingly)
         except OSError as fault:
             where = ":".join(map(str, address))
             raise BadStart(f"cannot listen on {where}: {fault.strerror}") from None
