--- a/basalthook/transport/listener.py
+++ b/basalthook/transport/listener.py
@@ -51,11 +51,12 @@
         arrival.stamp(self.socket)
         self.address, self.take = self.socket.getsockname()[:2], take
         self.opened = self.paused = False
+        self.loop: asyncio.AbstractEventLoop | None = None
         self.wait, self.failed = LOOK_AGAIN, 0      # until the next look; failures since one was taken
 
     def open(self) -> None:
-        self.opened = True
-        asyncio.get_running_loop().add_reader(self.socket, self.ready)
+        self.opened, self.loop = True, asyncio.get_running_loop()
+        self.loop.add_reader(self.socket, self.ready)
 
     def ready(self) -> None:
         for _ in range(ACCEPTS_A_TURN):
@@ -84,11 +85,11 @@
         """Take none for so long."""
         if self.opened:
             self.stop()
-            asyncio.get_running_loop().call_later(seconds, self.open_again)
+            self.loop.call_later(seconds, self.open_again)
 
     def stop(self) -> None:
         self.opened = False
-        asyncio.get_running_loop().remove_reader(self.socket)
+        self.loop.remove_reader(self.socket)
 
     def pause(self) -> None:
         """Take no more for now; what waits is for whoever else listens here, or for later."""
