--- a/basalthook/lab/command.py
+++ b/basalthook/lab/command.py
@@ -4,7 +4,7 @@
 import msgspec
 from rich.console import Console
 
-from . import decisions, processes, scenario, show
+from . import decisions, processes, scenario, show, soak
 from .result import Result
 from .trial import play
 
@@ -28,6 +28,22 @@
     return said(told, found, console, out)
 
 
+def soaked(first: int, count: int) -> bool:
+    """Play the drawn days of these seeds one after the other, a line each; whether all kept the rules."""
+    console, broken = Console(), []
+    for seed in range(first, first + count):
+        found = processes.play(soak.drawn(seed))
+        verdict = found.verdict
+        bad = not verdict.kept or found.faults
+        console.print(f"seed {seed}: {'BROKEN' if bad else 'kept'}, served {verdict.service:.3f}, "
+                      f"{sum(verdict.answers.values())} answers", highlight=False)
+        if bad:
+            broken.append(seed)
+            console.print(f"  {verdict.rules}, {verdict.first}, {found.faults[:2]}", highlight=False)
+    console.print(f"{count - len(broken)} of {count} days kept all rules; broken: {broken}", highlight=False)
+    return not broken
+
+
 def read(path: str | None, seed: int | None, seconds: float | None) -> scenario.Scenario:
     if path is None:
         built_in = files("basalthook.lab").joinpath("scenarios/try.toml")
--- a/basalthook/lab/judge.py
+++ b/basalthook/lab/judge.py
@@ -2,10 +2,12 @@
 from collections import defaultdict, deque
 from typing import NamedTuple
 
-from .wire import Answered, Asked, Excused, Got, Ordered, Told
+from .wire import Answered, Asked, Crossed, Excused, Got, Left, Ordered, Told
 
 SLACK = 0.05            # seconds that a socket may take more than a rule's time
 ROLLED_BACK = (429, 503)
+LEFT_SLACK = 0.1        # seconds after a client left in which an attempt may still begin
+TOLD_SLACK = 0.15       # by which the time told to a host may be over what the client has left
 
 
 class Offence(NamedTuple):
@@ -35,21 +37,25 @@
     """`goals`: service goal in seconds by profile; a latency counts from when the transaction was due."""
     asked = {e.tx: e for e in wire if isinstance(e, Asked)}
     excused = {e.tx for e in wire if isinstance(e, Excused)}
+    left = {e.tx: e.at for e in wire if isinstance(e, Left)}
+    crossed = {e.tx for e in wire if isinstance(e, Crossed)} - excused
     answered, hops = defaultdict(list), defaultdict(list)
     for e in wire:
         if isinstance(e, Answered):
             answered[e.tx].append(e)
         elif isinstance(e, Got):
             hops[e.tx].append(e)
-    offences = sorted([*lost(asked, answered, hops, excused), *doubled(asked, answered, hops),
-                       *drains(wire, rules), *pushed_over(wire, rules)], key=lambda o: o.at)
+    offences = sorted([*lost(asked, answered, hops, excused | left.keys() | crossed),
+                       *unasked(asked, hops, left, crossed), *doubled(asked, answered, hops),
+                       *keyed(asked, answered, hops), *drains(wire, rules), *pushed_over(wire, rules)],
+                      key=lambda o: o.at)
     counts = dict.fromkeys(("lost", "doubled", "drains", "pushed_over"), 0)
     for offence in offences:
         counts[offence.rule] += 1
     tries, kinds = {}, dict.fromkeys(("committed", "rolled_back", "abandoned"), 0)
     for tx, e in asked.items():         # a client's retries belong to its first try
         last = answered[tx][0] if answered[tx] else None
-        if tx in excused:
+        if tx in excused or tx in left or tx in crossed:
             continue
         good = bool(last and last.status == 200 and last.at - e.due <= goals[e.profile])
         tries[e.first] = e.due, e.profile, good or e.first in tries and tries[e.first][2]
@@ -114,6 +120,36 @@
             yield Offence("lost", got[0].at, got[0].host, tx, "a hop that nobody asked for")
 
 
+def unasked(asked, hops, left, crossed):
+    """Nothing begins for a client that has left, or for what was never read; no host is told to take longer
+    than the client waits."""
+    for tx, got in hops.items():
+        for hop in got:
+            begun = hop.at if hop.left is None else hop.left
+            if tx in crossed:
+                yield Offence("lost", begun, hop.host, tx, "read, sent on, and its connection closed")
+            elif tx in left and begun > left[tx] + LEFT_SLACK + SLACK:
+                yield Offence("lost", begun, hop.host, tx, f"{begun - left[tx]:.2f} s after its client left")
+            told = hop.told if tx in asked else None
+            if told is not None and begun + told > asked[tx].limit + TOLD_SLACK + SLACK:
+                yield Offence("lost", begun, hop.host, tx, "told to take longer than its client waits")
+
+
+def keyed(asked, answered, hops):
+    """A keyed request that may have run is sent again, or refused as harmless, in its window only."""
+    for tx, e in asked.items():
+        ran = [hop for hop in hops[tx] if hop.ran]
+        if e.window is None or not ran:
+            continue
+        over = ran[0].at + e.window + SLACK
+        for hop in hops[tx]:
+            if hop.at > over:
+                yield Offence("doubled", hop.at, hop.host, tx, "sent again after its window")
+        for answer in answered[tx]:
+            if answer.status in ROLLED_BACK and answer.at > over:
+                yield Offence("doubled", answer.at, ran[0].host, tx, "refused as harmless after its window")
+
+
 def doubled(asked, answered, hops):
     """What must not run twice ran at one host at most, and is never rolled back once it ran."""
     for tx, e in asked.items():
--- a/basalthook/lab/processes.py
+++ b/basalthook/lab/processes.py
@@ -27,11 +27,12 @@
 from .start import settings
 from .talking import keepers
 from .underclock import VARIABLE, worded
-from .wire import Excused
+from .wire import Excused, Told
 
 KEY = b"the lab's own key, known to all of its members"
 START, EACH = 2.0, 0.12         # seconds until the scenario begins, and more for each proxy
 GO = 5.0                        # seconds in which they end after SIGTERM
+NEW_ON, KILL_AFTER = 0.3, 0.7   # seconds after SIGTERM: of new connections; beyond the longest deadline
 SOCKETS = 256
 SEEDS = 3
 CLOCKS_APART = 0.03             # part by which a fact's age may be read off too low: clocks 2 in 100 fast
@@ -92,6 +93,7 @@
 
     async def start(self, n: int) -> None:
         folder = await asyncio.to_thread(self.files, n)     # a slow disk must not hold up what is measured
+        self.wire += [Told(self.clock(), host, state, n) for host, state in enumerate(self.states)]
         environ = {**os.environ, "TMPDIR": str(folder), "PYTHONPATH": str(Path(__file__).parents[2])}
         module, clocks = "basalthook", self.clocks_of(n)
         if clocks:
@@ -155,6 +157,22 @@
             self.running[n].kill()
             self.running[n] = None
 
+    def terminate(self, n: int) -> None:
+        """SIGTERM; new connections come for a moment more, SIGKILL at the earliest moment that is allowed."""
+        process, loop = self.running[n], asyncio.get_running_loop()
+        if process is None or process.returncode is not None:
+            return
+        process.terminate()
+        loop.call_later(NEW_ON, self.addresses.__setitem__, n, None)
+        longest = max(profile.hard_limit for profile in self.told.load.profiles)
+        loop.call_later(longest + KILL_AFTER, self.kill_terminated, n, process)
+
+    def kill_terminated(self, n: int, process) -> None:
+        if process.returncode is None:
+            process.kill()
+        if self.running[n] is process:
+            self.running[n] = None
+
     def start_proxy(self, n: int, forgets: bool) -> None:
         self.later(self.again(n, forgets))
 
--- a/basalthook/lab/scenario.py
+++ b/basalthook/lab/scenario.py
@@ -36,11 +36,12 @@
 
 class Profile(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     name: Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9-]+$")]
-    effect: Annotated[str, msgspec.Meta(pattern=r"^(repeatable|once)$")]    # what a repeat does
+    effect: Annotated[str, msgspec.Meta(pattern=r"^(repeatable|once|by_key)$")]     # what a repeat does
     work: Positive                  # mean of an exponential draw
     service_goal: Positive
     hard_limit: Positive
     share: Positive = 1.0           # of all transactions, against the other profiles'
+    window: Positive = 5.0          # by_key: in which hosts, all of one group, discard repeats
 
 
 class Load(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -50,6 +51,9 @@
     zipf: Seconds = 1.0             # ... of this exponent; 0: all alike
     retries: Annotated[int, msgspec.Meta(ge=0, le=5)] = 0       # of what was rolled back
     obey: Share = 1.0               # of the clients wait as long as they were told
+    leave: Share = 0.0              # of the clients go before their answer, at a moment of their time ...
+    ahead: Share = 0.0              # ... and of these so many have begun to write their next request
+    idle: Annotated[int, msgspec.Meta(ge=0)] = 0    # further connections to each proxy that say nothing
 
 
 class Rules(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -255,6 +259,17 @@
         fleet.set_clock(proxy, 0.0, 1.0)
 
 
+class Terminate(OfProxies, tag="terminate"):
+    """SIGTERM, SIGKILL at the earliest moment allowed, and a start at the end; clients go on on open
+    connections till the kill. On processes alone."""
+
+    def strike(self, fleet, proxy):
+        fleet.terminate(proxy)
+
+    def mend(self, fleet, proxy):
+        fleet.start_proxy(proxy, True)
+
+
 class Watches(msgspec.Struct, tag_field="what", tag="watches", forbid_unknown_fields=True, frozen=True,
               kw_only=True):
     """Every open watch falls silent for good, or is reset; and so many that each proxy opens next are silent
@@ -357,8 +372,9 @@
 
 
 AnyFault = (Kill | Slow | Silent | Errors | LoseAnswers | Vanish | Drain | Maintain | Burst | LongWay | Cut
-            | Lossy | KillProxy | StopProxy | ClockFault | Watches | Reconfigure | DiscoveryFails)
-ON_PROCESSES = Watches | Reconfigure | DiscoveryFails    # no other depth plays these
+            | Lossy | KillProxy | StopProxy | ClockFault | Watches | Reconfigure | DiscoveryFails
+            | Terminate)
+ON_PROCESSES = Watches | Reconfigure | DiscoveryFails | Terminate    # no other depth plays these
 
 
 class Scenario(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -74,7 +74,8 @@
         fails = ends is not None and any(fleet.chance[self.number].random() < s for s in machine.erring)
         if ends is not None and not fails:
             ends = machine.take(now, cost)
-        fleet.wire.append(Got(now, self.number, tx, cost, capacity, cold, ends is not None, self.proxy, left))
+        fleet.wire.append(Got(now, self.number, tx, cost, capacity, cold, ends is not None, self.proxy, left,
+                              float(fields["request-timeout"]) if "request-timeout" in fields else None))
         if ends is None:
             self.say(503, more="Not-Started: 1\r\n")
         elif fails:
--- a/basalthook/lab/wire.py
+++ b/basalthook/lab/wire.py
@@ -14,6 +14,19 @@
     profile: str
     due: float                      # when the schedule had its first try
     first: str                      # the first try of the same; its own id where it is that
+    window: float | None = None     # of a keyed request: seconds in which it may be sent again
+
+
+class Left(NamedTuple):
+    """The client has closed its connection before its answer: nothing may begin for it any more."""
+    at: float
+    tx: str
+
+
+class Crossed(NamedTuple):
+    """The proxy closed a resting connection just as a request was written to it: never read, so sent anew."""
+    at: float
+    tx: str
 
 
 class Answered(NamedTuple):
@@ -35,6 +48,7 @@
     ran: bool                       # false: turned away unseen, and said so
     proxy: int = 0
     left: float | None = None       # when it went out, where a way held it up since
+    told: float | None = None       # seconds that the proxy said it would wait
 
 
 class Done(NamedTuple):
--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -150,6 +150,17 @@
     in_lab(lambda command: command.run(scenario, depth, seed, out))
 
 
+@lab.command("soak")
+@click.option("--first", type=click.IntRange(0), default=1, show_default=True, help="The first seed.")
+@click.option("--count", type=click.IntRange(1, 1000), default=50, show_default=True, help="How many seeds.")
+def lab_soak(first: int, count: int) -> None:
+    """Play short days of many faults at once on real processes, one drawn from each seed.
+
+    Exit code 0: all rules held; 3: one broke.
+    """
+    in_lab(lambda command: command.soaked(first, count))
+
+
 def in_lab(play) -> NoReturn:
     """The lab and what it needs are loaded here, and nowhere else in the program."""
     try:
--- a/basalthook/transport/listener.py
+++ b/basalthook/transport/listener.py
@@ -10,6 +10,7 @@
 
 BACKLOG = 1024
 ACCEPTS_A_TURN = 128    # connections taken in a turn of the loop, before others come
+FAILURES_A_TURN = 4     # in a row, before the backlog is left alone for a while
 LOOK_AGAIN = 0.01       # seconds until the next look at the backlog, where one could not be taken ...
 LOOK_AGAIN_MOST = 0.2   # ... doubled up to this while it goes on
 TRY_AGAIN = 0.05        # seconds between two tries to listen, or at the end of all
@@ -66,7 +67,7 @@
                 return
             except OSError as fault:
                 self.failed += 1
-                if fault.errno in OF_ONE:
+                if fault.errno in OF_ONE or self.failed % FAILURES_A_TURN:
                     continue
                 return self.halt(str(fault))
             self.failed, self.wait = 0, LOOK_AGAIN
