Requests that come during the end are answered before the earliest kill

What callers need: SIGKILL may come as early as the longest deadline and 0.7 s after SIGTERM, and clients go on on open connections until then. Cause: a request read later than 0.7 s after SIGTERM (its first half had come before) kept its whole deadline, while Clients.finish ended the process after 0.7 s and the longest deadline: read, and closed with no answer (program/service.py end, routing/clients.py carry). Change: once the end has begun a request's time is at most what is left until 0.2 s before that moment; it is answered at once where none is left. Test: test_a_request_that_comes_during_the_end_is_answered_before_the_earliest_kill failed before (connection closed, no answer), passes now.

--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -34,6 +34,8 @@
 ACCEPT_ON = 0.6         # seconds after SIGTERM: new connections still come for up to 0.4 s
 AT_START_ONLY = ("listen", "console", "inherited", "folder", "agreed", "profiles", "fleet")
 DOOR = 0xD008           # sets the door's chance apart from the decisions', which must not follow it
+KILL_AFTER = 0.7        # seconds after SIGTERM, beyond the longest deadline: SIGKILL comes no sooner
+ANSWERED_BEFORE = 0.2   # seconds before it by which all is answered: SIGTERM may have been noticed late
 RESTED = 0.3            # seconds without a request after which the next one is not just being sent
 READ_ON = 0.1           # seconds for what the last of them carry
 
@@ -44,7 +46,8 @@
         """`turns`: of the loop this runs on; without them it can't tell its own lateness from silence."""
         self.told, self.log, self.early, self.ending = told, log, early, asyncio.Event()
         self.handover: Handover | None = None
-        clock, roster = Clock(), Roster(told.agreed.only_draining_binds)
+        self.clock = clock = Clock()
+        roster = Roster(told.agreed.only_draining_binds)
         self.timers = timers = Timers(clock.now, TICKS)
         self.reload = Reload(reread, self.take, timers, log.say)
         buffers, descriptors = BufferPool(BUFFER, BUFFERS_KEPT), Descriptors(self.sockets(told))
@@ -181,6 +184,8 @@
         self.log.say("ending", connections=len(self.clients.open), transactions=len(self.owner.orders),
                      list_age_s=round(self.watch.age(), 1))
         self.clients.ready = False
+        self.clients.last_answer = self.clock.now() + int(
+            (self.told.longest_patience + KILL_AFTER - ANSWERED_BEFORE) * TICKS)
         if self.handover is not None:
             self.handover.end()
         if listener.inherited:
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -29,6 +29,7 @@
 LOUD = 20           # lines on bad input, and on answers that are no commit, a second; more are counted
 # nothing has come yet; a part of a message has; turned away; between two messages; one in hand; the next here
 NEW, COMING, LEAVING, IDLE, BUSY, AHEAD = "new", "coming", "leaving", "idle", "busy", "ahead"
+NO_END = 2**63          # later than any moment of the clock
 OVERDUE = 200       # tenths of a millisecond past the hard limit: nothing should wait that long
 
 
@@ -190,7 +191,8 @@
             return self.turn_away(Malformed(409, "this Request-Id is open already"))
         clients.ids.add(asked.id)
         came = clients.clock.now() - -(-late // TICK)
-        self.order = order = Order(asked, came, came + int(asked.timeout * TICKS), self.answer)
+        limit = min(came + int(asked.timeout * TICKS), clients.last_answer)
+        self.order = order = Order(asked, came, limit, self.answer)
         self.timer = clients.timers.set(order.hard_limit - clients.clock.now() + OVERDUE, self.overdue)
         clients.owner.post(Arrived(order))
 
@@ -327,6 +329,7 @@
         self.profiles, self.room, self.say = profiles, room, say
         self.buffers, self.descriptors = buffers, descriptors
         descriptors.givers.append(lambda: self.close_idle(1))
+        self.last_answer = NO_END               # once this process ends: the moment of its last answer
         self.ready, self.come_back_most = False, owner.agreed.come_back_max
         self.sending_away = None                # while drained by the staff: the next look at who is here
         self.sweeping = False
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -163,6 +163,19 @@
         self.assertEqual((await self.line(process, "ended"))["unanswered"], 0)
         self.assertEqual(await process.wait(), 0)
 
+    async def test_a_request_that_comes_during_the_end_is_answered_before_the_earliest_kill(self):
+        self.host.ways = [SILENT]
+        process, caller = await self.serve()
+        clock = asyncio.get_running_loop().time
+        caller.writer.write(b"POST /submit HTTP/1.1\r\nHost: s\r\nRequest-Id: 1\r\nRequest-Timeout: 2.0\r\n")
+        process.terminate()
+        told = clock()
+        await asyncio.sleep(1.5)
+        caller.writer.write(b"Content-Length: 0\r\n\r\n")
+        self.assertIn((await caller.answer())[0], (502, 503, 504))
+        self.assertLess(clock() - told, 2.0 + 0.7)      # the longest deadline and 0.7 s
+        self.assertEqual(await process.wait(), 0)
+
     async def test_bodies_held_for_a_silent_host_stay_within_memory(self):
         self.host.ways = [SILENT]
         process, first = await self.serve()
