The watch after a broken one is short, and a new process calls within 3 s

What callers need: after a failed, refused or given-up call news counts at the latest 6 s after discovery had it. Cause: a watch opened right after a broken one waited 10 to 20 s, so that its own silence was seen after that; and a new process called first after up to half of ask_within, 5 s, so that one refused call took it past 6 s (recovery/following.py wait, first). Change: 2 to 4 s after a failure, a silence or a move, twice as long after each answer; the first call within 3 s. Tests: two in test_following failed before, pass now.

--- a/basalthook/lab/processes.py
+++ b/basalthook/lab/processes.py
@@ -27,7 +27,7 @@
 from .start import settings
 from .talking import keepers
 from .underclock import VARIABLE, worded
-from .wire import Excused, Told
+from .wire import Excused
 
 KEY = b"the lab's own key, known to all of its members"
 START, EACH = 2.0, 0.12         # seconds until the scenario begins, and more for each proxy
@@ -93,7 +93,7 @@
 
     async def start(self, n: int) -> None:
         folder = await asyncio.to_thread(self.files, n)     # a slow disk must not hold up what is measured
-        self.wire += [Told(self.clock(), host, state, n) for host, state in enumerate(self.states)]
+        self.begins(n)
         environ = {**os.environ, "TMPDIR": str(folder), "PYTHONPATH": str(Path(__file__).parents[2])}
         module, clocks = "basalthook", self.clocks_of(n)
         if clocks:
--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -258,6 +258,11 @@
         if self.told.fleet is not None and self.told.fleet.limits:
             self.wire.append(Done(self.clock(), number, tx))
 
+    def begins(self, proxy: int) -> None:
+        """A new process of this proxy: it holds the list of its start-up file, and has called nobody."""
+        self.last_call[proxy], self.failed[proxy], self.moved[proxy] = self.clock(), False, None
+        self.wire += [Told(self.clock(), host, state, proxy) for host, state in enumerate(self.states)]
+
     # ---- what faults do
 
     def list_as(self, number: int, state: str) -> None:
--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -26,6 +26,9 @@
 
 SILENT = 20_000         # tenths of a millisecond past a call's wait: by then its news counts as told
 WAIT_MOST = 600_000     # discovery waits no longer: a longer one would be taken for silent too late
+FIRST_MOST = 30_000     # until the first call of a new process: a second one must fit in 6 s
+WAIT_AFTER = 20_000     # the first wait after a call that failed or fell silent; each answer doubles it, ...
+WAITS_GROW = 5          # ... so often at most: news of the call after a broken one counts sooner
 PARTS = 5               # of what is left until the grace is over; calls beside begin after 1, 2 and 4 of them
 BESIDE_MOST = 6         # calls out at a time
 GIVE_UP = 50_000        # past a call's wait; news counts 6 s after discovery had it, answered or not
@@ -43,6 +46,7 @@
         self.agreed, self.chance = agreed, chance
         self.pushed = not agreed.list_on_request
         self.failures = 0               # since the last answer
+        self.answers: int | None = None     # since a call failed, fell silent or moved; None: none has
         self.urgent_tries = 0           # left since a watch fell silent, or discovery moved
 
     def part(self) -> float:
@@ -51,10 +55,13 @@
 
     def first(self) -> int:
         """Before the first call: pushed news counts from the first moment on."""
-        return 0 if self.pushed else int(self.agreed.ask_within / 2 * self.part())
+        return 0 if self.pushed else int(min(self.agreed.ask_within / 2, FIRST_MOST) * self.part())
 
     def wait(self) -> int:
-        return min(WAIT_MOST, int(self.agreed.ask_within * (1 + self.part())))
+        usual = min(WAIT_MOST, int(self.agreed.ask_within * (1 + self.part())))
+        if self.answers is None:
+            return usual
+        return min(usual, int(WAIT_AFTER * 2 ** min(self.answers, WAITS_GROW) * (1 + self.part())))
 
     def late(self, calls: int) -> int:
         """So long after its wait, or its beginning, the newest of so many calls gets another beside it."""
@@ -66,21 +73,24 @@
 
     def answered(self) -> None:
         self.failures = self.urgent_tries = 0
+        if self.answers is not None:
+            self.answers += 1
 
     def silent(self) -> None:
+        self.answers = 0
         if not self.urgent:
             self.urgent_tries = URGENT_TRIES
 
     def moved(self) -> None:
         """Discovery is at another address: nothing is known of how that one does."""
-        self.failures, self.urgent_tries = 0, URGENT_TRIES
+        self.failures, self.urgent_tries, self.answers = 0, URGENT_TRIES, 0
 
     def again(self, turned_away: bool) -> int:
         """Ticks until the next try, as all calls have failed.
 
         `turned_away`: discovery lives, and has too many callers.
         """
-        self.failures += 1
+        self.failures, self.answers = self.failures + 1, 0
         part = 0.5 + self.part() / 2
         if self.urgent:
             made = URGENT_TRIES - self.urgent_tries
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -59,6 +59,22 @@
         for rule in (following(), following(list_on_request=False)):
             self.assertGreaterEqual(min(rule.again(turned_away=True) for _ in range(4)), 10_000)
 
+    @given(st.integers(100_000, 600_000), st.sampled_from(("again", "silent", "moved")))
+    def test_the_watch_after_a_broken_one_is_short_and_answers_make_it_long_again(self, ask_within, event):
+        rule = following(ask_within=ask_within)
+        usual = rule.wait()
+        getattr(rule, event)(*([True] if event == "again" else []))
+        self.assertLessEqual(rule.wait() + rule.late(1), 60_000)      # seen as silent before its news counts
+        for _ in range(6):
+            rule.answered()
+        self.assertGreaterEqual(rule.wait(), min(usual, 300_000) // 2)
+
+    def test_a_new_process_calls_early_enough_for_a_second_call_before_news_counts(self):
+        for proxies in (1, 7, 200):
+            for position in range(proxies):
+                rule = following(proxies=proxies, position=position, ask_within=300_000)
+                self.assertLess(rule.first() + rule.again(turned_away=True), 60_000)
+
 
 class Lists(unittest.TestCase):
     @given(st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from(("up", "draining", "removed")))))
