Nothing is sent for a client that left behind unread bytes

What callers need: an attempt that begins more than 0.1 s after its client closed is a break of rule lost, with no free cases. Cause: a client that has begun to write its next request is read no further until it is answered (Client.took pauses the connection), and the end behind those bytes was not seen either; its request got further attempts (routing/clients.py). Change: right before its first byte an attempt asks the client's socket (poll, POLLRDHUP), also where the loop is late to look; who has gone ends as one that is seen to go. Test: test_nothing_is_sent_for_a_client_that_left_behind_the_first_bytes_of_its_next_request failed before (2 attempts), passes now.

--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -192,7 +192,7 @@
         clients.ids.add(asked.id)
         came = clients.clock.now() - -(-late // TICK)
         limit = min(came + int(asked.timeout * TICKS), clients.last_answer)
-        self.order = order = Order(asked, came, limit, self.answer)
+        self.order = order = Order(asked, came, limit, self.answer, self.left)
         self.timer = clients.timers.set(order.hard_limit - clients.clock.now() + OVERDUE, self.overdue)
         clients.owner.post(Arrived(order))
 
@@ -318,6 +318,13 @@
                                    left_ms=(order.hard_limit - self.clients.clock.now()) / 10)
             self.clients.owner.post(Gone(order))
 
+    def left(self) -> bool:
+        """Whether the client has gone: unread bytes may hide its end from who waits for more of them."""
+        if self.connection.peer_ended():
+            self.ended(None)
+            return True
+        return False
+
     def close(self) -> None:
         self.ended(None)
 
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -28,11 +28,15 @@
 class Order:
     """One transaction taken; in the owner's books from its arrival until it is closed with no hop out."""
 
-    __slots__ = ("asked", "came", "hard_limit", "deliver", "number", "hops", "closed")
+    __slots__ = ("asked", "came", "hard_limit", "deliver", "left", "number", "hops", "closed")
 
-    def __init__(self, asked: Asked, came: int, hard_limit: int, deliver) -> None:
-        """`came`: when its last byte came in; `deliver(answer)` is called once, unless its client went."""
+    def __init__(self, asked: Asked, came: int, hard_limit: int, deliver, left) -> None:
+        """`came`: when its last byte came in; `deliver(answer)` is called once, unless its client went.
+
+        `left()` looks whether the client has gone, and if so ends the request with `Gone`.
+        """
         self.asked, self.came, self.hard_limit, self.deliver = asked, came, hard_limit, deliver
+        self.left = left
         self.number, self.hops, self.closed = -1, [], False     # hops: one an effect, None once it is over
 
     def close(self, answer: Answer | None) -> None:
@@ -209,7 +213,7 @@
     def may_begin(self, order: Order, host: int) -> bool:
         """Whether an attempt decided earlier may still send its first byte now."""
         return not order.closed and self.roster.ready(host) and (
-            self.proxy.may_begin(self.clock.now(), order.number, host))
+            self.proxy.may_begin(self.clock.now(), order.number, host)) and not order.left()
 
     def roll_back(self, effect: i.RollBack) -> None:
         self.answer(effect.tx, Answer("rolled back", None, effect.come_back, reason=effect.reason))
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -1,4 +1,5 @@
 """One TCP connection: reads handed on as they come, writes, and values that say how far it had come."""
+import select
 import socket
 import struct
 import time
@@ -14,6 +15,7 @@
 
 ENDED = "ended by the peer"     # in order: what a peer sends till then is all it had to say
 RESET = struct.pack("ii", 1, 0)     # linger, for no time
+PEER_ENDED = getattr(select, "POLLRDHUP", 0)    # Linux; elsewhere only what poll(2) tells unasked
 READS_A_TURN = 4        # buffers that one connection may fill in a turn of the loop, before others come
 
 
@@ -178,6 +180,14 @@
         if not self.closed:
             loop.update_handler(self.stream.socket, loop.ERROR | (loop.WRITE if self.stream.writing() else 0))
 
+    def peer_ended(self) -> bool:
+        """Whether the peer has ended its side or all, seen also behind bytes that nobody has read yet."""
+        if self.closed or self.stream.closed():
+            return True
+        looked_for = select.poll()
+        looked_for.register(self.stream.socket, PEER_ENDED)
+        return bool(looked_for.poll(0))
+
     def quiet(self) -> bool:
         """Guards against using a kept connection that the peer has ended or written to unasked."""
         if self.closed or self.stream.closed():
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -47,6 +47,14 @@
         caller = await self.retried(leave, window=1.9)
         self.assertEqual(((await caller.answer())[0], self.attempts()), (502, 1))
 
+    async def test_nothing_is_sent_for_a_client_that_left_behind_the_first_bytes_of_its_next_request(self):
+        caller = await self.retried(window=1.9)
+        caller.writer.write(b"GET /")
+        await asyncio.sleep(0.1)
+        caller.writer.close()
+        await asyncio.sleep(LATE + 0.2)
+        self.assertEqual(self.attempts(), 1)
+
     async def test_nothing_is_sent_for_a_client_that_left_meanwhile(self):
         caller = await self.retried(window=1.9)
         caller.writer.transport.abort()
