--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,6 +10,7 @@
 from unittest.mock import patch
 
 from basalthook.lab import decisions, scenario, trial
+from basalthook.lab.deadlines import ProxyView, counts_at
 from basalthook.lab.judge import judge
 from basalthook.lab.model import Machine
 from basalthook.lab.wire import Answered, Asked, Got, Ordered, Told
@@ -131,6 +132,19 @@
             self.assertGreater(verdict.service, 0.5, name)
 
 
+class Deadlines(unittest.TestCase):
+    def test_news_counts_when_the_operators_say(self):
+        for view, pushed, at in (
+                (ProxyView(watched=True), True, None), (ProxyView(watched=False), True, 20.0),
+                (ProxyView(watched=False, last_call=18.0), False, 30.0),
+                (ProxyView(watched=False, last_call=25.0, failed=True), False, 26.0),
+                (ProxyView(watched=False, silent_counts=(31.0,)), True, 31.0),
+                (ProxyView(watched=False, silent_counts=(31.0,), failed=True), False, 26.0),
+                (ProxyView(watched=False, moved=18.0, failed=True), False, 22.0),
+                (ProxyView(watched=False, moved=10.0), True, 20.0)):
+            self.assertEqual(counts_at(15.0, 20.0, view, pushed, ask_within=10.0), at, view)
+
+
 class Trial(unittest.TestCase):
     def play(self, seconds, faults):
         told = scenario.parse(TRY, "try.toml")
