Starts of endpoints are judged by what this process saw, not by its wall clock alone

What callers need: an endpoint in slow start stays within its budget though the wall clock is stepped, or was off when a process started. Cause: Clock reads the wall clock once, at the start, and starts of endpoints, told in Unix time, were compared with that for good: an hour ahead, an endpoint that has just started was warm; an hour behind, it stayed cold for an hour. Maintenance orders were stamped by the wall clock of the moment. Orders are stamped by the program's own clock.

--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -17,6 +17,7 @@
 from ..routing.owner import Owner
 from ..routing.roster import Roster
 from ..routing.staff import Staff
+from ..routing.starts import Starts
 from ..routing.watch import Watch
 from ..transport.buffers import BufferPool
 from ..transport.descriptors import Descriptors
@@ -47,7 +48,7 @@
         self.told, self.log, self.early, self.ending = told, log, early, asyncio.Event()
         self.handover: Handover | None = None
         self.clock = clock = Clock()
-        roster = Roster(told.agreed.only_draining_binds)
+        roster = Roster(told.agreed.only_draining_binds, Starts(clock.now))
         self.timers = timers = Timers(clock.now, TICKS)
         self.reload = Reload(reread, self.take, timers, log.say)
         buffers, descriptors = BufferPool(BUFFER, BUFFERS_KEPT), Descriptors(self.sockets(told))
@@ -68,7 +69,7 @@
         self.clients = Clients(self.owner, clock, timers, door, told.profiles, buffers, descriptors,
                                Room(told.bodies_most), log.say)
         self.figures = Figures(self.owner, self.clients, self.hops, self.watch, timers, log.say)
-        self.staff = Staff(self.owner, roster, self.clients, log.say)
+        self.staff = Staff(self.owner, roster, self.clients, clock, log.say)
         self.callers = Callers(self.staff.carry_out, timers, buffers, urgent, log.say)
         self.console: Listener | None = None
         self.listener: Listener | None = None
--- a/basalthook/routing/roster.py
+++ b/basalthook/routing/roster.py
@@ -5,6 +5,7 @@
 from ..policy import interface as i
 from ..protocol.catalogue import Line, Listing
 from .orders import Orders
+from .starts import Starts
 
 
 class Place(NamedTuple):
@@ -21,7 +22,9 @@
 
 
 class Roster:
-    def __init__(self, only_draining_binds: bool = False) -> None:
+    def __init__(self, only_draining_binds: bool = False, starts: Starts | None = None) -> None:
+        """`starts`: judges when endpoints started; None: as they are told."""
+        self.starts = starts
         self.only_draining_binds = only_draining_binds  # a host gone without that stays until it is let go
         self.places: dict[int, Place] = {}      # emptied of hosts that are gone with no hop out
         self.numbers: dict[str, int] = {}
@@ -40,6 +43,8 @@
         if listing.complete:
             removed |= self.places.keys() - named
         self._drop(n for n in removed if not (self.only_draining_binds and self.places[n].ready))
+        if answered and self.starts is not None:
+            self.starts.answered()
         return event
 
     def ordered(self, hosts: set[str]) -> i.HostsListed:
@@ -91,7 +96,8 @@
         ready = line.ready or line.removed and self.only_draining_binds and bool(known and known.ready)
         self._note(known, line, ready)
         self.places[number] = Place(line.id, line.address, ready, mark, told)
-        return terms.host(number, mark, line.zone, line.cell, line.ready, line.weight, line.started_ns,
+        started_ns = self.starts.started(line.id, line.started_ns) if self.starts else line.started_ns
+        return terms.host(number, mark, line.zone, line.cell, line.ready, line.weight, started_ns,
                           line.kind, line.draining)
 
     def _note(self, known: Place | None, line: Line, ready: bool) -> None:
--- a/basalthook/routing/staff.py
+++ b/basalthook/routing/staff.py
@@ -1,9 +1,8 @@
 """What the staff asks of this process, carried out: hosts out and back, clients away and back, what holds."""
-import time
-
 from ..console import calls
 from ..console.calls import Call, Reply
 from .clients import Clients
+from .clock import TICK, Clock
 from .owner import Ordered, Owner
 from .roster import Roster
 
@@ -13,7 +12,8 @@
 class Staff:
     """A yes is given once the order binds here. `keep(orders)` writes them down, and says what went wrong."""
 
-    def __init__(self, owner: Owner, roster: Roster, clients: Clients, say) -> None:
+    def __init__(self, owner: Owner, roster: Roster, clients: Clients, clock: Clock, say) -> None:
+        self.clock = clock
         self.owner, self.roster, self.clients, self.say = owner, roster, clients, say
         self.keep = lambda orders: ""
         self.fleet = None       # what is told of the fleet, where this process talks with others
@@ -48,14 +48,14 @@
         orders, out = self.roster.orders, call.what == calls.DISABLE
         if not self.roster.known(call.host) and not orders.out(call.host):
             return Reply(404, "no such host")
-        if not orders.tell(call.host, time.time_ns(), out):
+        if not orders.tell(call.host, self.clock.now() * TICK, out):
             return Reply(200, "it is out already" if out else "it was not out")
         self.owner.post(Ordered({call.host}))
         return self.kept("out" if out else "back, and cold")
 
     def drain(self, call: Call) -> Reply:
         drained = call.what == calls.DRAIN
-        if not self.roster.orders.tell_drain(time.time_ns(), drained):
+        if not self.roster.orders.tell_drain(self.clock.now() * TICK, drained):
             return Reply(200, "drained already" if drained else "not drained")
         self.clients.drain(drained)
         return self.kept("clients are sent away" if drained else "back to work")
