A connection that breaks between two parts of a short write ends as any other

Cause: Connection.write hands what the kernel did not take to the stream part by part; where the connection breaks under the first part the stream is closed, and the second raised StreamClosedError out of write (transport/connection.py). Change: that is a lost connection; whoever follows it is told, and write returns False. Test: test_a_connection_that_breaks_between_two_parts_of_a_short_write_ends_as_any_other failed before with that exception, passes now.

--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -165,8 +165,12 @@
             if sent < len(part):
                 left.append(memoryview(part)[sent:])
             sent = max(0, sent - len(part))
-        for part in left:
-            written = self.stream.write(part)
+        try:
+            for part in left:
+                written = self.stream.write(part)
+        except StreamClosedError:       # it broke under the part before
+            self._lost()
+            return False
         if left and self.paused:
             self.pause()        # the stream looks for bytes again when it waits to write
         if left and wrote is not None:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -7,6 +7,9 @@
 
 from basalthook.lab.syscalls import Chances, faulty
 from basalthook.transport import listener as listening
+from basalthook.transport.buffers import BufferPool
+from basalthook.transport.connection import Connection
+from basalthook.transport.descriptors import Descriptors
 from basalthook.transport.listener import Listener
 from tests.test_incidents import play
 
@@ -18,6 +21,27 @@
         self.assertGreater(result.verdict.service, 0.8)
 
 
+class Writing(unittest.IsolatedAsyncioTestCase):
+    async def test_a_connection_that_breaks_between_two_parts_of_a_short_write_ends_as_any_other(self):
+        class Breaking(socket.socket):
+            def sendmsg(self, parts, *more):
+                return self.send(parts[0][:3])
+
+            def send(self, data, *more):
+                if len(data) > 3:
+                    raise BrokenPipeError(errno.EPIPE, "broken")
+                return super().send(data, *more)
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            sock = Breaking(socket.AF_INET)
+            sock.connect(server.getsockname())
+            connection, ended = Connection(sock, BufferPool(64, 8), Descriptors(64)), []
+            connection.follow(lambda *_: None, ended.append)
+            self.assertFalse(connection.write((b"a first part", b"and a second one")))
+            await asyncio.sleep(0.05)
+            self.assertTrue(connection.closed)
+            self.assertEqual(len(ended), 1)
+
+
 class Accepting(unittest.IsolatedAsyncioTestCase):
     def listener(self, failures):
         """One whose next so many calls of accept fail, and the connections it takes."""
