A few proxies whose list is pushed call again within the grace also after a 503

What callers need: where lists are pushed what discovery has at its return counts at once; a call that fails while it is down may end with 503. Change: grace / 2 unless the fleet is large: 10 ms a proxy, 2 s at most. Fleets of 200 wait as before; that they may break drain in the first 2 s after such a return stays open.

--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -16,7 +16,8 @@
       where the news counts soon or already (a watch fell silent, discovery moved): `URGENT_FIRST`, longer by
       half each time, up to `URGENT_MOST`, for `URGENT_TRIES`. They are counted from that event: what
       failed before it uses none of them up
-      where the list is pushed and nobody is there: grace / 2
+      where the list is pushed, as its news counts at once: grace / 2; where discovery turns callers away and
+        there are many proxies, `FLEET_PACE` for each of them, `RETRY_MOST` at most
       else, and after these: ask_within / 4, `RETRY_MOST` at most. However long discovery has been away, its
       news counts at a fixed time after it is back
 """
@@ -33,6 +34,7 @@
 BESIDE_MOST = 6         # calls out at a time
 GIVE_UP = 50_000        # past a call's wait; news counts 6 s after discovery had it, answered or not
 RETRY_MOST = 20_000     # tenths of a millisecond: what discovery has counts as told 6 s after it is back
+FLEET_PACE = 100        # between two calls of all proxies, while they are turned away
 URGENT_FIRST = 2_000    # the first wait after a silence, or at a new address
 URGENT_MOST = 10_000    # the longest after a silence, or at a new address
 URGENT_TRIES = 8        # after that the news has counted for a while
@@ -96,8 +98,10 @@
             made = URGENT_TRIES - self.urgent_tries
             self.urgent_tries -= 1
             return int(min(URGENT_FIRST * URGENT_GROWTH ** made, URGENT_MOST) * part)
-        if self.pushed and not turned_away:
-            return max(LEAST, int(self.agreed.grace / 2 * part))
+        if self.pushed:
+            soon = max(LEAST, self.agreed.grace / 2)
+            crowd = min(RETRY_MOST, self.agreed.proxies * FLEET_PACE) if turned_away else 0
+            return int(max(soon, crowd) * part)
         return int(min(self.agreed.ask_within / 4, RETRY_MOST) * part)
 
 
