An order that could not be written is written once the folder takes it

What operators need: what was taken on is still owed after writes have failed for a while (ENOSPC, EIO). Cause: Handover.keep_orders wrote once; an order given while the disk was full held in this process, and was lost with it, though the disk had long been free again. The same for the record of who serves.

--- a/basalthook/handover/handover.py
+++ b/basalthook/handover/handover.py
@@ -40,6 +40,8 @@
         self.other = ""                 # the neighbour that shares the limits with this process
         self.accepting = self.ending = False
         self.seen_orders = self.seen_serving = None
+        self.owed: dict[str, object] = {}       # records that could not be written yet -> what writes each
+        self.owed_next = 0
         self.write_next = 0
         self.timer, self.complained, self.writer = None, "", record.Writer()
 
@@ -93,9 +95,7 @@
         if self.neighbours.lock < 0:
             return
         self.share(self.other)
-        wrong = self.neighbours.serve()
-        if wrong:
-            self.complain(wrong)
+        self.say_serving()
         self.seen_serving = record.mark(self.neighbours.serving)
         self.look()
 
@@ -112,6 +112,9 @@
                 self.succeeded(serves)
         if self.other and not self.neighbours.alive(self.other):
             self.alone()
+        if self.owed and self.clock.now() >= self.owed_next:
+            self.owed_next = self.clock.now() + int(WRITE * TICKS)
+            self.write_owed()
         if self.accepting and self.clock.now() >= self.write_next:
             self.write_next = self.clock.now() + int(WRITE * TICKS)
             self.leave_known()
@@ -128,10 +131,28 @@
         self.share("")
         if not self.accepting and not self.ending:
             self.accepting = True
-            self.neighbours.serve()
+            self.say_serving()
             self.seen_serving = record.mark(self.neighbours.serving)
             self.here.accept(True)
 
+    def say_serving(self) -> None:
+        wrong = self.neighbours.serve()
+        if wrong:
+            self.complain(wrong)
+            self.owed["serving"] = self.neighbours.serve
+
+    def write_owed(self) -> None:
+        """What could not be written, as the disk was full or failed, is still owed to a successor."""
+        for record_name, again in list(self.owed.items()):
+            if not again():
+                del self.owed[record_name]
+                self.say(f"{record_name} kept")
+
+    def write_orders(self) -> str:
+        wrong = record.write(self.neighbours.orders, self.roster.orders.plain())
+        self.seen_orders = record.mark(self.neighbours.orders)
+        return wrong
+
     def share(self, other: str) -> None:
         self.other = other
         self.here.share()
@@ -163,8 +184,9 @@
             return "no folder to write in"
         if record.mark(self.neighbours.orders) != self.seen_orders:
             self.join_orders()          # guards against two that write at once: neither word is lost
-        wrong = record.write(self.neighbours.orders, orders.plain())
-        self.seen_orders = record.mark(self.neighbours.orders)
+        wrong = self.write_orders()
+        if wrong:
+            self.owed["orders"] = self.write_orders
         return wrong
 
     def leave_known(self) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -252,6 +252,18 @@
         self.assertEqual((await self.call(last, "PUT", "hosts/s-0/enable"))[0], 200)
         self.assertEqual((await self.call(last, "GET", "hosts"))[1].count(b'"out":true'), 1)
 
+    async def test_an_order_that_could_not_be_written_at_once_is_written_later(self):
+        process = await self.start()
+        in_the_way = os.path.join(self.folder, f"basalthook-n1.orders.{process.pid}.part")
+        os.mkdir(in_the_way)
+        status, body = await self.call(process, "PUT", "hosts/s-0/disable")
+        self.assertEqual((status, b"cannot write" in body), (200, True))
+        os.rmdir(in_the_way)
+        await asyncio.wait_for(self.line(process, "orders kept"), 5)
+        await self.kill(process)
+        last = await self.start()
+        self.assertEqual((await self.call(last, "GET", "hosts"))[1].count(b'"out":true'), 1)
+
     async def test_the_old_one_serves_on_if_its_successor_is_killed(self):
         old = await self.start()
         new = await self.start()
