A stream that breaks inside a write or a pause is noticed there

Cause: a short write that breaks closes the stream at once, while Connection learns it a turn later; pausing or following it meanwhile used a socket that is gone (transport/connection.py pause, follow). Test: test_a_connection_that_breaks_in_a_short_write_ends_as_any_other (one part, two parts, paused or not) failed before with that error, passes now.

--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -107,6 +107,8 @@
     def follow(self, took, ended) -> None:
         """From here on tell these; what is there already is told before this returns."""
         self.took, self.ended = took, ended
+        if self._broken():
+            return
         if self.paused and not self.closed:
             self.paused, loop = False, self.stream.io_loop
             loop.update_handler(self.stream.socket, loop.READ | loop.ERROR)
@@ -165,11 +167,10 @@
             if sent < len(part):
                 left.append(memoryview(part)[sent:])
             sent = max(0, sent - len(part))
-        try:
-            for part in left:
+        for part in left:
+            if not self._broken():      # under the part before
                 written = self.stream.write(part)
-        except StreamClosedError:       # it broke under the part before
-            self._lost()
+        if self._broken():
             return False
         if left and self.paused:
             self.pause()        # the stream looks for bytes again when it waits to write
@@ -181,7 +182,7 @@
     def pause(self) -> None:
         """Read no more, so that the peer's writing comes to a halt."""
         self.took, self.paused, loop = None, True, self.stream.io_loop
-        if not self.closed:
+        if not self._broken():
             loop.update_handler(self.stream.socket, loop.ERROR | (loop.WRITE if self.stream.writing() else 0))
 
     def peer_ended(self) -> bool:
@@ -231,6 +232,12 @@
         self.stream.close()
         self.stream.connection = None       # no circle is left for the collector
 
+    def _broken(self) -> bool:
+        """Whether it is over; the stream may have found that out in a call of ours, before it says so."""
+        if not self.closed and self.stream.closed():
+            self._lost()
+        return self.closed
+
     def _lost(self) -> None:
         self.fail(str(self.stream.error or ENDED))
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -22,7 +22,7 @@
 
 
 class Writing(unittest.IsolatedAsyncioTestCase):
-    async def test_a_connection_that_breaks_between_two_parts_of_a_short_write_ends_as_any_other(self):
+    async def test_a_connection_that_breaks_in_a_short_write_ends_as_any_other(self):
         class Breaking(socket.socket):
             def sendmsg(self, parts, *more):
                 return self.send(parts[0][:3])
@@ -31,15 +31,20 @@
                 if len(data) > 3:
                     raise BrokenPipeError(errno.EPIPE, "broken")
                 return super().send(data, *more)
-        with socket.create_server(("127.0.0.1", 0)) as server:
-            sock = Breaking(socket.AF_INET)
-            sock.connect(server.getsockname())
-            connection, ended = Connection(sock, BufferPool(64, 8), Descriptors(64)), []
-            connection.follow(lambda *_: None, ended.append)
-            self.assertFalse(connection.write((b"a first part", b"and a second one")))
-            await asyncio.sleep(0.05)
-            self.assertTrue(connection.closed)
-            self.assertEqual(len(ended), 1)
+        for parts in ((b"a first part", b"and a second one"), (b"one part alone",)):
+            for paused in (False, True):
+                with socket.create_server(("127.0.0.1", 0)) as server:
+                    sock = Breaking(socket.AF_INET)
+                    sock.connect(server.getsockname())
+                    connection, ended = Connection(sock, BufferPool(64, 8), Descriptors(64)), []
+                    connection.follow(lambda *_: None, ended.append)
+                    if paused:
+                        connection.pause()
+                    self.assertFalse(connection.write(parts))
+                    connection.pause()
+                    connection.follow(lambda *_: None, ended.append)
+                    await asyncio.sleep(0.05)
+                    self.assertEqual((connection.closed, len(ended)), (True, 1))
 
 
 class Accepting(unittest.IsolatedAsyncioTestCase):
