SIGHUP with the same discovery calls at once where a call waits for its time

What callers need: after SIGHUP news counts 4 s later. Cause: Watch.move did nothing where the address was the same, also while all calls had failed and the next was up to 2 s away (routing/watch.py). Change: that call is made at once, with the quick tries of a move after it. Test: test_sighup_with_the_same_address_calls_at_once_where_a_call_waits_for_its_time failed before (no call within 1 s), passes now.

--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -49,14 +49,17 @@
         self.calls = []
 
     def move(self, address: tuple[str, int]) -> None:
-        """Discovery is at another address: the list stays as it is until there is a whole one from there."""
+        """Discovery is, or still is, at this address: the list stays as it is until there is a whole one from
+        another one; a call that only waits for its time is made at once."""
+        if address == self.address and self.next is None:
+            return
         if address != self.address:
             self.say("list moved", old=list(self.address), new=list(address), cancelled=len(self.calls),
                      waiting=self.next is not None)
-            self.end()
             self.address, self.whole = address, True
-            self.following.moved()
-            self.call_on(False)
+        self.end()
+        self.following.moved()
+        self.call_on(False)
 
     def call_on(self, at_once: bool) -> None:
         """One more connection. `at_once`: it first asks only what has changed."""
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -115,6 +115,17 @@
         # guards against a watch that is never opened again: from then on the process followed no list
         await self.leaves(0.5, "pushed", lambda: self.discovery.writers[-1].transport.abort())
 
+    async def test_sighup_with_the_same_address_calls_at_once_where_a_call_waits_for_its_time(self):
+        await self.play(SocketHost())
+        await self.discovery.got.get()
+        watch, address = self.service.watch, self.service.watch.address
+        self.discovery.writers[-1].transport.abort()
+        await self.until(lambda: watch.next is not None)
+        watch.timers.cancel(watch.next)
+        watch.next = watch.timers.set(50_000, watch.call_on, False)
+        watch.move(address)
+        self.assertIn("index=1", await asyncio.wait_for(self.discovery.got.get(), 1))
+
     async def test_a_discovery_that_counts_anew_is_asked_for_the_whole_list(self):
         # guards against asking for ever for what is newer than a version it will never reach
         await self.play(SocketHost())
