Changes are not taken for the whole list of another discovery

What callers need: after a move only a whole list says which endpoints are left. Cause: Watch.took took any sound answer to a call for the whole list; one with full: false (spoilt, or of changes) ended the asking, its version was followed, and who had drained before was never told (routing/watch.py). Change: such an answer is a failed call, and the whole list is asked for again. Test: test_a_list_of_changes_is_not_taken_for_the_whole_list_of_another_discovery failed before (no second call within 2 s), passes now.

--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -117,7 +117,8 @@
         if fault is not None:
             return fault.reason
         while True:
-            wait = 0 if at_once or self.whole else self.following.wait()
+            whole = self.whole
+            wait = 0 if at_once or whole else self.following.wait()
             with self.within(connection, wait, late, me):
                 found = await self.call(connection, wait)
             if isinstance(found, Fault):
@@ -126,6 +127,8 @@
             if listing is None:
                 return f"status {found.status}, no sound list" if found.status == 200 else (
                     f"status {found.status}")
+            if whole and not listing.complete:
+                return "changes in place of the whole list"
             await self.took(listing, me, at_once)
             at_once, late = False, self.following.late(1)
             if not found.keep:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -9,7 +9,7 @@
 from basalthook.policy import interface as i
 from basalthook.protocol import catalogue
 from basalthook.recovery.following import SILENT, URGENT_TRIES, Following
-from tests.fake import TERMS, SocketHost
+from tests.fake import TERMS, SocketDiscovery, SocketHost
 from tests.loopback import Loopback
 
 
@@ -115,6 +115,17 @@
         # guards against a watch that is never opened again: from then on the process followed no list
         await self.leaves(0.5, "pushed", lambda: self.discovery.writers[-1].transport.abort())
 
+    async def test_a_list_of_changes_is_not_taken_for_the_whole_list_of_another_discovery(self):
+        await self.play(SocketHost(), SocketHost())
+        await self.discovery.got.get()
+        moved = await self.started(SocketDiscovery())
+        self.service.watch.move(catalogue.address(moved.address))
+        self.assertEqual(await moved.got.get(), "/catalog/members")
+        moved.tell(9, self.hosts[0].line("s-0"))                # full: false
+        self.assertEqual(await asyncio.wait_for(moved.got.get(), 2), "/catalog/members")
+        moved.tell(9, self.hosts[0].line("s-0"), full=True)
+        await self.until(lambda: not self.service.owner.roster.ready(1))
+
     async def test_sighup_with_the_same_address_calls_at_once_where_a_call_waits_for_its_time(self):
         await self.play(SocketHost())
         await self.discovery.got.get()
