--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -27,7 +27,7 @@
 
 SILENT = 20_000         # tenths of a millisecond past a call's wait: by then its news counts as told
 WAIT_MOST = 600_000     # discovery waits no longer: a longer one would be taken for silent too late
-FIRST_MOST = 30_000     # until the first call of a new process: a second one must fit in 6 s
+FIRST_MOST = 35_000     # until the first call of a new process: a second one must fit in 6 s
 WAIT_AFTER = 20_000     # the first wait after a call that failed or fell silent; each answer doubles it, ...
 WAITS_GROW = 5          # ... so often at most: news of the call after a broken one counts sooner
 PARTS = 5               # of what is left until the grace is over; calls beside begin after 1, 2 and 4 of them
