Watch and Following: the field's names

Nothing but names changes: say, heard, told, beside, late, again, first, mind, agreed and chance become log, on_contact, contacted, add_call, silent_after, retry_delay, first_delay, policy, settings and random.

--- a/basalthook/program/figures.py
+++ b/basalthook/program/figures.py
@@ -21,7 +21,7 @@
     def write(self) -> None:
         following = self.watch.following
         self.log("figures", list_age_s=round(self.watch.age(), 1), list_failures=following.failures,
-                 list_urgent=following.urgent, list_calls=self.watch.begun,
+                 list_urgent=following.urgent, list_calls=self.watch.calls_begun,
                  endpoints_ready=sum(place.ready for place in self.owner.roster.places.values()),
                  requests_open=len(self.owner.orders), connections=len(self.clients.open),
                  answers=dict(self.clients.answers), attempts=dict(self.hops.outcomes))
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -148,7 +148,7 @@
         if self.told.agreed.list_on_request:
             self.say_ready()
         else:       # guards against hosts that left before this process began: their news counts already
-            self.watch.heard = self.say_ready
+            self.watch.on_contact = self.say_ready
             self.timers.set(SILENT, self.say_ready)
         return listener
 
--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -44,30 +44,30 @@
 
 
 class Following:
-    def __init__(self, agreed: i.Agreement, chance: Random) -> None:
-        self.agreed, self.chance = agreed, chance
-        self.pushed = not agreed.list_on_request
+    def __init__(self, settings: i.Agreement, random: Random) -> None:
+        self.settings, self.random = settings, random
+        self.pushed = not settings.list_on_request
         self.failures = 0               # since the last answer
         self.answers: int | None = None     # since a call failed, fell silent or moved; None: none has
         self.urgent_tries = 0           # left since a watch fell silent, or discovery moved
 
     def part(self) -> float:
         """This proxy's own part of a span that the fleet shares, from 0 up to 1."""
-        return (self.agreed.position % self.agreed.proxies + self.chance.random()) / self.agreed.proxies
+        return (self.settings.position % self.settings.proxies + self.random.random()) / self.settings.proxies
 
-    def first(self) -> int:
+    def first_delay(self) -> int:
         """Before the first call: pushed news counts from the first moment on."""
-        return 0 if self.pushed else int(min(self.agreed.ask_within / 2, FIRST_MOST) * self.part())
+        return 0 if self.pushed else int(min(self.settings.ask_within / 2, FIRST_MOST) * self.part())
 
-    def wait(self) -> int:
-        usual = min(WAIT_MOST, int(self.agreed.ask_within * (1 + self.part())))
+    def watch_wait(self) -> int:
+        usual = min(WAIT_MOST, int(self.settings.ask_within * (1 + self.part())))
         if self.answers is None:
             return usual
         return min(usual, int(WAIT_AFTER * 2 ** min(self.answers, WAITS_GROW) * (1 + self.part())))
 
-    def late(self, calls: int) -> int:
+    def silent_after(self, calls: int) -> int:
         """So long after its wait, or its beginning, the newest of so many calls gets another beside it."""
-        return (SILENT + self.agreed.grace) // PARTS * (1, 1, 2)[min(calls, 3) - 1]
+        return (SILENT + self.settings.grace) // PARTS * (1, 1, 2)[min(calls, 3) - 1]
 
     @property
     def urgent(self) -> bool:
@@ -78,7 +78,7 @@
         if self.answers is not None:
             self.answers += 1
 
-    def silent(self) -> None:
+    def fell_silent(self) -> None:
         self.answers = 0
         if not self.urgent:
             self.urgent_tries = URGENT_TRIES
@@ -87,7 +87,7 @@
         """Discovery is at another address: nothing is known of how that one does."""
         self.failures, self.urgent_tries, self.answers = 0, URGENT_TRIES, 0
 
-    def again(self, turned_away: bool) -> int:
+    def retry_delay(self, turned_away: bool) -> int:
         """Ticks until the next try, as all calls have failed.
 
         `turned_away`: discovery lives, and has too many callers.
@@ -99,35 +99,35 @@
             self.urgent_tries -= 1
             return int(min(URGENT_FIRST * URGENT_GROWTH ** made, URGENT_MOST) * part)
         if self.pushed:
-            soon = max(LEAST, self.agreed.grace / 2)
-            crowd = min(RETRY_MOST, self.agreed.proxies * FLEET_PACE) if turned_away else 0
+            soon = max(LEAST, self.settings.grace / 2)
+            crowd = min(RETRY_MOST, self.settings.proxies * FLEET_PACE) if turned_away else 0
             return int(max(soon, crowd) * part)
-        return int(min(self.agreed.ask_within / 4, RETRY_MOST) * part)
+        return int(min(self.settings.ask_within / 4, RETRY_MOST) * part)
 
 
 class Asking:
     """The same where a protocol has one word for a watch, and one for its end: beside the decisions, which it
     hands on all else to."""
 
-    def __init__(self, following: Following, mind) -> None:
-        self.following, self.mind = following, mind
-        self.to_ask = False             # while a timer of ours is to ask; what is pushed comes unasked
+    def __init__(self, following: Following, policy) -> None:
+        self.following, self.policy = following, policy
+        self.call_due = False             # while a timer of ours is to ask; what is pushed comes unasked
 
     def begin(self) -> list:
-        return [] if self.following.pushed else self.ask(self.following.first())
+        return [] if self.following.pushed else self.ask(self.following.first_delay())
 
     def ask(self, wait: int) -> list:
-        self.to_ask = True
+        self.call_due = True
         return [i.SetTimer(wait, MARK)]
 
     def handle(self, now: int, event, seen: int | None = None) -> list:
         kind = type(event)
         if kind is i.ListFailed:        # it may also mean that the watch broke
-            return [] if self.following.pushed else self.ask(self.following.again(turned_away=True))
+            return [] if self.following.pushed else self.ask(self.following.retry_delay(turned_away=True))
         if kind is i.TimerDue and event.mark == MARK:
-            to_ask, self.to_ask = self.to_ask, False
-            return [i.WatchList()] if to_ask else []
+            call_due, self.call_due = self.call_due, False
+            return [i.WatchList()] if call_due else []
         if kind is i.HostsListed and event.answered:
-            self.to_ask = False
+            self.call_due = False
             self.following.answered()
-        return self.mind.handle(now, event, seen)
+        return self.policy.handle(now, event, seen)
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -20,30 +20,30 @@
     """Follows the list until it is ended; every answer goes to the owner, in order."""
 
     def __init__(self, address: tuple[str, int], version: int, following: Following, owner: Owner,
-                 buffers: BufferPool, descriptors: Descriptors, timers: Timers, say) -> None:
+                 buffers: BufferPool, descriptors: Descriptors, timers: Timers, log) -> None:
         self.address, self.version, self.following = address, version, following
-        self.owner, self.buffers, self.descriptors, self.say = owner, buffers, descriptors, say
+        self.owner, self.buffers, self.descriptors, self.log = owner, buffers, descriptors, log
         self.timers = timers
         self.calls: list[asyncio.Task] = []     # the newest last; at most BESIDE_MOST, emptied as they fail
-        self.next = None                        # the timer of the next try, while there is no call
+        self.retry_timer = None                        # the timer of the next try, while there is no call
         self.whole = False      # whether the whole list comes first: versions may be counted differently
         self.reasons: list[str] = []            # of the calls that have failed since the last answer
-        self.begun = 0                          # calls since the start: numbers them in the log
+        self.calls_begun = 0                          # calls since the start: numbers them in the log
         self.answered_at = timers.now()         # of the last sound answer, or of the start
-        self.heard = lambda: None               # told once, at the first answer or failure
+        self.on_contact = lambda: None               # told once, at the first answer or failure
 
     def age(self) -> float:
         """Seconds since discovery last answered, or since the start."""
         return (self.timers.now() - self.answered_at) / self.timers.second
 
     def begin(self, at_once: bool = False) -> None:
-        if not self.calls and self.next is None:
-            self.next = self.timers.set(0 if at_once else self.following.first(), self.call_on,
-                                        at_once or self.following.pushed)
+        if not self.calls and self.retry_timer is None:
+            delay = 0 if at_once else self.following.first_delay()
+            self.retry_timer = self.timers.set(delay, self.start_call, at_once or self.following.pushed)
 
     def end(self) -> None:
-        self.timers.cancel(self.next)
-        self.next = None
+        self.timers.cancel(self.retry_timer)
+        self.retry_timer = None
         for call in self.calls:
             call.cancel()
         self.calls = []
@@ -51,52 +51,52 @@
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is, or still is, at this address: the list stays as it is until there is a whole one from
         another one; a call that only waits for its time is made at once."""
-        if address == self.address and self.next is None:
+        if address == self.address and self.retry_timer is None:
             return
         if address != self.address:
-            self.say("list moved", old=list(self.address), new=list(address), cancelled=len(self.calls),
-                     waiting=self.next is not None)
+            self.log("list moved", old=list(self.address), new=list(address), cancelled=len(self.calls),
+                     waiting=self.retry_timer is not None)
             self.address, self.whole = address, True
         self.end()
         self.following.moved()
-        self.call_on(False)
+        self.start_call(False)
 
-    def call_on(self, at_once: bool) -> None:
+    def start_call(self, at_once: bool) -> None:
         """One more connection. `at_once`: it first asks only what has changed."""
-        self.next = None
+        self.retry_timer = None
         call = asyncio.get_running_loop().create_task(self.run(at_once))
         self.calls.append(call)
 
-    def beside(self, call: asyncio.Task) -> None:
+    def add_call(self, call: asyncio.Task) -> None:
         """That call has had no answer: guards against waiting for a silent one until its news counts."""
         if self.calls and self.calls[-1] is call and len(self.calls) < BESIDE_MOST:
-            self.say("list late", calls=len(self.calls))
-            self.following.silent()
-            self.call_on(True)
+            self.log("list late", calls=len(self.calls))
+            self.following.fell_silent()
+            self.start_call(True)
 
     async def run(self, at_once: bool) -> None:
         me, reason = asyncio.current_task(), ""
         while not reason:       # a connection that ends between two calls is no failure
-            reason = await self.once(me, at_once)
+            reason = await self.run_connection(me, at_once)
             at_once = False
         self.calls.remove(me)
         self.reasons.append(reason)
         if self.calls:          # one of the others may still be answered
-            self.timers.set(self.following.late(len(self.calls)), self.beside, self.calls[-1])
-            return self.say("list call failed", reason=reason, others=len(self.calls))
-        wait = self.following.again(all(r.startswith("status") for r in self.reasons))
-        self.say("list lost", reason="; ".join(dict.fromkeys(self.reasons)),
+            self.timers.set(self.following.silent_after(len(self.calls)), self.add_call, self.calls[-1])
+            return self.log("list call failed", reason=reason, others=len(self.calls))
+        wait = self.following.retry_delay(all(r.startswith("status") for r in self.reasons))
+        self.log("list lost", reason="; ".join(dict.fromkeys(self.reasons)),
                  again_ms=wait * 1000 // self.timers.second, failures=self.following.failures,
                  urgent=self.following.urgent, to=list(self.address))
         self.reasons = []
-        self.next = self.timers.set(wait, self.call_on, False)
-        self.told()
+        self.retry_timer = self.timers.set(wait, self.start_call, False)
+        self.contacted()
 
-    def told(self) -> None:
-        heard, self.heard = self.heard, lambda: None
-        heard()
+    def contacted(self) -> None:
+        on_contact, self.on_contact = self.on_contact, lambda: None
+        on_contact()
 
-    async def once(self, me: asyncio.Task, at_once: bool) -> str:
+    async def run_connection(self, me: asyncio.Task, at_once: bool) -> str:
         """One connection, for as long as it lasts, and what went wrong."""
         connection = Connection.towards(self.address, self.buffers, self.descriptors)
         if isinstance(connection, Fault):
@@ -110,16 +110,16 @@
 
     async def follow(self, connection: Connection, me: asyncio.Task, at_once: bool) -> str:
         """What went wrong; nothing, if discovery has closed the connection after an answer."""
-        up, late = asyncio.get_running_loop().create_future(), self.following.late(len(self.calls))
+        up, late = asyncio.get_running_loop().create_future(), self.following.silent_after(len(self.calls))
         connection.connect(self.address, up.set_result)
-        with self.within(connection, 0, late, me):
+        with self.bounded(connection, 0, late, me):
             fault = await up
         if fault is not None:
             return fault.reason
         while True:
             whole = self.whole
-            wait = 0 if at_once or whole else self.following.wait()
-            with self.within(connection, wait, late, me):
+            wait = 0 if at_once or whole else self.following.watch_wait()
+            with self.bounded(connection, wait, late, me):
                 found = await self.call(connection, wait)
             if isinstance(found, Fault):
                 return found.reason
@@ -129,35 +129,35 @@
                     f"status {found.status}")
             if whole and not listing.complete:
                 return "changes in place of the whole list"
-            await self.took(listing, me, at_once)
-            at_once, late = False, self.following.late(1)
+            await self.take_answer(listing, me, at_once)
+            at_once, late = False, self.following.silent_after(1)
             if not found.keep:
                 return ""
 
-    async def took(self, listing: catalogue.Listing, me: asyncio.Task, at_once: bool) -> None:
+    async def take_answer(self, listing: catalogue.Listing, me: asyncio.Task, at_once: bool) -> None:
         """The first answer of any call counts, and its connection is the watch from here on."""
         others = [call for call in self.calls if call is not me]
         for call in others:
             call.cancel()
         if others:
-            self.say("list calls cancelled", count=len(others), reason="another was answered first")
+            self.log("list calls cancelled", count=len(others), reason="another was answered first")
         self.calls, self.reasons, self.answered_at = [me], [], self.timers.now()
         self.following.answered()
         if listing.version < self.version and not self.whole:
             # guards against a discovery that counts anew: it would be asked for what it never reaches, and
             # what it has changed would be taken for changes of another list
             self.whole = True
-            self.say("list behind", version=listing.version, ours=self.version)
+            self.log("list behind", version=listing.version, ours=self.version)
             return
         newer, self.version, self.whole = listing.version != self.version, listing.version, False
         if newer or listing.lines or listing.complete:
             doubled = {"doubled": listing.doubled} if listing.doubled else {}
-            self.say("list", version=listing.version, complete=listing.complete, lines=len(listing.lines),
+            self.log("list", version=listing.version, complete=listing.complete, lines=len(listing.lines),
                      **doubled)
             self.owner.post(Listed(listing, answered=True))
         else:
-            self.say("list unchanged", version=listing.version)
-        self.told()
+            self.log("list unchanged", version=listing.version)
+        self.contacted()
         if not at_once:
             await asyncio.sleep(GAP if newer else PAUSE)
 
@@ -167,8 +167,8 @@
         call = catalogue.call(f"{self.address[0]}:{self.address[1]}", version,
                               wait * 1000 // self.timers.second)
         over = asyncio.get_running_loop().create_future()
-        self.begun += 1
-        self.say("list call", number=self.begun, to=list(self.address), version=version,
+        self.calls_begun += 1
+        self.log("list call", number=self.calls_begun, to=list(self.address), version=version,
                  wait_ms=wait * 1000 // self.timers.second, reused=bool(connection.took))
         if connection.closed:
             return Fault(Stage.WRITING, "ended between two calls")
@@ -193,10 +193,10 @@
         return answer.found
 
     @contextmanager
-    def within(self, connection: Connection, wait: int, late: int, me: asyncio.Task):
+    def bounded(self, connection: Connection, wait: int, late: int, me: asyncio.Task):
         """What is waited for inside gets a call beside it if it is late, and ends with the connection."""
         why = f"not within {(wait + GIVE_UP) / self.timers.second:g} s"
-        due = (self.timers.set(wait + late, self.beside, me),
+        due = (self.timers.set(wait + late, self.add_call, me),
                self.timers.set(wait + GIVE_UP, connection.fail, why))
         try:
             yield
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -21,13 +21,13 @@
     @given(st.integers(0, 50_000), st.integers(0, 2**32))
     def test_the_fourth_call_beside_a_silent_one_has_a_part_of_the_grace_left(self, grace, seed):
         rule = following(seed, grace=grace)
-        begun = sum(rule.late(calls) for calls in range(1, 4))
+        begun = sum(rule.silent_after(calls) for calls in range(1, 4))
         self.assertLessEqual(begun + (SILENT + grace) // 5, SILENT + grace)
 
     @given(st.integers(1, 2_000), st.integers(0, 2**32))
     def test_a_fleet_whose_calls_were_all_answered_at_once_does_not_call_at_once_again(self, proxies, seed):
-        self.assertEqual(following(ask_within=900_000).wait(), 600_000)     # discovery waits no longer
-        waits = sorted(following(seed, proxies=proxies, position=n).wait() for n in range(proxies))
+        self.assertEqual(following(ask_within=900_000).watch_wait(), 600_000)     # discovery waits no longer
+        waits = sorted(following(seed, proxies=proxies, position=n).watch_wait() for n in range(proxies))
         self.assertGreaterEqual(waits[0], 100_000)
         self.assertLess(waits[-1], 200_000)
         for n, wait in enumerate(waits):        # each in its own part
@@ -39,13 +39,13 @@
             self, failures, ask_within, drain_grace, pushed, seed):
         rule = following(seed, ask_within=ask_within, list_on_request=not pushed, grace=drain_grace)
         for _ in range(failures):
-            self.assertLessEqual(rule.again(turned_away=True), 20_000)
-        for event, grace in ((rule.moved, 40_000), (rule.silent, SILENT)):
+            self.assertLessEqual(rule.retry_delay(turned_away=True), 20_000)
+        for event, grace in ((rule.moved, 40_000), (rule.fell_silent, SILENT)):
             rule.answered()
             for _ in range(failures):
-                rule.again(turned_away=True)
+                rule.retry_delay(turned_away=True)
             event()
-            waits = [rule.again(turned_away=True) for _ in range(URGENT_TRIES)]
+            waits = [rule.retry_delay(turned_away=True) for _ in range(URGENT_TRIES)]
             self.assertLessEqual(waits[0], 2_000)
             self.assertLessEqual(max(waits), 10_000)
             tries = sum(sum(waits[:n + 1]) < grace for n in range(URGENT_TRIES))
@@ -54,31 +54,32 @@
     def test_a_discovery_with_too_many_callers_is_called_less_often_each_time_while_urgent(self):
         rule = following()
         rule.moved()
-        spans = [sum(rule.again(turned_away=True) for _ in range(4)) for _ in range(2)]
+        spans = [sum(rule.retry_delay(turned_away=True) for _ in range(4)) for _ in range(2)]
         self.assertGreater(spans[1], 2 * spans[0])
         for rule in (following(), following(list_on_request=False, proxies=200)):
-            self.assertGreaterEqual(min(rule.again(turned_away=True) for _ in range(4)), 10_000)
+            self.assertGreaterEqual(min(rule.retry_delay(turned_away=True) for _ in range(4)), 10_000)
 
     def test_a_few_proxies_whose_list_is_pushed_call_within_the_grace_however_calls_fail(self):
         for turned_away in (False, True):
             rule = following(list_on_request=False, proxies=6)
-            self.assertLessEqual(max(rule.again(turned_away) for _ in range(40)), 2_500)
+            self.assertLessEqual(max(rule.retry_delay(turned_away) for _ in range(40)), 2_500)
 
-    @given(st.integers(100_000, 600_000), st.sampled_from(("again", "silent", "moved")))
+    @given(st.integers(100_000, 600_000), st.sampled_from(("retry_delay", "fell_silent", "moved")))
     def test_the_watch_after_a_broken_one_is_short_and_answers_make_it_long_again(self, ask_within, event):
         rule = following(ask_within=ask_within)
-        usual = rule.wait()
-        getattr(rule, event)(*([True] if event == "again" else []))
-        self.assertLessEqual(rule.wait() + rule.late(1), 60_000)      # seen as silent before its news counts
+        usual = rule.watch_wait()
+        getattr(rule, event)(*([True] if event == "retry_delay" else []))
+        seen_as_silent = rule.watch_wait() + rule.silent_after(1)
+        self.assertLessEqual(seen_as_silent, 60_000)        # before its news counts
         for _ in range(6):
             rule.answered()
-        self.assertGreaterEqual(rule.wait(), min(usual, 300_000) // 2)
+        self.assertGreaterEqual(rule.watch_wait(), min(usual, 300_000) // 2)
 
     def test_a_new_process_calls_early_enough_for_a_second_call_before_news_counts(self):
         for proxies in (1, 7, 200):
             for position in range(proxies):
                 rule = following(proxies=proxies, position=position, ask_within=300_000)
-                self.assertLess(rule.first() + rule.again(turned_away=True), 60_000)
+                self.assertLess(rule.first_delay() + rule.retry_delay(turned_away=True), 60_000)
 
 
 class Lists(unittest.TestCase):
@@ -131,9 +132,9 @@
         await self.discovery.got.get()
         watch, address = self.service.watch, self.service.watch.address
         self.discovery.writers[-1].transport.abort()
-        await self.until(lambda: watch.next is not None)
-        watch.timers.cancel(watch.next)
-        watch.next = watch.timers.set(50_000, watch.call_on, False)
+        await self.until(lambda: watch.retry_timer is not None)
+        watch.timers.cancel(watch.retry_timer)
+        watch.retry_timer = watch.timers.set(50_000, watch.start_call, False)
         watch.move(address)
         self.assertIn("index=1", await asyncio.wait_for(self.discovery.got.get(), 1))
 
