An answer that comes as its client is seen to have left is no fault

What callers saw (whole suite, test_processes, once): fault in client, 'NoneType' object has no attribute 'asked'. Cause: since the question at the first byte a client may be seen to have left inside an event of the owner; its end waits in the queue then, and an answer decided before it came through to a client that had settled (routing/clients.py answer). Change: such an answer is for nobody. Test: test_an_answer_for_a_client_just_seen_to_have_left_is_no_fault failed before with that fault, passes now.

--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -206,6 +206,8 @@
         return order
 
     def answer(self, answer: Answer) -> None:
+        if self.order is None:      # it has left; the owner is about to be told
+            return
         try:
             clients, order = self.clients, self.settled()
             self.keep = self.keep and clients.stay()
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -3,7 +3,8 @@
 import unittest
 
 from basalthook.policy import interface as i
-from tests.fake import RESET, UPLOAD, FakeHost, SocketHost, Stage
+from basalthook.routing.owner import Answer
+from tests.fake import RESET, SILENT, UPLOAD, FakeHost, SocketHost, Stage
 from tests.loopback import Loopback
 
 LATE = 0.5              # seconds that a connection takes to come up
@@ -61,6 +62,18 @@
         await asyncio.sleep(LATE + 0.2)
         self.assertEqual(self.attempts(), 1)
 
+    async def test_an_answer_for_a_client_just_seen_to_have_left_is_no_fault(self):
+        caller = await self.play(SocketHost(SILENT))
+        caller.ask("view")
+        await self.hosts[0].got.get()
+        owner, (client,) = self.service.owner, self.service.clients.open
+        order, = owner.orders.values()
+        owner.running = True                    # as within an event: what comes waits in the queue
+        client.ended(None)
+        order.close(Answer("abandoned"))
+        owner.pump()
+        self.assertEqual([line for line in self.log.lines if line["event"] == "fault"], [])
+
 
 class SlowStart(unittest.TestCase):
     def test_attempts_whose_connections_come_up_late_count_in_a_cold_endpoints_window_when_they_begin(self):
