--- a/basalthook/bodies/relay.py
+++ b/basalthook/bodies/relay.py
@@ -4,11 +4,12 @@
 is possible; what breaks off is shown to the client as cut short. A client that does not read halts its host's
 connection and nothing else; at most one read of the host's is held here.
 """
+
 from ..protocol.http1 import Malformed, Message, Parser
 from ..transport.connection import ENDED, Connection, Fault
 from ..transport.timers import Timers
 
-STALLED = 10.0          # seconds without a byte from the host, or without one taken by the client
+STALLED = 10.0  # seconds without a byte from the host, or without one taken by the client
 
 
 class Relay:
@@ -20,7 +21,7 @@
         """`keep(connection)` takes the host's connection back where it can be used again."""
         self.connection, self.parser, self.timers, self.keep = connection, parser, timers, keep
         self.client, self.timer, self.ended = None, None, False
-        connection.pause()              # until somebody takes it
+        connection.pause()  # until somebody takes it
 
     def begin(self, client) -> None:
         """It is this client's; `go_on` once the head is with it."""
--- a/basalthook/bodies/room.py
+++ b/basalthook/bodies/room.py
@@ -4,9 +4,10 @@
 until one is, in order of arrival. One of no told length takes more as it grows. Who gets none in time is
 turned away.
 """
+
 from collections import OrderedDict
 
-STEP = 256 * 1024       # bytes that a body of no told length takes at a time
+STEP = 256 * 1024  # bytes that a body of no told length takes at a time
 
 
 class Room:
@@ -14,7 +15,7 @@
 
     def __init__(self, most: int) -> None:
         self.most, self.held = most, 0
-        self.waiting: OrderedDict[object, tuple] = OrderedDict()    # who -> count, call; emptied in turn
+        self.waiting: OrderedDict[object, tuple] = OrderedDict()  # who -> count, call; emptied in turn
 
     def take(self, count: int) -> bool:
         """At once, past nobody who waits."""
--- a/basalthook/config/fleet.py
+++ b/basalthook/config/fleet.py
@@ -2,6 +2,7 @@
 
 Without it nothing is opened, and nothing of `membership` or `fleet` that speaks is imported.
 """
+
 import os
 import stat
 import tomllib
@@ -12,7 +13,7 @@
 from ..fleet import bounds
 from ..protocol import catalogue
 
-KEY_LEAST, KEY_MOST = 16, 64    # bytes
+KEY_LEAST, KEY_MOST = 16, 64  # bytes
 Life = Annotated[float, msgspec.Meta(ge=1, le=600)]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,64}$")]
 Address = Annotated[str, msgspec.Meta(min_length=3, max_length=64)]
@@ -24,42 +25,46 @@
 
 class Lives(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Nothing told is acted on when it is older than this, by kind."""
-    host: Life = 3.0                # evidence on a host
-    trial: Life = 10.0              # the outcome of a trial of a host
+
+    host: Life = 3.0  # evidence on a host
+    trial: Life = 10.0  # the outcome of a trial of a host
 
 
 class LimitRow(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """A bound on all proxies together; docs/limits.md."""
+
     name: Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,64}$")]
     kind: Annotated[str, msgspec.Meta(pattern="^(rate|host|retries)$")]
     amount: Annotated[float, msgspec.Meta(ge=0, le=1e9)]
     burst: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 0.0
-    profiles: list[str] = msgspec.field(default_factory=list)   # of a rate; none: all
+    profiles: list[str] = msgspec.field(default_factory=list)  # of a rate; none: all
     over: Annotated[str, msgspec.Meta(pattern="^(never|bounded)$")] = "never"
     floor: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
 
 
 class FleetFile(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    listen: Address                 # host:port of this member's datagrams
-    seeds: list[Address]            # told addresses of some members; this one's may be among them
-    key_file: Annotated[str, msgspec.Meta(min_length=1)]    # the same key at all; this user's alone
-    shares: Annotated[list[Annotated[str, msgspec.Meta(pattern="^(verdicts|limits)$")]],
-                      msgspec.Meta(min_length=1)]
+    listen: Address  # host:port of this member's datagrams
+    seeds: list[Address]  # told addresses of some members; this one's may be among them
+    key_file: Annotated[str, msgspec.Meta(min_length=1)]  # the same key at all; this user's alone
+    shares: Annotated[
+        list[Annotated[str, msgspec.Meta(pattern="^(verdicts|limits)$")]], msgspec.Meta(min_length=1)
+    ]
     address: Address | None = None  # what others are told, where it differs from `listen`
-    name: Name | None = None         # else the start-up file's
+    name: Name | None = None  # else the start-up file's
     lives: Lives = msgspec.field(default_factory=Lives)
-    keepers: list[Name] = msgspec.field(default_factory=list)   # members that vote for the keeper of limits
+    keepers: list[Name] = msgspec.field(default_factory=list)  # members that vote for the keeper of limits
     limits: list[LimitRow] = msgspec.field(default_factory=list)
 
 
 class Told(msgspec.Struct, frozen=True):
     """The same, decoded."""
+
     listen: tuple[str, int]
     address: tuple[str, int]
     seeds: tuple[tuple[str, int], ...]
     key: bytes
     name: str | None
-    lives: dict[str, float]         # seconds by kind
+    lives: dict[str, float]  # seconds by kind
     verdicts: bool = True
     keepers: tuple[str, ...] = ()
     limits: tuple[LimitRow, ...] = ()
@@ -70,34 +75,50 @@
         for n, row in enumerate(self.limits):
             for which, name in enumerate(row.profiles):
                 if name not in profiles:
-                    raise BadFleet(f"Expected a profile of the start-up file, got {name!r} - at "
-                                   f"`$.limits[{n}].profiles[{which}]`")
-            found.append(bounds.Limit(row.name, row.kind, row.amount, row.burst,
-                                      tuple(profiles[name] for name in row.profiles), row.over, row.floor))
+                    raise BadFleet(
+                        f"Expected a profile of the start-up file, got {name!r} - at "
+                        f"`$.limits[{n}].profiles[{which}]`"
+                    )
+            found.append(
+                bounds.Limit(
+                    row.name,
+                    row.kind,
+                    row.amount,
+                    row.burst,
+                    tuple(profiles[name] for name in row.profiles),
+                    row.over,
+                    row.floor,
+                )
+            )
         return found
 
 
 def sound(path: str, found: FleetFile) -> None:
     """What types alone can't say of limits; BadFleet."""
-    limits = [bounds.Limit(row.name, row.kind, row.amount, row.burst, (), row.over, row.floor)
-              for row in found.limits]
+    limits = [
+        bounds.Limit(row.name, row.kind, row.amount, row.burst, (), row.over, row.floor)
+        for row in found.limits
+    ]
     for n, limit in enumerate(limits):
         if wrong := bounds.wrong(limit):
             raise BadFleet(f"{path}: {wrong} - at `$.limits[{n}]`")
         if limit.name in [each.name for each in limits[:n]]:
-            raise BadFleet(f"{path}: Expected a name of its own, got {limit.name!r} - at "
-                           f"`$.limits[{n}].name`")
+            raise BadFleet(
+                f"{path}: Expected a name of its own, got {limit.name!r} - at `$.limits[{n}].name`"
+            )
         if limit.kind != bounds.RATE and limit.kind in [each.kind for each in limits[:n]]:
             raise BadFleet(f"{path}: Expected one limit of kind {limit.kind!r} - at `$.limits[{n}].kind`")
         taken = {name for row in found.limits[:n] if row.kind == bounds.RATE for name in row.profiles or [""]}
         if limit.kind == bounds.RATE and taken & set(found.limits[n].profiles or [""]):
             raise BadFleet(f"{path}: Expected profiles that no other limit has - at `$.limits[{n}].profiles`")
     if bool(limits) != ("limits" in found.shares):
-        raise BadFleet(f"{path}: Expected `limits` in shares where there are some, and only there - at "
-                       "`$.shares`")
+        raise BadFleet(
+            f"{path}: Expected `limits` in shares where there are some, and only there - at `$.shares`"
+        )
     if limits and (len(found.keepers) % 2 == 0 or len(set(found.keepers)) < len(found.keepers)):
-        raise BadFleet(f"{path}: Expected an odd number of members' names, got {len(found.keepers)} - at "
-                       "`$.keepers`")
+        raise BadFleet(
+            f"{path}: Expected an odd number of members' names, got {len(found.keepers)} - at `$.keepers`"
+        )
 
 
 def read(path: str) -> Told:
@@ -120,8 +141,17 @@
         raise BadFleet(f"{path}: Expected `host` or more, got {found.lives.trial:g} - at `$.lives.trial`")
     sound(path, found)
     key = read_key(path, os.path.join(os.path.dirname(path), found.key_file))
-    return Told(listen, told, seeds, key, found.name, msgspec.to_builtins(found.lives),
-                "verdicts" in found.shares, tuple(found.keepers), tuple(found.limits))
+    return Told(
+        listen,
+        told,
+        seeds,
+        key,
+        found.name,
+        msgspec.to_builtins(found.lives),
+        "verdicts" in found.shares,
+        tuple(found.keepers),
+        tuple(found.limits),
+    )
 
 
 def address(path: str, where: str, told: str) -> tuple[str, int]:
@@ -140,6 +170,8 @@
     if not stat.S_ISREG(mode) or mode & 0o077:
         raise BadFleet(f"{path}: {key_path} is open to others than its owner - at `$.key_file`")
     if not KEY_LEAST <= len(key) <= KEY_MOST:
-        raise BadFleet(f"{path}: Expected {KEY_LEAST} to {KEY_MOST} bytes in {key_path}, got {len(key)} - at "
-                       "`$.key_file`")
+        raise BadFleet(
+            f"{path}: Expected {KEY_LEAST} to {KEY_MOST} bytes in {key_path}, got {len(key)} - at "
+            "`$.key_file`"
+        )
     return key
--- a/basalthook/console/callers.py
+++ b/basalthook/console/callers.py
@@ -3,6 +3,7 @@
 A few places of their own, so that a crowd at the clients' address takes none of them. Who finishes no call
 goes after `PATIENCE`, or when its place is needed.
 """
+
 from ..protocol.http1 import Malformed, Parser
 from ..transport.buffers import BufferPool
 from ..transport.connection import Connection, Fault
@@ -10,9 +11,9 @@
 from ..transport.timers import Timers
 from . import calls
 
-PLACES = 12             # callers at once; the longest there goes for a new one
-PATIENCE = 1.0          # seconds for a whole call, and as many to read its answer
-BODY_MOST = 4096        # a call needs none
+PLACES = 12  # callers at once; the longest there goes for a new one
+PATIENCE = 1.0  # seconds for a whole call, and as many to read its answer
+BODY_MOST = 4096  # a call needs none
 
 
 class Caller:
@@ -27,14 +28,14 @@
 
     def took(self, part, _: int) -> None:
         if self.answered:
-            return              # what comes behind a call is passed over
+            return  # what comes behind a call is passed over
         try:
             self.parser.feed(part)
             if self.parser.found is not None:
                 self.answer(self.callers.reply(self.parser.found))
             elif self.parser.awaits_body:
                 self.answer(calls.Reply(417, "no body is wanted"))
-        except Exception as fault:      # exceptions stop at the connection
+        except Exception as fault:  # exceptions stop at the connection
             self.callers.say("fault", where="console", error=repr(fault))
             self.drop()
 
@@ -63,16 +64,21 @@
     def __init__(self, carry_out, timers: Timers, buffers: BufferPool, urgent: set[int], say) -> None:
         """`urgent`: descriptors that the loop looks at before all others."""
         self.carry_out, self.timers, self.buffers, self.urgent, self.say = (
-            carry_out, timers, buffers, urgent, say)
-        self.descriptors = Descriptors(RESERVE + 2 * PLACES)    # of their own; the clients' do not know them
-        self.open: dict[Caller, None] = {}      # the longest there first; emptied by their end or by time
+            carry_out,
+            timers,
+            buffers,
+            urgent,
+            say,
+        )
+        self.descriptors = Descriptors(RESERVE + 2 * PLACES)  # of their own; the clients' do not know them
+        self.open: dict[Caller, None] = {}  # the longest there first; emptied by their end or by time
 
     def take(self, sock) -> bool:
         while len(self.open) >= PLACES:
             next(iter(self.open)).drop()
         try:
             connection = Connection(sock, self.buffers, self.descriptors)
-        except OSError:         # it ended before we could look at it
+        except OSError:  # it ended before we could look at it
             sock.close()
             return True
         caller = Caller(self, connection, sock.fileno())
@@ -87,8 +93,9 @@
         call = calls.read(found)
         reply = self.carry_out(call) if isinstance(call, calls.Call) else call
         if not isinstance(call, calls.Call) or call.what not in calls.READ_ONLY:
-            self.say("call", method=found.method, path=found.target[:200], status=reply.status,
-                     text=reply.text)
+            self.say(
+                "call", method=found.method, path=found.target[:200], status=reply.status, text=reply.text
+            )
         return reply
 
     def close(self) -> None:
--- a/basalthook/console/calls.py
+++ b/basalthook/console/calls.py
@@ -1,4 +1,5 @@
 """The calls of the second address, in words: which there are, and what an answer looks like. No I/O."""
+
 from typing import NamedTuple
 from urllib.parse import quote, unquote
 
@@ -9,7 +10,7 @@
 
 READY, HOSTS, DISABLE, ENABLE, DRAIN, RESUME = "ready", "hosts", "disable", "enable", "drain", "resume"
 MEMBERS, VERDICTS, LIMITS = "members", "verdicts", "limits"
-READ_ONLY = READY, HOSTS, MEMBERS, VERDICTS, LIMITS     # not worth a line in the log
+READ_ONLY = READY, HOSTS, MEMBERS, VERDICTS, LIMITS  # not worth a line in the log
 PREFIX = "/-/"
 ID = "{id}"
 # path -> method, what is asked; "{id}" stands for one segment, the id of a host as discovery tells it
@@ -33,6 +34,7 @@
 
 class Reply(NamedTuple):
     """2xx is yes. `allow`: the one method of a path that was called with another."""
+
     status: int
     text: str
     allow: str = ""
@@ -60,8 +62,12 @@
 def worded(reply: Reply) -> bytes:
     """One answer; the connection ends with it."""
     allow = [("Allow", reply.allow)] if reply.allow else []
-    return http1.response(reply.status, [("Content-Type", "text/plain; charset=utf-8"), *allow],
-                          reply.text.encode() + b"\n", False)
+    return http1.response(
+        reply.status,
+        [("Content-Type", "text/plain; charset=utf-8"), *allow],
+        reply.text.encode() + b"\n",
+        False,
+    )
 
 
 def rows(lines: list[dict]) -> Reply:
--- a/basalthook/fleet/bounds.py
+++ b/basalthook/fleet/bounds.py
@@ -7,16 +7,17 @@
     a keeper's death: its fellows go on with what they hold, as LEASE is longer than two terms of the seat
     floors: parts that need no message, so many for each told proxy; not lent by the keeper where `never`
 """
+
 from typing import NamedTuple
 
 import xxhash
 
 from .seat import longer, shorter
 
-TICKS = 10_000          # a second
-TERM = 10_000           # ticks that the keeper's seat is held without a new vote
-LEASE = 30_000          # ticks that a place is held without a new word of the keeper
-TOKEN_LIFE = 10_000     # ticks in which a token is to be spent
+TICKS = 10_000  # a second
+TERM = 10_000  # ticks that the keeper's seat is held without a new vote
+LEASE = 30_000  # ticks that a place is held without a new word of the keeper
+TOKEN_LIFE = 10_000  # ticks in which a token is to be spent
 CLOCKS = 0.02
 RATE, HOST, RETRIES = "rate", "host", "retries"
 NEVER, BOUNDED = "never", "bounded"
@@ -25,13 +26,14 @@
 class Limit(NamedTuple):
     """`rate`: first hops of its profiles a second over the fleet; `host`: places at each host; `retries`:
     further hops a second."""
+
     name: str
     kind: str
     amount: float
-    burst: float = 0.0              # tokens at once; of places none
+    burst: float = 0.0  # tokens at once; of places none
     profiles: tuple[int, ...] = ()  # of a rate: indices; empty: all
     over: str = NEVER
-    floor: float = 0.0              # part of the amount that proxies have without any message
+    floor: float = 0.0  # part of the amount that proxies have without any message
 
     @property
     def id(self) -> int:
@@ -48,7 +50,7 @@
         own = self.floor if self.over == NEVER else 0.0
         if self.places:
             return self.amount - int(self.floor * self.amount)
-        return self.amount * (1 - own) / (1 + CLOCKS)       # the keeper's clock may be fast
+        return self.amount * (1 - own) / (1 + CLOCKS)  # the keeper's clock may be fast
 
     def depth(self) -> float:
         """Of the keeper's bucket: what holders may still have in hand counts against the burst."""
@@ -59,8 +61,9 @@
         """Of the floor's places at the host with this mark, those of the proxy at this position: each goes
         to one of the told proxies, without a word between them."""
         units = range(int(self.floor * self.amount))
-        return sum(xxhash.xxh32_intdigest(f"{mark:x}.{unit}".encode()) % proxies == position
-                   for unit in units)
+        return sum(
+            xxhash.xxh32_intdigest(f"{mark:x}.{unit}".encode()) % proxies == position for unit in units
+        )
 
     def own_rate(self, proxies: int) -> tuple[float, float]:
         """Tokens a tick and at once of one proxy's floor. Where it holds less than one there is none."""
@@ -92,11 +95,17 @@
     """What no limit can mean; "" where it is sound."""
     if limit.amount < 0 or limit.places and limit.amount != int(limit.amount):
         return f"Expected {'a whole number' if limit.places else 'no less than 0'}, got {limit.amount}"
-    if not limit.places and limit.over == NEVER and limit.amount and (
-            limit.burst < limit.amount * TOKEN_LIFE / TICKS + 1):
+    if (
+        not limit.places
+        and limit.over == NEVER
+        and limit.amount
+        and (limit.burst < limit.amount * TOKEN_LIFE / TICKS + 1)
+    ):
         least = limit.amount * TOKEN_LIFE / TICKS + 1
-        return (f"Expected a burst of {least:g} or more, got {limit.burst:g}: a token may be spent "
-                f"{TOKEN_LIFE / TICKS:g} s after it was lent, which may never add up to more")
+        return (
+            f"Expected a burst of {least:g} or more, got {limit.burst:g}: a token may be spent "
+            f"{TOKEN_LIFE / TICKS:g} s after it was lent, which may never add up to more"
+        )
     if limit.places and limit.over != NEVER:
         return "Expected `never` for places at a host"
     return ""
--- a/basalthook/fleet/counting.py
+++ b/basalthook/fleet/counting.py
@@ -4,11 +4,12 @@
 beside the decisions, of which it reads their list. The simulator's messages, and the baseline for shared
 evidence.
 """
+
 from ..policy import interface as i
 from ..policy.measure import Spread
 
-NEWS, KEPT_AWAY, TOLD_MOST = 10_000, 33_000, 0.3    # ticks that news counts, that a host is kept away; of all
-WITNESSES, SHARE = 3, 0.03      # so many, or so much of all proxies, must have met a fault
+NEWS, KEPT_AWAY, TOLD_MOST = 10_000, 33_000, 0.3  # ticks that news counts, that a host is kept away; of all
+WITNESSES, SHARE = 3, 0.03  # so many, or so much of all proxies, must have met a fault
 KEPT = 2_000
 
 
@@ -17,7 +18,7 @@
 
     def __init__(self, proxy) -> None:
         self.proxy, self.terms = proxy, proxy.terms
-        self.faults, self.witnessed = Spread(NEWS, KEPT), {}    # host -> who; host -> when we told; bounded
+        self.faults, self.witnessed = Spread(NEWS, KEPT), {}  # host -> who; host -> when we told; bounded
 
     def handle(self, now: int, event, seen: int | None = None) -> list:
         """As the decisions' own `handle`, with the news among its events and effects."""
--- a/basalthook/fleet/evidence.py
+++ b/basalthook/fleet/evidence.py
@@ -4,31 +4,40 @@
 answered. It is told where this proxy met a fault, or where others did and this one can say how the host was
 to it.
 """
+
 from collections import deque
 from typing import NamedTuple
 
 from ..policy import interface as i
 
-WINDOW = 30_000         # ticks that an outcome counts
-HOPS_MOST = 256         # outcomes kept of a host
-LONG_AGO = 10 ** 7
+WINDOW = 30_000  # ticks that an outcome counts
+HOPS_MOST = 256  # outcomes kept of a host
+LONG_AGO = 10**7
 ANSWERED, ERRED, LOST = "answered", "erred", "lost"
-SORTS = {i.COMMITTED: ANSWERED, i.DECLINED: ANSWERED, i.ERROR: ERRED, i.RESET: ERRED, i.DROPPED: ERRED,
-         i.UNREACHABLE: ERRED, i.TIMED_OUT: LOST}       # of others nothing follows
+SORTS = {
+    i.COMMITTED: ANSWERED,
+    i.DECLINED: ANSWERED,
+    i.ERROR: ERRED,
+    i.RESET: ERRED,
+    i.DROPPED: ERRED,
+    i.UNREACHABLE: ERRED,
+    i.TIMED_OUT: LOST,
+}  # of others nothing follows
 
 
 class Word(NamedTuple):
     """One proxy's word on one host; moments are ticks on the reader's clock."""
+
     who: str
     zone: str
-    late: int                       # hops out for longer than is usual there, with nothing heard since
-    late_sent: int                  # when the latest of these was sent
-    lost: int                       # hops unanswered to their end, within the window
+    late: int  # hops out for longer than is usual there, with nothing heard since
+    late_sent: int  # when the latest of these was sent
+    lost: int  # hops unanswered to their end, within the window
     errors: int
     answers: int
-    heard: int                      # when the host was last heard at all
-    told: int                       # when this was told
-    mark: int = 0                   # of the fact it came as
+    heard: int  # when the host was last heard at all
+    told: int  # when this was told
+    mark: int = 0  # of the fact it came as
 
     @property
     def faults(self) -> int:
@@ -48,12 +57,16 @@
 def read(fact, told: int) -> Word | None:
     """A fact back, told at that moment; None where its value is none."""
     value = fact.value
-    if len(value) != 7 or not isinstance(value[0], str) or not all(
-            isinstance(n, int) and not isinstance(n, bool) and 0 <= n <= LONG_AGO for n in value[1:]):
+    if (
+        len(value) != 7
+        or not isinstance(value[0], str)
+        or not all(isinstance(n, int) and not isinstance(n, bool) and 0 <= n <= LONG_AGO for n in value[1:])
+    ):
         return None
     zone, late, late_ago, lost, errors, answers, heard_ago = value
-    return Word(fact.author, zone, late, told - late_ago, lost, errors, answers, told - heard_ago, told,
-                fact.mark)
+    return Word(
+        fact.author, zone, late, told - late_ago, lost, errors, answers, told - heard_ago, told, fact.mark
+    )
 
 
 class Seen:
@@ -61,9 +74,9 @@
 
     def __init__(self, who: str, zone: str) -> None:
         self.who, self.zone = who, zone
-        self.outcomes: dict[int, deque] = {}    # host -> (when, sort); emptied by time and by the bound
-        self.since: dict[int, int] = {}         # host -> hops sent before that tell nothing any more
-        self.faulty: set[int] = set()           # hosts with a fault among their outcomes
+        self.outcomes: dict[int, deque] = {}  # host -> (when, sort); emptied by time and by the bound
+        self.since: dict[int, int] = {}  # host -> hops sent before that tell nothing any more
+        self.faulty: set[int] = set()  # hosts with a fault among their outcomes
 
     def ended(self, now: int, event: i.HopEnded) -> None:
         sort = SORTS.get(event.outcome)
@@ -83,8 +96,11 @@
 
     def blamed(self, seen: int, proxy) -> set[int]:
         """Hosts of which this proxy has a fault to tell."""
-        late = {server.id for server, sent_at, late_after in proxy.flying.values()
-                if seen - sent_at >= late_after and server.heard <= sent_at}
+        late = {
+            server.id
+            for server, sent_at, late_after in proxy.flying.values()
+            if seen - sent_at >= late_after and server.heard <= sent_at
+        }
         return late | self.faulty
 
     def word(self, now: int, seen: int, proxy, host: int) -> Word:
@@ -99,10 +115,22 @@
             counts[sort] += 1
         if not counts[ERRED] + counts[LOST]:
             self.faulty.discard(host)
-        late = [sent_at for _, sent_at, late_after in server.out.values()
-                if seen - sent_at >= late_after and sent_at >= self.since.get(host, 0)]
-        return Word(self.who, self.zone, len(late), max(late, default=0), counts[LOST],
-                    counts[ERRED], counts[ANSWERED], server.heard, now)
+        late = [
+            sent_at
+            for _, sent_at, late_after in server.out.values()
+            if seen - sent_at >= late_after and sent_at >= self.since.get(host, 0)
+        ]
+        return Word(
+            self.who,
+            self.zone,
+            len(late),
+            max(late, default=0),
+            counts[LOST],
+            counts[ERRED],
+            counts[ANSWERED],
+            server.heard,
+            now,
+        )
 
     def forget(self, hosts) -> None:
         """Those that are not listed any more."""
--- a/basalthook/fleet/facts.py
+++ b/basalthook/fleet/facts.py
@@ -8,23 +8,24 @@
 Source of the form: Demers et al., "Epidemic algorithms for replicated database maintenance", 1987 (rumours
 that cool, repaired by comparing digests); dormant death certificates are replaced by the life of a kind.
 """
+
 from typing import NamedTuple
 
 import xxhash
 
-OF_AN_AUTHOR, AUTHORS = 2048, 8192        # facts, the newest sequences stay; authors, the longest unheard go
-CONTACTS = 2            # rounds of telling a fact anew, and one more for each doubling of the members
-SUBJECT_MOST = 120      # bytes
+OF_AN_AUTHOR, AUTHORS = 2048, 8192  # facts, the newest sequences stay; authors, the longest unheard go
+CONTACTS = 2  # rounds of telling a fact anew, and one more for each doubling of the members
+SUBJECT_MOST = 120  # bytes
 
 
 class Fact(NamedTuple):
     author: str
-    life: int                       # of the author's process; a later one voids what the earlier told
+    life: int  # of the author's process; a later one voids what the earlier told
     kind: str
     subject: str
-    sequence: int                   # the author's own count, over all its facts
+    sequence: int  # the author's own count, over all its facts
     value: tuple
-    age: int                        # ticks since its author told it, at the moment this is read
+    age: int  # ticks since its author told it, at the moment this is read
 
     @property
     def mark(self) -> int:
@@ -48,8 +49,9 @@
         return None
     author, life, kind, subject, sequence, value, age = plain
     words = all(isinstance(word, str) and 0 < len(word) <= SUBJECT_MOST for word in (author, kind, subject))
-    numbers = all(isinstance(n, int) and not isinstance(n, bool) and 0 <= n < 2 ** 62
-                  for n in (life, sequence, age))
+    numbers = all(
+        isinstance(n, int) and not isinstance(n, bool) and 0 <= n < 2**62 for n in (life, sequence, age)
+    )
     if not words or not numbers or not isinstance(value, list | tuple):
         return None
     return Fact(author, life, kind, subject, sequence, tuple(value), age)
@@ -60,13 +62,13 @@
 
     def __init__(self, me: str, life: int, lives: dict[str, int]) -> None:
         self.me, self.life, self.lives, self.sequence = me, life, lives, 0
-        self.held: dict[tuple, Held] = {}       # (author, kind, subject); emptied by age and by the bounds
-        self.of: dict[str, dict] = {}           # author -> its part of the same
-        self.newest: dict[str, int] = {}        # author -> life
-        self.by_subject: dict[tuple, dict] = {}     # (kind, subject) -> author -> Held
+        self.held: dict[tuple, Held] = {}  # (author, kind, subject); emptied by age and by the bounds
+        self.of: dict[str, dict] = {}  # author -> its part of the same
+        self.newest: dict[str, int] = {}  # author -> life
+        self.by_subject: dict[tuple, dict] = {}  # (kind, subject) -> author -> Held
         self.marks: dict[int, Held] = {}
-        self.hot: dict[int, Held] = {}          # still to be told; emptied as their rounds run out
-        self.changed = 0                        # grows with every word taken: whoever derives may wait for it
+        self.hot: dict[int, Held] = {}  # still to be told; emptied as their rounds run out
+        self.changed = 0  # grows with every word taken: whoever derives may wait for it
 
     def __len__(self) -> int:
         return len(self.held)
@@ -92,14 +94,17 @@
         if fact.age > self.lives.get(fact.kind, -1):
             return False
         if fact.author == self.me:
-            return False        # it knows its own; what a process before it has told is void
+            return False  # it knows its own; what a process before it has told is void
         born = now - fact.age
         old = self.of.get(fact.author, {}).get((fact.kind, fact.subject))
         if old is not None and (old.fact.life, old.fact.sequence) == (fact.life, fact.sequence):
             old.born = min(old.born, born)
             return False
-        if fact.life < self.newest.get(fact.author, 0) or old is not None and (
-                old.fact.life, old.fact.sequence) > (fact.life, fact.sequence):
+        if (
+            fact.life < self.newest.get(fact.author, 0)
+            or old is not None
+            and (old.fact.life, old.fact.sequence) > (fact.life, fact.sequence)
+        ):
             return False
         self.put(Held(fact._replace(age=0), born, rounds(members)))
         return (fact.author, fact.kind, fact.subject) in self.held
@@ -125,7 +130,7 @@
         if len(mine) > OF_AN_AUTHOR:
             self.drop(min(mine.values(), key=lambda h: h.fact.sequence))
         if len(self.newest) > AUTHORS:
-            for author in sorted(self.newest.keys() - self.of.keys() or self.newest)[:AUTHORS // 8]:
+            for author in sorted(self.newest.keys() - self.of.keys() or self.newest)[: AUTHORS // 8]:
                 for old in list(self.of.get(author, {}).values()):
                     self.drop(old)
                 del self.newest[author]
@@ -133,8 +138,10 @@
     def drop(self, held: Held) -> None:
         fact = held.fact
         del self.held[fact.author, fact.kind, fact.subject]
-        for where, key, inner in ((self.of, fact.author, (fact.kind, fact.subject)),
-                                  (self.by_subject, (fact.kind, fact.subject), fact.author)):
+        for where, key, inner in (
+            (self.of, fact.author, (fact.kind, fact.subject)),
+            (self.by_subject, (fact.kind, fact.subject), fact.author),
+        ):
             del where[key][inner]
             if not where[key]:
                 del where[key]
@@ -168,8 +175,11 @@
         return [subject for of, subject in self.by_subject if of == kind]
 
     def all(self, now: int) -> list[Fact]:
-        return [h.fact._replace(age=max(0, now - h.born)) for h in self.held.values()
-                if now - h.born <= self.lives[h.fact.kind]]
+        return [
+            h.fact._replace(age=max(0, now - h.born))
+            for h in self.held.values()
+            if now - h.born <= self.lives[h.fact.kind]
+        ]
 
     # ---- spreading
 
@@ -181,7 +191,7 @@
             held.rounds -= 1
             del self.hot[mark]
             if held.rounds > 0:
-                self.hot[mark] = held       # to the end of the row: those not told yet come first
+                self.hot[mark] = held  # to the end of the row: those not told yet come first
         return told
 
     def lacking(self, marks) -> list[int]:
@@ -190,14 +200,17 @@
     def given(self, now: int, marks) -> list[Fact]:
         """The words that these marks stand for, as far as they are alive here."""
         found = (self.marks.get(mark) for mark in marks)
-        return [h.fact._replace(age=max(0, now - h.born)) for h in found
-                if h is not None and now - h.born <= self.lives[h.fact.kind]]
+        return [
+            h.fact._replace(age=max(0, now - h.born))
+            for h in found
+            if h is not None and now - h.born <= self.lives[h.fact.kind]
+        ]
 
     def digests(self, now: int, low: int, most: int) -> tuple[list[tuple[int, int]], int]:
         """(author's number, digest of its words) from `low` on, so many at most, and where the range ends."""
         numbered = sorted((number(author), author) for author in self.of)
-        told = [(n, self.digest(now, author)) for n, author in numbered if n >= low][:most + 1]
-        end = told[most][0] if len(told) > most else 2 ** 32
+        told = [(n, self.digest(now, author)) for n, author in numbered if n >= low][: most + 1]
+        end = told[most][0] if len(told) > most else 2**32
         return told[:most], end
 
     def digest(self, now: int, author: str) -> int:
@@ -213,8 +226,11 @@
         for author in self.of:
             which = number(author)
             if low <= which < end and digests.get(which, 0) != self.digest(now, author):
-                found += [h.fact._replace(age=max(0, now - h.born)) for h in self.of[author].values()
-                          if now - h.born <= self.lives[h.fact.kind]]
+                found += [
+                    h.fact._replace(age=max(0, now - h.born))
+                    for h in self.of[author].values()
+                    if now - h.born <= self.lives[h.fact.kind]
+                ]
         return found
 
 
--- a/basalthook/fleet/holder.py
+++ b/basalthook/fleet/holder.py
@@ -4,13 +4,14 @@
 moment at which it asked, on its own clock, for less than the keeper counts. So whatever the links do to the
 datagrams, what all holders may use at a time is no more than what the keeper has counted for them.
 """
+
 from .bounds import CLOCKS, LEASE, TOKEN_LIFE
 from .keeper import Row, Unit
 from .seat import shorter
 
-PATIENCE = 500          # ticks after which an ask counts as lost; doubled each time, up to ...
+PATIENCE = 500  # ticks after which an ask counts as lost; doubled each time, up to ...
 PATIENCE_MOST = 2_000
-RENEW = LEASE // 4      # ticks between two asks while nothing has changed
+RENEW = LEASE // 4  # ticks between two asks while nothing has changed
 
 
 class Holder:
@@ -19,15 +20,15 @@
     def __init__(self, now: int) -> None:
         self.sequence = self.got = self.version = 0
         self.asked_at = now
-        self.open = False               # an ask is out that no answer has come to
-        self.slow, self.began = 0.0, now        # ticks from a first ask to an answer, of late
-        self.lost = 0                   # asks in a row without an answer
-        self.parts: dict[Unit, int] = {}        # places, valid until ...
+        self.open = False  # an ask is out that no answer has come to
+        self.slow, self.began = 0.0, now  # ticks from a first ask to an answer, of late
+        self.lost = 0  # asks in a row without an answer
+        self.parts: dict[Unit, int] = {}  # places, valid until ...
         self.until = 0
-        self.offered: dict[Unit, int] = {}      # wants of the newest ask
-        self.tokens: dict[Unit, dict[int, list[int]]] = {}      # in hand, by ask: [count, until]
-        self.taken: dict[Unit, int] = {}        # by the answers to the ask that was answered last
-        self.short: set[Unit] = set()   # others wait for these
+        self.offered: dict[Unit, int] = {}  # wants of the newest ask
+        self.tokens: dict[Unit, dict[int, list[int]]] = {}  # in hand, by ask: [count, until]
+        self.taken: dict[Unit, int] = {}  # by the answers to the ask that was answered last
+        self.short: set[Unit] = set()  # others wait for these
         self.renew_at = 0
 
     def places(self, now: int, unit: Unit) -> int:
@@ -64,8 +65,9 @@
             return False
         return now >= self.renew_at or bool(tokens) or places != self.offered
 
-    def ask(self, now: int, places: dict[Unit, int], tokens: dict[Unit, int], used: dict[Unit, int]
-            ) -> tuple[int, int, list[Row]]:
+    def ask(
+        self, now: int, places: dict[Unit, int], tokens: dict[Unit, int], used: dict[Unit, int]
+    ) -> tuple[int, int, list[Row]]:
         """`places`, `tokens`: what it would have; `used`: places with a hop out, which can't be given up."""
         self.lost = self.lost + 1 if self.open else 0
         self.began = self.began if self.open else now
@@ -88,13 +90,14 @@
         self.renew_at = now + RENEW
         return self.sequence, self.got, rows
 
-    def answered(self, now: int, sequence: int, version: int, granted: dict[Unit, int], short: set[Unit],
-                 is_token) -> bool:
+    def answered(
+        self, now: int, sequence: int, version: int, granted: dict[Unit, int], short: set[Unit], is_token
+    ) -> bool:
         """Whether it was news."""
         if sequence != self.sequence or version <= self.version:
             return False
         if sequence != self.got:
-            self.taken = {}     # not before: the next ask still says what was taken of the one before
+            self.taken = {}  # not before: the next ask still says what was taken of the one before
             self.slow += (now - self.began - self.slow) * 0.2
         self.version, self.got, self.open, self.lost = version, sequence, False, 0
         self.parts = {unit: n for unit, n in granted.items() if not is_token(unit) and n}
@@ -102,7 +105,8 @@
         for unit, n in granted.items():
             if is_token(unit):
                 lot = self.tokens.setdefault(unit, {}).setdefault(
-                    sequence, [0, self.asked_at + shorter(TOKEN_LIFE, CLOCKS)])
+                    sequence, [0, self.asked_at + shorter(TOKEN_LIFE, CLOCKS)]
+                )
                 lot[0] += n - self.taken.get(unit, 0)
                 self.taken[unit] = n
         self.short = short
--- a/basalthook/fleet/keeper.py
+++ b/basalthook/fleet/keeper.py
@@ -8,6 +8,7 @@
 A keeper that is new, or was not the keeper for a moment, grants nothing beyond what a holder still holds
 until all that another may have granted is over. Its buckets begin empty.
 """
+
 from collections import OrderedDict
 from typing import NamedTuple
 
@@ -15,15 +16,16 @@
 from .seat import longer
 
 HOLDERS_MOST = 8192
-EXTRA = 4               # part of what is free that is lent beyond a wish, over all holders
+EXTRA = 4  # part of what is free that is lent beyond a wish, over all holders
 Unit = tuple[int, int]  # a limit's id, and the mark of a host; 0 for tokens
 
 
 class Row(NamedTuple):
     """Of a holder's ask, for one unit."""
+
     unit: Unit
-    holds: int                      # places that it may use; tokens taken since its last ask
-    want: int                       # places that it would use; tokens more
+    holds: int  # places that it may use; tokens taken since its last ask
+    want: int  # places that it would use; tokens more
 
 
 class Lent:
@@ -33,8 +35,8 @@
 
     def __init__(self) -> None:
         self.asked = self.version = self.until = 0
-        self.out: dict[Unit, int] = {}          # places that it may have in use
-        self.granted: dict[Unit, int] = {}      # by the answers to its newest ask; tokens as well
+        self.out: dict[Unit, int] = {}  # places that it may have in use
+        self.granted: dict[Unit, int] = {}  # by the answers to its newest ask; tokens as well
         self.want: dict[Unit, int] = {}
 
 
@@ -44,12 +46,12 @@
 
     def __init__(self, limits: dict[int, Limit], hard_limit: int) -> None:
         self.limits, self.lasts = limits, LEASE + longer(hard_limit, CLOCKS)
-        self.lent: dict[tuple, Lent] = {}       # (name, life) -> ; emptied as what was lent is over
+        self.lent: dict[tuple, Lent] = {}  # (name, life) -> ; emptied as what was lent is over
         self.used: dict[Unit, int] = {}
-        self.waiting: dict[Unit, OrderedDict] = {}      # holders whose wish is not met, the first one first
+        self.waiting: dict[Unit, OrderedDict] = {}  # holders whose wish is not met, the first one first
         self.levels: dict[int, tuple[float, int]] = {}  # limit -> (tokens, when)
         self.full_from = 0
-        self.nothing_out = False        # told by whoever knows that nobody holds anything yet
+        self.nothing_out = False  # told by whoever knows that nobody holds anything yet
         self.short_until: dict[Unit, int] = {}
 
     def begin(self, now: int) -> None:
@@ -182,7 +184,8 @@
         for who in told:
             self.lent[who].version += 1
         return [self.answer(now, who) for who in told if who != but] + [
-            self.answer(now, who) for who in told if who == but]
+            self.answer(now, who) for who in told if who == but
+        ]
 
     def expire(self, now: int) -> list[Unit]:
         freed = []
--- a/basalthook/fleet/limits.py
+++ b/basalthook/fleet/limits.py
@@ -4,6 +4,7 @@
 Stands beside the decisions as the verdicts do: `handle` hands events on and looks whether something is
 wanted, `tick` tells what the decisions may use. Messages go out by member's name.
 """
+
 from collections import Counter
 from math import ceil
 from random import Random
@@ -17,23 +18,37 @@
 
 NEED, PART, NOT_ME = 27, 28, 29
 KINDS = {seats.CLAIM: 4, seats.VOTE: 5, seats.GIVE_UP: 4, NEED: 6, PART: 7, NOT_ME: 4}  # and their lengths
-UNITS = 48              # in one ask, as one datagram holds; beyond, those longest unused are given up
-HOLD = 1_500            # ticks that a place is kept after its last use, while nobody waits for it
-GAP = 20                # ticks between two asks at least
+UNITS = 48  # in one ask, as one datagram holds; beyond, those longest unused are given up
+HOLD = 1_500  # ticks that a place is kept after its last use, while nobody waits for it
+GAP = 20  # ticks between two asks at least
 AHEAD, AHEAD_MOST = 2_500, TOKEN_LIFE * 3 // 4  # ticks of demand that are asked for; where asks are slow
-ROTATE = 4              # asks lost in a row after which another voter is asked
-LOOKS = 8               # of those who wait, for whom places are asked
-SCARCE = 5_000          # ticks after an ask for which its answer tells that there are none
-SPREAD = 3 * TICKS // 2     # come-back times of those refused: from a third of it to all of it
-FOREVER = 2 ** 60
+ROTATE = 4  # asks lost in a row after which another voter is asked
+LOOKS = 8  # of those who wait, for whom places are asked
+SCARCE = 5_000  # ticks after an ask for which its answer tells that there are none
+SPREAD = 3 * TICKS // 2  # come-back times of those refused: from a third of it to all of it
+FOREVER = 2**60
 
 
 class Limits:
     """`out(name, message)` sends; `live()` names the members; `position`, `proxies`: as this one was told."""
 
-    def __init__(self, inner, proxy, limits: list[Limit], me: str, life: int, voters: tuple[str, ...],
-                 position: int, proxies: int, hard_limit: int, chance: Random, out, live, now: int,
-                 say=lambda event, **fields: None) -> None:
+    def __init__(
+        self,
+        inner,
+        proxy,
+        limits: list[Limit],
+        me: str,
+        life: int,
+        voters: tuple[str, ...],
+        position: int,
+        proxies: int,
+        hard_limit: int,
+        chance: Random,
+        out,
+        live,
+        now: int,
+        say=lambda event, **fields: None,
+    ) -> None:
         self.inner, self.proxy, self.limits = inner, proxy, {limit.id: limit for limit in limits}
         self.me, self.life, self.voters = me, life, voters
         self.chance, self.out, self.live = chance, out, live
@@ -41,9 +56,9 @@
         self.holder = Holder(now)
         self.keeper = Keeper(self.limits, hard_limit) if me in voters else None
         self.seat = self.keeper and Seat(me, life, voters, TERM, CLOCKS, chance, self.send, live, now)
-        self.since = 0                          # of the seat, when the keeper last began
-        self.asks = ""                          # who is asked
-        self.wake = lambda event: None          # the way to the decisions, for whoever drives them
+        self.since = 0  # of the seat, when the keeper last began
+        self.asks = ""  # who is asked
+        self.wake = lambda event: None  # the way to the decisions, for whoever drives them
         self.now = now
         self.hosts = next((n for n, limit in self.limits.items() if limit.kind == HOST), None)
         self.firsts = [(n, limit) for n, limit in self.limits.items() if limit.kind == RATE]
@@ -53,25 +68,25 @@
             self.keys[self.further, 0] = i.FURTHER, None
         self.units = {key: unit for unit, key in self.keys.items()}
         self.ready, self.by_mark, self.marks, self.own = None, {}, {}, {}
-        self.peaks: dict[Unit, tuple[int, int]] = {}    # most places in use lately, when; emptied by time
-        self.demand = {unit: 0.0 for unit in self.keys}     # tokens used a tick, of late
-        self.floors = {unit: 0.0 for unit in self.keys}     # tokens of the floor in hand
+        self.peaks: dict[Unit, tuple[int, int]] = {}  # most places in use lately, when; emptied by time
+        self.demand = {unit: 0.0 for unit in self.keys}  # tokens used a tick, of late
+        self.floors = {unit: 0.0 for unit in self.keys}  # tokens of the floor in hand
         self.filled = dict.fromkeys(self.keys, now)
         self.seen = dict.fromkeys(self.keys, 0)
-        self.told: dict[tuple, tuple] = {}      # of tokens, by key
+        self.told: dict[tuple, tuple] = {}  # of tokens, by key
         self.told_hosts: dict[int, tuple] = {}  # as many as are listed
         self.ticked = now
         # guards against the hops of a process before this one, which may still be out at its own places
         self.hard_limit, self.own_from = hard_limit, now + longer(hard_limit, CLOCKS)
-        self.refused = Counter()                # limit -> transactions rolled back while it was short
+        self.refused = Counter()  # limit -> transactions rolled back while it was short
         self.begun = self.left = False
-        self.give(now)      # guards against hops before the first look: nothing is allowed until it is lent
+        self.give(now)  # guards against hops before the first look: nothing is allowed until it is lent
 
     # ---- between the decisions and whoever drives them
 
     def handle(self, now: int, event, seen: int | None = None) -> list:
         self.now = now
-        if isinstance(event, i.TxArrived):      # demand, whether or not it is met
+        if isinstance(event, i.TxArrived):  # demand, whether or not it is met
             unit = self.units.get(self.proxy.allowed.key((i.FIRST, event.profile)))
             if unit is not None:
                 self.demand[unit] += 1 / TICKS
@@ -95,7 +110,7 @@
             self.demand[unit] *= max(0.0, 1 - passed / TICKS)
         self.give(now)
         self.ask(now)
-        if self.proxy.line:     # guards against entries of those that are gone, where no hop ends
+        if self.proxy.line:  # guards against entries of those that are gone, where no hop ends
             self.wake(i.Allowed((), (), self.proxy.allowed.later))
 
     def come(self, now: int) -> None:
@@ -120,9 +135,12 @@
             limit, self.ready = self.limits[self.hosts], self.proxy.ready
             self.marks = {server.id: mark_of(server) for server in self.ready}
             self.by_mark = {mark: host for host, mark in self.marks.items()}
-            self.own = {host: self.own[host] if host in self.own else
-                        limit.own_places(mark, self.position, self.proxies)
-                        for host, mark in self.marks.items()}
+            self.own = {
+                host: self.own[host]
+                if host in self.own
+                else limit.own_places(mark, self.position, self.proxies)
+                for host, mark in self.marks.items()
+            }
             for host, own in self.own.items():
                 if own:
                     self.told_hosts.setdefault(host, (0, 0, 0))
@@ -140,8 +158,11 @@
         """Lent places with a hop out, by unit."""
         # guards against giving up places with a hop out at hosts that have left the list meanwhile
         servers = {server.id: server for server, _, _ in self.proxy.flying.values()}
-        return {(self.hosts, mark_of(server)): len(server.out) - own for server in servers.values()
-                if len(server.out) > (own := self.mine(now, server.id))}
+        return {
+            (self.hosts, mark_of(server)): len(server.out) - own
+            for server in servers.values()
+            if len(server.out) > (own := self.mine(now, server.id))
+        }
 
     def wishes(self, now: int, used: dict[Unit, int]) -> tuple[dict[Unit, int], dict[Unit, int]]:
         """Places, and tokens more, that would be of use."""
@@ -156,17 +177,21 @@
                     self.peaks.pop(unit)
                     if used.get(unit):
                         self.peaks[unit] = used[unit], now
-            places = {unit: used.get(unit, 0) if unit in self.holder.short else peak
-                      for unit, (peak, _) in self.peaks.items() if unit[1] in self.by_mark}
+            places = {
+                unit: used.get(unit, 0) if unit in self.holder.short else peak
+                for unit, (peak, _) in self.peaks.items()
+                if unit[1] in self.by_mark
+            }
             places = {unit: n for unit, n in places.items() if n}
             for tx in waiting:
                 for host in self.candidates(tx):
                     unit = self.unit(host)
-                    places[unit] = min(max(places.get(unit, 0), used.get(unit, 0)) + 1,
-                                       int(self.limits[self.hosts].lent()))
+                    places[unit] = min(
+                        max(places.get(unit, 0), used.get(unit, 0)) + 1, int(self.limits[self.hosts].lent())
+                    )
             # what is in use has to be named in the same datagram
             free = sorted(places.keys() - used.keys(), key=lambda u: self.peaks.get(u, (0, now))[1])
-            for unit in free[:max(0, len(free) - max(0, UNITS - len(used)))]:
+            for unit in free[: max(0, len(free) - max(0, UNITS - len(used)))]:
                 del places[unit]
         for unit, key in self.keys.items():
             wait = sum(self.proxy.allowed.key(tx.grant) == key for tx in waiting)
@@ -180,8 +205,12 @@
         """The first two hosts for its key that only a place is wanting of."""
         found, proxy = [], self.proxy
         for server in proxy.ranking(tx.key):
-            if server.id in self.marks and server.id not in tx.tried and proxy.open_to(tx, server.line) and (
-                    not proxy.away(server, "ban", "rest") and proxy.now >= server.shut):
+            if (
+                server.id in self.marks
+                and server.id not in tx.tried
+                and proxy.open_to(tx, server.line)
+                and (not proxy.away(server, "ban", "rest") and proxy.now >= server.shut)
+            ):
                 found.append(server.id)
                 if len(found) == 2:
                     break
@@ -199,29 +228,50 @@
         if not name:
             return
         sequence, got, rows = self.holder.ask(now, places, tokens, used)
-        self.give(now)      # first it gives up, then it says so
-        self.send(name, [NEED, self.me, self.life, sequence, got,
-                         [[*row.unit, row.holds, row.want] for row in rows]])
+        self.give(now)  # first it gives up, then it says so
+        self.send(
+            name,
+            [NEED, self.me, self.life, sequence, got, [[*row.unit, row.holds, row.want] for row in rows]],
+        )
 
     def view(self, now: int) -> list[dict]:
         """For operators: each limit, this proxy's part of it, how old that is, and what it refused."""
         self.known()
         found = []
         for n, limit in self.limits.items():
-            row = {"limit": limit.name, "kind": limit.kind, "amount": limit.amount, "floor": limit.floor,
-                   "over": limit.over, "age_ms": max(0, self.holder.age(now)) // 10,
-                   "stale_ms": limit.stale() // 10, "keeper": self.asks,
-                   "short": sum(unit[0] == n for unit in self.holder.short),
-                   "refused": self.refused[n]}
+            row = {
+                "limit": limit.name,
+                "kind": limit.kind,
+                "amount": limit.amount,
+                "floor": limit.floor,
+                "over": limit.over,
+                "age_ms": max(0, self.holder.age(now)) // 10,
+                "stale_ms": limit.stale() // 10,
+                "keeper": self.asks,
+                "short": sum(unit[0] == n for unit in self.holder.short),
+                "refused": self.refused[n],
+            }
             if limit.places:
                 lent = self.holder.parts if now < self.holder.until else {}
-                found.append({**row, "own": sum(self.own.values()), "lent": sum(lent.values()),
-                              "in_use": len(self.proxy.flying), "hosts": len(self.own)})
+                found.append(
+                    {
+                        **row,
+                        "own": sum(self.own.values()),
+                        "lent": sum(lent.values()),
+                        "in_use": len(self.proxy.flying),
+                        "hosts": len(self.own),
+                    }
+                )
             else:
                 self.spent(now, (n, 0))
-                found.append({**row, "own": int(self.floors[n, 0]),
-                              "lent": self.holder.in_hand(now, (n, 0))[0],
-                              "a_second": round(self.demand[n, 0] * TICKS, 1)})
+                found.append(
+                    {
+                        **row,
+                        "own": int(self.floors[n, 0]),
+                        "lent": self.holder.in_hand(now, (n, 0))[0],
+                        "a_second": round(self.demand[n, 0] * TICKS, 1),
+                    }
+                )
         return found
 
     def whom(self, now: int) -> str:
@@ -262,8 +312,9 @@
         if not self.begun:
             self.begun = True
             rows += [((i.AT_HOST, None), 0, 0, FOREVER)] if self.hosts is not None else []
-            same = tuple(((i.FIRST, profile), (i.FIRST, n)) for n, limit in self.firsts
-                         for profile in limit.profiles)
+            same = tuple(
+                ((i.FIRST, profile), (i.FIRST, n)) for n, limit in self.firsts for profile in limit.profiles
+            )
         if self.hosts is not None:
             lent, until = self.holder.parts, self.holder.until
             now_lent = {self.by_mark[unit[1]]: n for unit, n in lent.items() if unit[1] in self.by_mark}
@@ -310,8 +361,18 @@
 
     def answer(self, answers: list[tuple]) -> None:
         for (name, life), sequence, version, granted, short in answers:
-            self.send(name, [PART, self.me, life, sequence, version, [[*u, n] for u, n in granted.items()],
-                             [list(u) for u in short]])
+            self.send(
+                name,
+                [
+                    PART,
+                    self.me,
+                    life,
+                    sequence,
+                    version,
+                    [[*u, n] for u, n in granted.items()],
+                    [list(u) for u in short],
+                ],
+            )
 
     def received(self, now: int, message: list) -> None:
         """A message of a member, of the length that KINDS has; unsound parts of it count for nothing."""
@@ -337,7 +398,7 @@
             holder = self.seat.holder(now)
             self.send(name, [NOT_ME, self.me, sequence, holder])
             return
-        sound = [Row((row[0], row[1]), row[2], row[3]) for row in rows[:2 * UNITS] if whole(row, 4)]
+        sound = [Row((row[0], row[1]), row[2], row[3]) for row in rows[: 2 * UNITS] if whole(row, 4)]
         if whole([life, sequence, got], 3):
             self.answer(self.keeper.asked(now, (name, life), sequence, got, sound))
 
@@ -346,8 +407,14 @@
         if life != self.life or not whole([sequence, version], 2):
             return
         granted = {(row[0], row[1]): row[2] for row in rows if whole(row, 3) and row[0] in self.limits}
-        if self.holder.answered(now, sequence, version, granted, {tuple(u) for u in short if whole(u, 2)},
-                                lambda unit: not self.limits[unit[0]].places):
+        if self.holder.answered(
+            now,
+            sequence,
+            version,
+            granted,
+            {tuple(u) for u in short if whole(u, 2)},
+            lambda unit: not self.limits[unit[0]].places,
+        ):
             self.asks = name
             self.give(now)
 
@@ -359,5 +426,8 @@
 
 def whole(row, length: int) -> bool:
     """So many whole numbers from 0 on."""
-    return isinstance(row, list) and len(row) == length and all(
-        isinstance(n, int) and not isinstance(n, bool) and 0 <= n < 2 ** 62 for n in row)
+    return (
+        isinstance(row, list)
+        and len(row) == length
+        and all(isinstance(n, int) and not isinstance(n, bool) and 0 <= n < 2**62 for n in row)
+    )
--- a/basalthook/fleet/seat.py
+++ b/basalthook/fleet/seat.py
@@ -8,10 +8,11 @@
 Source of the form: Trencseni, Gazso and Reinhardt, "PaxosLease: diskless Paxos for leases", 2012; here a
 ballot is a vote that is asked for anew, as nothing but the seat is decided.
 """
+
 from random import Random
 
 CLAIM, VOTE, GIVE_UP = 24, 25, 26
-ROUNDS = 8              # claims whose votes are still counted
+ROUNDS = 8  # claims whose votes are still counted
 
 
 def shorter(ticks: int, loss: float) -> int:
@@ -29,14 +30,24 @@
     """One voter's part, a candidate as well. `send(name, message)` carries to another voter; `live()` names
     the members that are held for alive."""
 
-    def __init__(self, me: str, life: int, voters: tuple[str, ...], term: int, loss: float, chance: Random,
-                 send, live, now: int) -> None:
+    def __init__(
+        self,
+        me: str,
+        life: int,
+        voters: tuple[str, ...],
+        term: int,
+        loss: float,
+        chance: Random,
+        send,
+        live,
+        now: int,
+    ) -> None:
         self.me, self.life, self.voters, self.term, self.loss = me, life, voters, term, loss
         self.chance, self.send, self.live = chance, send, live
-        self.silent_until = now + term          # what a process before this one has voted is not known
-        self.vote: tuple | None = None          # (name, life, round, until): whose this voter's is
+        self.silent_until = now + term  # what a process before this one has voted is not known
+        self.vote: tuple | None = None  # (name, life, round, until): whose this voter's is
         self.round, self.valid, self.since = 0, 0, 0
-        self.claims: dict[int, tuple[int, set[str]]] = {}   # round -> (sent at, who said yes); bounded
+        self.claims: dict[int, tuple[int, set[str]]] = {}  # round -> (sent at, who said yes); bounded
         self.next = now + term
 
     # ---- the seat
@@ -58,7 +69,7 @@
             return
         if self.holds(now) or self.holder(now) in ("", self.me) and now >= self.silent_until:
             if not self.holds(now) and self.claims:
-                self.give_up(now)       # split votes would block all for a term
+                self.give_up(now)  # split votes would block all for a term
                 return
             self.claim(now)
         else:
@@ -119,7 +130,7 @@
         if 2 * len(votes) > len(self.voters):
             valid = sent_at + shorter(self.term, self.loss)
             if valid > now and not self.holds(now):
-                self.since = now        # another may have held it in between
+                self.since = now  # another may have held it in between
             self.valid = max(self.valid, valid)
 
     def gave_up(self, now: int, message: list) -> None:
--- a/basalthook/fleet/talk.py
+++ b/basalthook/fleet/talk.py
@@ -8,6 +8,7 @@
     rumour > marks of what is new        ask > marks that are lacking        answer > facts
     every REPAIR: ask_differing > digests by author, over a range            answer > facts that differ
 """
+
 from random import Random
 
 import msgpack
@@ -17,34 +18,43 @@
 from .facts import Fact, Table, read
 
 RUMOUR, ASK, ANSWER, ASK_DIFFERING = 16, 17, 18, 19
-TELL_TO = 3             # members told in a round
-MARKS, DIGESTS = 32, 48         # in one datagram
-REPAIR = 20_000         # ticks between two exchanges of digests
-RATE, BURST = 1.6, 32_000       # bytes a tick that facts may take going out (16 kB a second), and at once
+TELL_TO = 3  # members told in a round
+MARKS, DIGESTS = 32, 48  # in one datagram
+REPAIR = 20_000  # ticks between two exchanges of digests
+RATE, BURST = 1.6, 32_000  # bytes a tick that facts may take going out (16 kB a second), and at once
 IN_RATE, IN_BURST = 0.2, 2_000  # datagrams a tick that are read at all (2,000 a second), and at once
-OPEN_FOR, OPEN_LEAST = 50_000, 256       # ticks that a question stays open
-ROOM = wire.MOST - 40   # bytes for what a datagram carries
-COMPLAIN = 100_000      # ticks between two log lines on unsound datagrams
+OPEN_FOR, OPEN_LEAST = 50_000, 256  # ticks that a question stays open
+ROOM = wire.MOST - 40  # bytes for what a datagram carries
+COMPLAIN = 100_000  # ticks between two log lines on unsound datagrams
 
 
 class Talk:
     """One process's part: `out(address, bytes)` sends; `say(event, **fields)` is the log."""
 
-    def __init__(self, name: str, address: tuple[str, int], life: int, seeds: list[tuple[str, int]],
-                 key: bytes, lives: dict[str, int], chance: Random, out,
-                 say=lambda event, **fields: None) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: tuple[str, int],
+        life: int,
+        seeds: list[tuple[str, int]],
+        key: bytes,
+        lives: dict[str, int],
+        chance: Random,
+        out,
+        say=lambda event, **fields: None,
+    ) -> None:
         self.name, self.key, self.chance, self.out, self.say = name, key, chance, out, say
         self.member = Member(name, address, life, seeds, chance, self.send, self.changed)
         self.table = Table(name, life, lives)
         self.member.lived = self.table.live
-        self.asked: dict[int, int] = {}         # nonce -> when; emptied by answers and by time
+        self.asked: dict[int, int] = {}  # nonce -> when; emptied by answers and by time
         self.tokens, self.in_tokens, self.last, self.in_last = float(BURST), float(IN_BURST), 0, 0
         self.repair_next = self.expire_next = 0
-        self.unsound: dict[str, int] = {}       # reason -> count
+        self.unsound: dict[str, int] = {}  # reason -> count
         self.complained = -COMPLAIN
         self.sent = self.sent_bytes = self.taken = 0
-        self.kinds: dict[int, int] = {}         # kind -> length of messages that another part of this process
-        self.others = lambda now, message: None     # ... takes
+        self.kinds: dict[int, int] = {}  # kind -> length of messages that another part of this process
+        self.others = lambda now, message: None  # ... takes
 
     def begin(self, now: int, known: list[Update] = ()) -> None:
         self.last = self.in_last = now
@@ -108,8 +118,10 @@
         low = self.chance.getrandbits(32) if len(self.table.of) > DIGESTS else 0
         digests, end = self.table.digests(now, low, DIGESTS)
         for name in self.member.some(1):
-            self.pay(self.member.address(name),
-                     [ASK_DIFFERING, self.name, self.ask(now), low, end, [list(pair) for pair in digests]])
+            self.pay(
+                self.member.address(name),
+                [ASK_DIFFERING, self.name, self.ask(now), low, end, [list(pair) for pair in digests]],
+            )
 
     def ask(self, now: int) -> int:
         while len(self.asked) >= OPEN_LEAST + len(self.member.known):
@@ -174,7 +186,7 @@
     def answered(self, now: int, message: list, source) -> None:
         asked_at = self.asked.pop(message[2], None)
         if asked_at is None or not isinstance(message[3], list):
-            return      # guards against a datagram that was held up, forged or played again
+            return  # guards against a datagram that was held up, forged or played again
         for plain in message[3]:
             fact = read(plain)
             if fact is not None:
@@ -188,4 +200,4 @@
     """What of it are whole numbers of four bytes, if it is a list."""
     if not isinstance(plain, list):
         return []
-    return [n for n in plain[:most] if isinstance(n, int) and not isinstance(n, bool) and 0 <= n < 2 ** 32]
+    return [n for n in plain[:most] if isinstance(n, int) and not isinstance(n, bool) and 0 <= n < 2**32]
--- a/basalthook/fleet/verdicts.py
+++ b/basalthook/fleet/verdicts.py
@@ -13,6 +13,7 @@
 The states of a host, and what leads from one to another, are in LIFE. Verdicts make wary and nothing else:
 drains, cold hosts, placement and what the proxy knows alone stand beside them.
 """
+
 from functools import lru_cache
 from typing import NamedTuple
 
@@ -23,22 +24,22 @@
 from .evidence import read as read_word
 from .facts import Table
 
-HOST, TRIAL = "host", "trial"           # kinds of facts
+HOST, TRIAL = "host", "trial"  # kinds of facts
 LIVES = {HOST: WINDOW, TRIAL: 100_000}  # ticks
-QUORUM = 2              # witnesses of a host's silence, with nothing heard since by anyone
-FAULTS, WITNESSES, SHARE = 4, 3, 0.3    # faults, of so many proxies, and such a share above common
-MOST_OUT = 0.3          # of the ready hosts
-LONE = 3                # hosts that a proxy blames alone, from which on its own link is bad
-AGAIN, ANSWERS = 1_000, 3_000           # ticks between two words on a host: with a new fault, without
-PACE, SLOW_PACE, FRESH = 10_000, 18_000, 50_000     # ticks between trials; with none out for less than FRESH
-QUICK, ALL_TRIED, LEAST_PACE = 500, 60_000, 2_000   # after an answer; in which all are tried once; at least
-STEP = 2_000            # ticks in which those who may try double, until one does
-TRIAL_MOST = 10_000     # ticks after which a trial under way counts as lost
-RAMP = 10_000           # ticks from kept away to its whole share
-LEASE, REFRESH = 20_000, 10_000         # for how long the decisions are told to keep away; told anew
-NEED_SILENT, NEED_FAILING, NEED_MOST = 1, 3, 6      # trials answered in a row before a host comes back
-STRIKES = 300_000       # ticks in which a host that is out again needs one trial more
-SETTLED = 3_000         # ticks after a return in which words may still be of before
+QUORUM = 2  # witnesses of a host's silence, with nothing heard since by anyone
+FAULTS, WITNESSES, SHARE = 4, 3, 0.3  # faults, of so many proxies, and such a share above common
+MOST_OUT = 0.3  # of the ready hosts
+LONE = 3  # hosts that a proxy blames alone, from which on its own link is bad
+AGAIN, ANSWERS = 1_000, 3_000  # ticks between two words on a host: with a new fault, without
+PACE, SLOW_PACE, FRESH = 10_000, 18_000, 50_000  # ticks between trials; with none out for less than FRESH
+QUICK, ALL_TRIED, LEAST_PACE = 500, 60_000, 2_000  # after an answer; in which all are tried once; at least
+STEP = 2_000  # ticks in which those who may try double, until one does
+TRIAL_MOST = 10_000  # ticks after which a trial under way counts as lost
+RAMP = 10_000  # ticks from kept away to its whole share
+LEASE, REFRESH = 20_000, 10_000  # for how long the decisions are told to keep away; told anew
+NEED_SILENT, NEED_FAILING, NEED_MOST = 1, 3, 6  # trials answered in a row before a host comes back
+STRIKES = 300_000  # ticks in which a host that is out again needs one trial more
+SETTLED = 3_000  # ticks after a return in which words may still be of before
 
 OPEN, OUT, BACK = "open", "out", "back"
 SILENT, FAILING = "silent", "failing"
@@ -50,23 +51,24 @@
     (OUT, "forgotten"): BACK,
     (BACK, "ramp over"): OPEN,
 }
-UNDER_WAY, GOOD, BAD, VOID = range(4)   # of a trial
+UNDER_WAY, GOOD, BAD, VOID = range(4)  # of a trial
 PHASES = "under way", "answered", "failed", "void"
 
 
 class Trial(NamedTuple):
     """One proxy's word on one trial of a host."""
+
     subject: str
     who: str
     zone: str
-    round: int                      # counts all trials of the fleet
+    round: int  # counts all trials of the fleet
     phase: int
-    run: int                        # trials answered in a row, this one included
-    need: int                       # that bring the host back
+    run: int  # trials answered in a row, this one included
+    need: int  # that bring the host back
     reason: str
-    began: int                      # ticks, on the reader's clock
+    began: int  # ticks, on the reader's clock
     told: int
-    mark: int = 0                   # of the fact it came as
+    mark: int = 0  # of the fact it came as
 
 
 class State:
@@ -77,7 +79,7 @@
     def __init__(self) -> None:
         self.state, self.since, self.reason, self.late_sent = OPEN, 0, "", 0
         self.strikes = self.struck = 0
-        self.known = 0                  # when the newest word against it was told
+        self.known = 0  # when the newest word against it was told
         self.by: tuple[str, ...] = ()
 
     def need(self) -> int:
@@ -93,8 +95,11 @@
         return SILENT, silent
     blaming = [word for word in words if word.faults]
     faults, answers = sum(word.faults for word in words), sum(word.answers for word in words)
-    if faults >= FAULTS and len(blaming) >= min(WITNESSES, members) and (
-            faults > (SHARE + 2 * common) * (faults + answers)):
+    if (
+        faults >= FAULTS
+        and len(blaming) >= min(WITNESSES, members)
+        and (faults > (SHARE + 2 * common) * (faults + answers))
+    ):
         return FAILING, blaming
     return "", []
 
@@ -110,8 +115,11 @@
             return reason, by
     reason, by = judge(words, common, members)
     # one other zone alone says nothing of the way from here
-    return ("", []) if {word.zone for word in by}.isdisjoint({zone}) and len({w.zone for w in by}) == 1 else (
-        reason, by)
+    return (
+        ("", [])
+        if {word.zone for word in by}.isdisjoint({zone}) and len({w.zone for w in by}) == 1
+        else (reason, by)
+    )
 
 
 def lone(blamed: dict[str, set[str]]) -> set[str]:
@@ -145,17 +153,17 @@
     def __init__(self, proxy, table: Table, zone: str, live, say=lambda event, **fields: None) -> None:
         self.proxy, self.table, self.live, self.say = proxy, table, live, say
         self.seen = Seen(table.me, zone)
-        self.states: dict[str, State] = {}      # subject -> ; emptied as strikes are forgotten
-        self.told: dict[str, Word] = {}         # subject -> this proxy's last word; emptied by age
-        self.trying: tuple | None = None        # (host, round): what the decisions were told to try
-        self.trial: tuple | None = None         # (tx, host, subject, round, run, need, reason, began)
-        self.listed, self.numbers = None, {}    # the ready hosts as last read; subject -> number
-        self.last: tuple | None = None          # what the decisions were told last
+        self.states: dict[str, State] = {}  # subject -> ; emptied as strikes are forgotten
+        self.told: dict[str, Word] = {}  # subject -> this proxy's last word; emptied by age
+        self.trying: tuple | None = None  # (host, round): what the decisions were told to try
+        self.trial: tuple | None = None  # (tx, host, subject, round, run, need, reason, began)
+        self.listed, self.numbers = None, {}  # the ready hosts as last read; subject -> number
+        self.last: tuple | None = None  # what the decisions were told last
         self.fresh_until = 0
-        self.alone = False                      # this proxy's own link is bad
+        self.alone = False  # this proxy's own link is bad
         self.words: dict[str, list[Word]] = {}
-        self.hurry = lambda: None       # called where others should know of a word at once
-        self.acted = lambda name, kind, words: None     # told of each use of words against a host
+        self.hurry = lambda: None  # called where others should know of a word at once
+        self.acted = lambda name, kind, words: None  # told of each use of words against a host
 
     # ---- between the decisions and whoever drives them
 
@@ -178,8 +186,11 @@
         state = self.states.get(name)
         if state is None:
             return
-        run = max((trial for trial in self.trials(now) if trial.subject == name), key=lambda t: t.round,
-                  default=None)
+        run = max(
+            (trial for trial in self.trials(now) if trial.subject == name),
+            key=lambda t: t.round,
+            default=None,
+        )
         before = run.run if run is not None and run.phase == GOOD else 0
         self.trial = tx, host, name, round_, before, state.need(), state.reason, now
         self.tell_trial(now, UNDER_WAY, before)
@@ -217,8 +228,11 @@
             self.say("own link", bad=self.alone)
 
     def trials(self, now: int) -> list[Trial]:
-        return [trial for name in self.table.subjects(TRIAL)
-                for trial in self.table.made(now, TRIAL, name, read_trial)]
+        return [
+            trial
+            for name in self.table.subjects(TRIAL)
+            for trial in self.table.made(now, TRIAL, name, read_trial)
+        ]
 
     # ---- several times a second
 
@@ -234,7 +248,8 @@
         latest: dict[str, Trial] = {}
         for trial in trials:
             if trial.subject in self.numbers and (
-                    trial.subject not in latest or trial.round >= latest[trial.subject].round):
+                trial.subject not in latest or trial.round >= latest[trial.subject].round
+            ):
                 latest[trial.subject] = trial
         common = self.common()
         names = set(self.words) | set(self.states) | set(latest)
@@ -254,15 +269,21 @@
         for name in sorted(names):
             word, before = self.seen.word(now, seen, self.proxy, names[name]), self.told.get(name)
             since = now - before.told if before else WINDOW
-            worse = word.blames and (before is None or word.faults > before.faults or (
-                word.late and word.late_sent > before.late_sent))
+            worse = word.blames and (
+                before is None
+                or word.faults > before.faults
+                or (word.late and word.late_sent > before.late_sent)
+            )
             if name in out:
                 doubted = self.states[name].late_sent
             else:
                 doubted = max((w.late_sent for w in self.words.get(name, ()) if w.late), default=now)
             clears = word.heard > doubted and (before is None or before.heard <= doubted)
-            counts = name in asked and name not in out and (
-                word[2:8] != before[2:8] if before else word.answers > 0)
+            counts = (
+                name in asked
+                and name not in out
+                and (word[2:8] != before[2:8] if before else word.answers > 0)
+            )
             if worse and since >= AGAIN or clears or counts and since >= ANSWERS:
                 self.told[name] = word
                 self.table.tell(now, HOST, name, plain(self.seen.zone, word), len(self.live()))
@@ -271,8 +292,10 @@
 
     def common(self) -> float:
         """The share of faults that most hosts have: those of which nothing is told have none."""
-        shares = sorted(sum(w.faults for w in words) / max(1, sum(w.faults + w.answers for w in words))
-                        for words in self.words.values())
+        shares = sorted(
+            sum(w.faults for w in words) / max(1, sum(w.faults + w.answers for w in words))
+            for words in self.words.values()
+        )
         place = (len(self.numbers) - 1) // 2 - (len(self.numbers) - len(shares))
         return shares[place] if 0 <= place < len(shares) else 0.0
 
@@ -290,8 +313,14 @@
             if following == BACK and name in self.numbers:
                 self.seen.anew(self.numbers[name], now)
             why = given if given == "forgotten" else state.reason
-            self.say("verdict", host=name, state=following, reason=why,
-                     by=[word.who for word in by][:8], facts=[word.mark for word in by][:8])
+            self.say(
+                "verdict",
+                host=name,
+                state=following,
+                reason=why,
+                by=[word.who for word in by][:8],
+                facts=[word.mark for word in by][:8],
+            )
             state.state, state.since = following, now
             self.states[name] = state
         if state.state == OUT and by:
@@ -301,8 +330,9 @@
             if kind == HOST:
                 state.late_sent = max(state.late_sent, max((w.late_sent for w in by if w.late), default=0))
             self.acted(name, kind, by)
-        if name in self.states and (name not in self.numbers or state.state == OPEN and (
-                now - state.struck >= STRIKES)):
+        if name in self.states and (
+            name not in self.numbers or state.state == OPEN and (now - state.struck >= STRIKES)
+        ):
             del self.states[name]
 
     def found(self, now: int, state: State, words: list[Word], trial: Trial | None, common: float):
@@ -314,10 +344,14 @@
         if state.state != OUT:
             if reason:
                 return "blamed", by, reason
-            failed = trial is not None and trial.phase == BAD and trial.told > state.since and (
-                trial.zone == self.seen.zone)
+            failed = (
+                trial is not None
+                and trial.phase == BAD
+                and trial.told > state.since
+                and (trial.zone == self.seen.zone)
+            )
             if state.state == OPEN and failed and not any(w.heard > trial.began for w in words):
-                return "blamed", [trial], trial.reason      # a newcomer: others have it out, and saw it fail
+                return "blamed", [trial], trial.reason  # a newcomer: others have it out, and saw it fail
             return ("ramp over" if state.state == BACK and now - state.since >= RAMP else ""), [], ""
         if trial is not None and trial.phase == BAD:
             state.known = max(state.known, trial.told)
@@ -361,6 +395,7 @@
         def turn(name):
             last = latest.get(name)
             return (last is None or last.phase != GOOD, last.began if last else 0, name)
+
         return self.numbers[min(out, key=turn)], round_
 
     # ---- what the decisions are told
@@ -393,27 +428,58 @@
         for name, state in sorted(self.states.items()):
             if state.state == OPEN or name not in self.numbers:
                 continue
-            words = [{"by": w.who, "zone": w.zone, "late": w.late, "lost": w.lost, "errors": w.errors,
-                      "answers": w.answers, "age_ms": (now - w.told) // 10,
-                      "life_ms": self.table.lives[HOST] // 10}
-                     for w in self.words.get(name, ())]
-            tried = [{"by": t.who, "round": t.round, "phase": PHASES[t.phase],
-                      "age_ms": (now - t.told) // 10, "life_ms": self.table.lives[TRIAL] // 10}
-                     for t in self.trials(now) if t.subject == name]
-            found.append({"host": self.numbers[name], "state": state.state, "reason": state.reason,
-                          "since_ms": (now - state.since) // 10, "by": list(state.by), "words": words,
-                          "trials": tried, "needs": state.need()})
+            words = [
+                {
+                    "by": w.who,
+                    "zone": w.zone,
+                    "late": w.late,
+                    "lost": w.lost,
+                    "errors": w.errors,
+                    "answers": w.answers,
+                    "age_ms": (now - w.told) // 10,
+                    "life_ms": self.table.lives[HOST] // 10,
+                }
+                for w in self.words.get(name, ())
+            ]
+            tried = [
+                {
+                    "by": t.who,
+                    "round": t.round,
+                    "phase": PHASES[t.phase],
+                    "age_ms": (now - t.told) // 10,
+                    "life_ms": self.table.lives[TRIAL] // 10,
+                }
+                for t in self.trials(now)
+                if t.subject == name
+            ]
+            found.append(
+                {
+                    "host": self.numbers[name],
+                    "state": state.state,
+                    "reason": state.reason,
+                    "since_ms": (now - state.since) // 10,
+                    "by": list(state.by),
+                    "words": words,
+                    "trials": tried,
+                    "needs": state.need(),
+                }
+            )
         return found
 
 
 def read_trial(fact, told: int) -> Trial | None:
     """A fact back, told at that moment; None where its value is none."""
     value = fact.value
-    if len(value) != 7 or not isinstance(value[4], str) or not isinstance(value[6], str) or not all(
-            isinstance(n, int) and not isinstance(n, bool) and n >= 0 for n in (*value[:4], value[5])):
+    if (
+        len(value) != 7
+        or not isinstance(value[4], str)
+        or not isinstance(value[6], str)
+        or not all(isinstance(n, int) and not isinstance(n, bool) and n >= 0 for n in (*value[:4], value[5]))
+    ):
         return None
     round_, phase, run, need, reason, ago, zone = value
     if phase > VOID or reason not in (SILENT, FAILING):
         return None
-    return Trial(fact.subject, fact.author, zone, round_, phase, run, max(1, need), reason, told - ago, told,
-                 fact.mark)
+    return Trial(
+        fact.subject, fact.author, zone, round_, phase, run, max(1, need), reason, told - ago, told, fact.mark
+    )
--- a/basalthook/handover/handover.py
+++ b/basalthook/handover/handover.py
@@ -4,6 +4,7 @@
 know, and says that it serves once it does; the old one sees that, takes no new connection from the shared
 backlog and finishes. Either may be killed at any moment: the other finds its lock free and goes on alone.
 """
+
 from typing import NamedTuple
 
 from ..protocol.catalogue import Line, Listing
@@ -16,31 +17,43 @@
 from .neighbours import Neighbours
 from .record import Bad
 
-LOOK = 0.1              # seconds between two looks at what a neighbour has written: some microseconds each
-WRITE = 0.5             # seconds between two records of what is known; the staff's orders go at once
-LAST = 1.0              # seconds that the last record may take once all is answered
-OLD = 15 * TICKS        # what was known longer ago tells less than the start-up file
-SOUND = (ValueError, TypeError, KeyError, AttributeError)       # a record of other content
+LOOK = 0.1  # seconds between two looks at what a neighbour has written: some microseconds each
+WRITE = 0.5  # seconds between two records of what is known; the staff's orders go at once
+LAST = 1.0  # seconds that the last record may take once all is answered
+OLD = 15 * TICKS  # what was known longer ago tells less than the start-up file
+SOUND = (ValueError, TypeError, KeyError, AttributeError)  # a record of other content
 
 
 class Here(NamedTuple):
     """What this process does when its neighbours change."""
-    accept: object                  # accept(bool): take new connections from the backlog
-    share: object                   # share(): `other` has come or gone; limits are for both, or one's alone
+
+    accept: object  # accept(bool): take new connections from the backlog
+    share: object  # share(): `other` has come or gone; limits are for both, or one's alone
 
 
 class Handover:
-    def __init__(self, neighbours: Neighbours, owner: Owner, clients, watch, timers: Timers, clock: Clock,
-                 profiles: list[str], fade: int, here: Here, say) -> None:
+    def __init__(
+        self,
+        neighbours: Neighbours,
+        owner: Owner,
+        clients,
+        watch,
+        timers: Timers,
+        clock: Clock,
+        profiles: list[str],
+        fade: int,
+        here: Here,
+        say,
+    ) -> None:
         """`profiles`: names by index; `fade`: ticks in which a judgement of the present fades by half."""
         self.neighbours, self.owner, self.clients, self.watch = neighbours, owner, clients, watch
         self.timers, self.clock, self.profiles, self.fade = timers, clock, profiles, fade
         self.here, self.say = here, say
         self.roster = owner.roster
-        self.other = ""                 # the neighbour that shares the limits with this process
+        self.other = ""  # the neighbour that shares the limits with this process
         self.accepting = self.ending = False
         self.seen_orders = self.seen_serving = None
-        self.owed: dict[str, object] = {}       # records that could not be written yet -> what writes each
+        self.owed: dict[str, object] = {}  # records that could not be written yet -> what writes each
         self.owed_next = 0
         self.write_next = 0
         self.timer, self.complained, self.writer = None, "", record.Writer()
@@ -70,8 +83,10 @@
         try:
             if self.clock.now() - int(found["known"]["at"]) > OLD or not found["list"]["lines"]:
                 return told, None
-            lines = tuple(Line(line[0], (str(line[1][0]), int(line[1][1])), *line[2:])
-                          for line in found["list"]["lines"])
+            lines = tuple(
+                Line(line[0], (str(line[1][0]), int(line[1][1])), *line[2:])
+                for line in found["list"]["lines"]
+            )
             return Listing(int(found["list"]["version"]), True, lines), found["known"]
         except (*SOUND, IndexError) as fault:
             self.complain(f"{self.neighbours.known}: {fault!r}")
@@ -82,12 +97,18 @@
         if known is None:
             return
         try:
-            fitted = knowledge.taken_over(self.owner.proxy, known, self.roster.numbers, self.profiles,
-                                          self.clock.now(), self.fade)
+            fitted = knowledge.taken_over(
+                self.owner.proxy, known, self.roster.numbers, self.profiles, self.clock.now(), self.fade
+            )
         except SOUND as fault:
             return self.complain(f"{self.neighbours.known}: {fault!r}")
-        self.say("taken over", hosts=fitted, age_ms=(self.clock.now() - known["at"]) / 10,
-                 orders=len(self.roster.orders.words), beside=bool(self.other))
+        self.say(
+            "taken over",
+            hosts=fitted,
+            age_ms=(self.clock.now() - known["at"]) / 10,
+            orders=len(self.roster.orders.words),
+            beside=bool(self.other),
+        )
 
     def ready(self) -> None:
         """This process serves: the one before it, if it lives, takes no more."""
@@ -173,7 +194,7 @@
         changed = self.roster.orders.join(told)
         if changed:
             self.say("orders taken over", hosts=sorted(changed), drained=told.drained)
-            if self.roster.places:      # else the first list comes under them
+            if self.roster.places:  # else the first list comes under them
                 self.owner.post(Ordered(changed))
         if self.roster.orders.drained != self.clients.drained:
             self.clients.drain(self.roster.orders.drained)
@@ -183,7 +204,7 @@
         if self.neighbours.lock < 0:
             return "no folder to write in"
         if record.mark(self.neighbours.orders) != self.seen_orders:
-            self.join_orders()          # guards against two that write at once: neither word is lost
+            self.join_orders()  # guards against two that write at once: neither word is lost
         wrong = self.write_orders()
         if wrong:
             self.owed["orders"] = self.write_orders
@@ -192,14 +213,18 @@
     def leave_known(self) -> None:
         ids = {number: place.id for number, place in self.roster.places.items()}
         lines = [list(place.line) for place in self.roster.places.values() if not place.line.removed]
-        self.writer.put(self.neighbours.known, {
-            "list": {"version": self.watch.version, "lines": lines},
-            "known": knowledge.told(self.owner.proxy, ids, self.profiles) | {"at": self.clock.now()}})
+        self.writer.put(
+            self.neighbours.known,
+            {
+                "list": {"version": self.watch.version, "lines": lines},
+                "known": knowledge.told(self.owner.proxy, ids, self.profiles) | {"at": self.clock.now()},
+            },
+        )
         if self.writer.wrong:
             self.complain(self.writer.wrong)
 
     def complain(self, reason: str) -> None:
-        if reason != self.complained:       # one line, not ten a second
+        if reason != self.complained:  # one line, not ten a second
             self.complained = reason
             self.say("handover", reason=reason)
 
--- a/basalthook/handover/inherited.py
+++ b/basalthook/handover/inherited.py
@@ -1,4 +1,5 @@
 """The clients' listening socket, where the platform holds it and every process inherits it."""
+
 import os
 import socket
 
--- a/basalthook/handover/neighbours.py
+++ b/basalthook/handover/neighbours.py
@@ -3,6 +3,7 @@
 Each holds a lock on a file of its own for as long as it lives; however it ends, the kernel lets go. That
 tells a neighbour alive from one that was killed, also where process numbers mean nothing to each other.
 """
+
 import fcntl
 import os
 from contextlib import suppress
@@ -16,16 +17,16 @@
     def __init__(self, folder: str, name: str) -> None:
         self.base = os.path.join(folder, "basalthook-" + quote(name, safe="")[:100])
         self.orders, self.known = self.base + ".orders", self.base + ".known"
-        self.serving = self.base + ".serving"       # names the lock of the process that serves
+        self.serving = self.base + ".serving"  # names the lock of the process that serves
         self.me, self.lock = "", -1
 
     def arrive(self) -> str:
         """Be there, seen by others; what went wrong, else ""."""
         self.me, start, end = os.urandom(8).hex(), os.path.basename(self.base) + ".", ".alive"
         try:
-            for name in os.listdir(os.path.dirname(self.base)):     # guards against files of many killed ones
+            for name in os.listdir(os.path.dirname(self.base)):  # guards against files of many killed ones
                 if name.startswith(start) and name.endswith(end):
-                    self.alive(name[len(start):-len(end)])
+                    self.alive(name[len(start) : -len(end)])
             self.lock = os.open(self.path(self.me), os.O_RDWR | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC, 0o600)
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError as fault:
--- a/basalthook/handover/record.py
+++ b/basalthook/handover/record.py
@@ -3,6 +3,7 @@
 Form: a line that names form and version, the length of the text, its checksum, the text (JSON). It is renamed
 over the one before. No fsync: it has to outlive the process, not the machine.
 """
+
 import os
 import stat
 import struct
@@ -20,6 +21,7 @@
 
 class Bad(NamedTuple):
     """There is something, but no record that may be followed."""
+
     reason: str
 
 
@@ -39,7 +41,7 @@
     if len(data) < len(MAGIC) + HEAD.size:
         return Bad("cut short")
     length, checksum = HEAD.unpack_from(data, len(MAGIC))
-    text = data[len(MAGIC) + HEAD.size:]
+    text = data[len(MAGIC) + HEAD.size :]
     if len(text) != length:
         return Bad("cut short" if len(text) < length else "longer than it says")
     if digest(text) != checksum:
@@ -55,12 +57,12 @@
     part = f"{path}.{os.getpid()}.part"
     try:
         with suppress(FileNotFoundError):
-            os.unlink(part)         # of one killed in the middle, whose number came round
+            os.unlink(part)  # of one killed in the middle, whose number came round
         file = os.open(part, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_NOFOLLOW | os.O_CLOEXEC, 0o600)
         try:
             data = memoryview(encode(value))
             while data:
-                data = data[os.write(file, data):]
+                data = data[os.write(file, data) :]
         finally:
             os.close(file)
         os.rename(part, path)
@@ -113,8 +115,8 @@
     """
 
     def __init__(self) -> None:
-        self.next: dict[str, object] = {}       # path -> value; emptied by the thread
-        self.wrong = ""                         # what went wrong with the last one
+        self.next: dict[str, object] = {}  # path -> value; emptied by the thread
+        self.wrong = ""  # what went wrong with the last one
         self.busy, self.turn, self.thread = False, threading.Condition(), None
 
     def put(self, path: str, value) -> None:
--- a/basalthook/lab/command.py
+++ b/basalthook/lab/command.py
@@ -1,4 +1,5 @@
 """What the command line asks of the lab."""
+
 from importlib.resources import files
 
 import msgspec
@@ -35,8 +36,11 @@
         found = processes.play(soak.drawn(seed))
         verdict = found.verdict
         bad = not verdict.kept or found.faults
-        console.print(f"seed {seed}: {'BROKEN' if bad else 'kept'}, served {verdict.service:.3f}, "
-                      f"{sum(verdict.answers.values())} answers", highlight=False)
+        console.print(
+            f"seed {seed}: {'BROKEN' if bad else 'kept'}, served {verdict.service:.3f}, "
+            f"{sum(verdict.answers.values())} answers",
+            highlight=False,
+        )
         if bad:
             broken.append(seed)
             console.print(f"  {verdict.rules}, {verdict.first}, {found.faults[:2]}", highlight=False)
--- a/basalthook/lab/deadlines.py
+++ b/basalthook/lab/deadlines.py
@@ -2,25 +2,28 @@
 
 The rules are the operators' (standing test): pure, times are seconds on the rig's clock.
 """
+
 from typing import NamedTuple
 
-SILENCE = 6.0           # seconds after a watch fell silent, or after discovery could be reached again
-WAIT_OVER = 2.0         # seconds past a call's wait, if that is later
-FAILED = 4              # times ask_within that a list is held after a call that failed, without a watch
-MOVED = 4.0             # seconds after SIGHUP named another discovery
+SILENCE = 6.0  # seconds after a watch fell silent, or after discovery could be reached again
+WAIT_OVER = 2.0  # seconds past a call's wait, if that is later
+FAILED = 4  # times ask_within that a list is held after a call that failed, without a watch
+MOVED = 4.0  # seconds after SIGHUP named another discovery
 
 
 class ProxyView(NamedTuple):
     """What discovery knows of one proxy at the moment of a change."""
-    watched: bool                   # a call of it waits at a discovery that works
-    silent_counts: tuple[float, ...] = ()   # of each silent watch: when what it misses counts
+
+    watched: bool  # a call of it waits at a discovery that works
+    silent_counts: tuple[float, ...] = ()  # of each silent watch: when what it misses counts
     last_call: float = 0.0
-    failed: bool = False            # that call was refused or broken
-    moved: float | None = None      # when SIGHUP named the present discovery, if it has not answered since
+    failed: bool = False  # that call was refused or broken
+    moved: float | None = None  # when SIGHUP named the present discovery, if it has not answered since
 
 
-def counts_at(change: float, reachable: float, view: ProxyView, pushed: bool,
-              ask_within: float) -> float | None:
+def counts_at(
+    change: float, reachable: float, view: ProxyView, pushed: bool, ask_within: float
+) -> float | None:
     """`reachable`: since when discovery has worked. None: it counts when it is written."""
     if view.watched:
         return None
--- a/basalthook/lab/decisions.py
+++ b/basalthook/lab/decisions.py
@@ -5,6 +5,7 @@
 modelled: a hop to a process that is down is refused after the way there and back, one to a machine that has
 vanished after the time that a connection may take.
 """
+
 from collections import Counter
 from hashlib import blake2b
 from heapq import heappop, heappush
@@ -26,10 +27,10 @@
 from .talking import Talking
 from .wire import Answered, Asked, Called, Done, Excused, Got, Told
 
-TICKS = 10_000          # the decisions' time: so many a second
-BORN = 100.0            # seconds on the virtual clock when everything starts
-CONNECTS = 0.25         # seconds that a connection may take
-AFTER = 1.0             # seconds past the last hard limit until the run is over
+TICKS = 10_000  # the decisions' time: so many a second
+BORN = 100.0  # seconds on the virtual clock when everything starts
+CONNECTS = 0.25  # seconds that a connection may take
+AFTER = 1.0  # seconds past the last hard limit until the run is over
 
 
 class Fleet:
@@ -44,28 +45,28 @@
         self.ways, self.lists = Random(f"network of {seed}"), Random(f"discovery of {seed}")
         self.up, self.states, self.started = [True] * size, ["up"] * size, [0.0] * size
         self.marks = [terms.number(f"host-{n}") for n in range(size)]
-        self.unreached = Counter()          # (proxy, host) -> hops to it while it had vanished
-        self.hops: dict[tuple, list] = {}   # (proxy, transaction) -> hops sent, out; emptied as they end
+        self.unreached = Counter()  # (proxy, host) -> hops to it while it had vanished
+        self.hops: dict[tuple, list] = {}  # (proxy, transaction) -> hops sent, out; emptied as they end
         self.open: dict[tuple, Asked] = {}  # (proxy, transaction) -> what was asked; emptied by its answer
-        self.out: dict[tuple, list] = {}    # (proxy, transaction, hop) -> [host, sent at]; emptied as it ends
-        self.given: dict[tuple, tuple] = {}     # (proxy, transaction) -> what a retry asks again
+        self.out: dict[tuple, list] = {}  # (proxy, transaction, hop) -> [host, sent at]; emptied as it ends
+        self.given: dict[tuple, tuple] = {}  # (proxy, transaction) -> what a retry asks again
         profiles = {p.name: n for n, p in enumerate(told.load.profiles)}
         self.numbers, self.draws = profiles, Random(f"draws of {seed}")
         self.schedule, self.manners = Random(f"schedule of {seed}"), Random(f"manners of {seed}")
-        self.weights = list(accumulate(rank ** -told.load.zipf for rank in range(1, told.load.keys + 1)))
+        self.weights = list(accumulate(rank**-told.load.zipf for rank in range(1, told.load.keys + 1)))
         self.tx, self.long = count(), [f for f in told.faults if isinstance(f, LongWay)]
         self.links, zones = Links(seed, told.proxies, size), sorted(set(self.zones))
-        self.homes = [zones[n % len(zones)] for n in range(told.proxies)]       # the proxies' zones
+        self.homes = [zones[n % len(zones)] for n in range(told.proxies)]  # the proxies' zones
         self.proxies: list[Proxy | None] = [None] * told.proxies
-        self.minds: list = [None] * told.proxies        # the decisions, with whoever stands beside them
-        self.lives, self.stopped = [0] * told.proxies, {}       # stopped -> what waits; emptied as it goes on
-        self.clocks = [(BORN, BORN, 1.0)] * told.proxies        # (then, what it showed then, its rate)
+        self.minds: list = [None] * told.proxies  # the decisions, with whoever stands beside them
+        self.lives, self.stopped = [0] * told.proxies, {}  # stopped -> what waits; emptied as it goes on
+        self.clocks = [(BORN, BORN, 1.0)] * told.proxies  # (then, what it showed then, its rate)
         for fault in told.faults:
-            if isinstance(fault, ClockFault) and fault.at == 0:     # set before they started
+            if isinstance(fault, ClockFault) and fault.at == 0:  # set before they started
                 for n in fault.proxies:
                     self.clocks[n] = BORN, BORN + fault.ahead, fault.rate
         self.talking = Talking(self, told.proxies) if told.fleet else None
-        self.limited = bool(told.fleet and told.fleet.limits)   # then the ends of hops are noted as well
+        self.limited = bool(told.fleet and told.fleet.limits)  # then the ends of hops are noted as well
         for n in range(told.proxies):
             self.start(n, True)
 
@@ -75,7 +76,8 @@
         agreed = terms.agreement(settings(self.told, n, self.homes[n]))
         again = "" if first else f", life {self.lives[n]}"
         proxy = self.proxies[n] = Proxy(
-            agreed, terms.number(f"proxy {n} of {self.seed}{again}"), self.ticks_of(n))
+            agreed, terms.number(f"proxy {n} of {self.seed}{again}"), self.ticks_of(n)
+        )
         mind = Counting(proxy)
         if self.talking is not None:
             mind = self.talking.start(n, proxy, agreed.zone, first)
@@ -121,7 +123,7 @@
 
     def arrive(self, until: float) -> None:
         load = self.told.load
-        profile, = self.draws.choices(load.profiles, [p.share for p in load.profiles])
+        (profile,) = self.draws.choices(load.profiles, [p.share for p in load.profiles])
         key = f"key-{self.draws.choices(range(load.keys), cum_weights=self.weights)[0]}"
         proxy = self.up_from(self.draws.randrange(len(self.proxies)))
         self.ask(proxy, profile, key, self.draws.expovariate(1 / profile.work), self.now, None, 0)
@@ -131,8 +133,14 @@
     def up_from(self, proxy: int) -> int:
         """This one; or, as its client has gone with it or stands still, the next one that runs."""
         count = len(self.proxies)
-        return next((n % count for n in range(proxy, proxy + count)
-                     if self.proxies[n % count] is not None and n % count not in self.stopped), proxy)
+        return next(
+            (
+                n % count
+                for n in range(proxy, proxy + count)
+                if self.proxies[n % count] is not None and n % count not in self.stopped
+            ),
+            proxy,
+        )
 
     def ask(self, proxy: int, profile, key: str, work: float, due: float, first: str | None, tries: int):
         tx = next(self.tx)
@@ -140,8 +148,10 @@
         asked = Asked(self.now, name, profile.effect == "once", limit, profile.name, due, first or name)
         self.note(asked)
         self.open[proxy, tx], self.given[proxy, tx] = asked, (profile, key, work, due, first or name, tries)
-        self.tell(proxy, i.TxArrived(tx, self.numbers[profile.name], terms.number(key),
-                                     int(profile.hard_limit * TICKS)))
+        self.tell(
+            proxy,
+            i.TxArrived(tx, self.numbers[profile.name], terms.number(key), int(profile.hard_limit * TICKS)),
+        )
 
     def answered(self, proxy: int, tx: int, status: int, come_back: float = 0.0) -> None:
         asked, again = self.open.pop((proxy, tx), None), self.given.pop((proxy, tx), None)
@@ -174,8 +184,13 @@
             self.CARRIED[type(effect)](self, proxy, effect)
 
     def set_timer(self, proxy: int, effect) -> None:
-        self.later(effect.delay / TICKS / self.rate(proxy), self.tell, proxy, i.TimerDue(effect.mark),
-                   self.lives[proxy])
+        self.later(
+            effect.delay / TICKS / self.rate(proxy),
+            self.tell,
+            proxy,
+            i.TimerDue(effect.mark),
+            self.lives[proxy],
+        )
 
     def roll_back(self, proxy: int, effect) -> None:
         self.answered(proxy, effect.tx, 503, effect.come_back / TICKS)
@@ -193,8 +208,7 @@
         peers = range(len(self.proxies)) if effect.peer is None else [effect.peer]
         for peer in peers:
             if peer != proxy:
-                self.later(self.way("", ""), self.tell, peer,
-                           i.NewsCame(proxy, effect.host, effect.what))
+                self.later(self.way("", ""), self.tell, peer, i.NewsCame(proxy, effect.host, effect.what))
 
     def cancel_hop(self, proxy: int, effect) -> None:
         """The machine goes on with it; its answer finds nobody."""
@@ -202,7 +216,7 @@
 
     def send_hop(self, proxy: int, effect) -> None:
         tx, host = effect.tx, effect.host
-        sent = self.hops.setdefault((proxy, tx), [0, 0])    # so far, and still out
+        sent = self.hops.setdefault((proxy, tx), [0, 0])  # so far, and still out
         hop = sent[0]
         sent[0], sent[1] = hop + 1, sent[1] + 1
         self.out[proxy, tx, hop] = [host, self.now]
@@ -237,14 +251,31 @@
         elapsed = max(1, int((self.now - sent_at) * self.rate(proxy) * TICKS))
         self.tell(proxy, i.HopEnded(tx, hop, host, outcome, elapsed, closed))
 
-    CARRIED = {i.SetTimer: set_timer, i.RollBack: roll_back, i.Abandon: abandon, i.WatchList: watch_list,
-               i.TellNews: tell_news, i.CancelHop: cancel_hop, i.SendHop: send_hop,
-               i.MetFault: lambda self, proxy, effect: None}
+    CARRIED = {
+        i.SetTimer: set_timer,
+        i.RollBack: roll_back,
+        i.Abandon: abandon,
+        i.WatchList: watch_list,
+        i.TellNews: tell_news,
+        i.CancelHop: cancel_hop,
+        i.SendHop: send_hop,
+        i.MetFault: lambda self, proxy, effect: None,
+    }
 
     # ---- machines
 
-    def got(self, proxy: int, tx: int, hop: int, host: int, name: str, key: str, work: float, way: float,
-            left: float) -> None:
+    def got(
+        self,
+        proxy: int,
+        tx: int,
+        hop: int,
+        host: int,
+        name: str,
+        key: str,
+        work: float,
+        way: float,
+        left: float,
+    ) -> None:
         machine, now = self.machines[host], self.now
         if machine.gone:
             self.unreached[proxy, host] += 1
@@ -346,10 +377,29 @@
 
     def line(self, n: int) -> i.Host:
         machine, state = self.machines[n], self.states[n]
-        line = Line(f"host-{n}", ("127.0.0.1", 1), self.zones[n], 0, state == "up", state == "removed",
-                    machine.cores * machine.speed, int(self.started[n] * 1e9), "", state == "draining")
-        return terms.host(n, self.marks[n], line.zone, line.cell, line.ready, line.weight, line.started_ns,
-                          line.kind, line.draining)
+        line = Line(
+            f"host-{n}",
+            ("127.0.0.1", 1),
+            self.zones[n],
+            0,
+            state == "up",
+            state == "removed",
+            machine.cores * machine.speed,
+            int(self.started[n] * 1e9),
+            "",
+            state == "draining",
+        )
+        return terms.host(
+            n,
+            self.marks[n],
+            line.zone,
+            line.cell,
+            line.ready,
+            line.weight,
+            line.started_ns,
+            line.kind,
+            line.draining,
+        )
 
 
 def play(told: Scenario) -> Result:
--- a/basalthook/lab/explore.py
+++ b/basalthook/lab/explore.py
@@ -5,6 +5,7 @@
 read again. Times are chosen so that the bound is tight: TERM of the fastest clock is what remains to the
 slowest holder. `python -m basalthook.lab.explore` prints the number of states.
 """
+
 import sys
 from collections import deque
 from typing import NamedTuple
@@ -12,13 +13,13 @@
 from ..fleet.seat import Seat
 
 NAMES = "a", "b", "c"
-STEPS = 4, 6, 5         # ticks a step of each one's clock: a is slow, b is fast
+STEPS = 4, 6, 5  # ticks a step of each one's clock: a is slow, b is fast
 LOSS, TERM = 0.2, 12
 
 
 class World(NamedTuple):
-    seats: tuple                    # of each: life, silent until, vote, round, valid, claims
-    air: frozenset                  # (to, message): all that was ever sent
+    seats: tuple  # of each: life, silent until, vote, round, valid, claims
+    air: frozenset  # (to, message): all that was ever sent
     step: int
     restarts: int
 
@@ -29,8 +30,9 @@
         self.steps, self.claims, self.restarts = steps, claims, restarts
         self.sent: list[tuple] = []
         self.make = make
-        self.members = [make(name, 0, NAMES, TERM, LOSS, self, self.sender, lambda: NAMES, 0)
-                        for name in NAMES]
+        self.members = [
+            make(name, 0, NAMES, TERM, LOSS, self, self.sender, lambda: NAMES, 0) for name in NAMES
+        ]
 
     @staticmethod
     def randrange(most: int) -> int:
@@ -53,7 +55,7 @@
 
     def after(self, world: World, n: int, member: Seat) -> World:
         """What is sent stays in the air: it may arrive at any time, never, or any number of times."""
-        frozen = world.seats[:n] + (self.freeze(member),) + world.seats[n + 1:]
+        frozen = world.seats[:n] + (self.freeze(member),) + world.seats[n + 1 :]
         return world._replace(seats=frozen, air=world.air | frozenset(self.sent))
 
     def clock(self, world: World, n: int) -> int:
@@ -86,7 +88,7 @@
     def holders(self, world: World) -> list[str]:
         return [name for n, name in enumerate(NAMES) if self.clock(world, n) < world.seats[n][4]]
 
-    def run(self, most: int = 10 ** 7) -> tuple[int, World | None]:
+    def run(self, most: int = 10**7) -> tuple[int, World | None]:
         """(states seen, a bad one or None); more than `most` states are an error."""
         first = World(tuple((0, 0, None, 0, 0, ()) for _ in NAMES), frozenset(), 0, 0)
         seen, queue = {first}, deque([first])
--- a/basalthook/lab/judge.py
+++ b/basalthook/lab/judge.py
@@ -1,17 +1,18 @@
 """Decides the four rules and the service from what crossed the wire, and from nothing else."""
+
 from collections import defaultdict, deque
 from typing import NamedTuple
 
 from .wire import Answered, Asked, Crossed, Excused, Got, Left, Ordered, Told
 
-SLACK = 0.05            # seconds that a socket may take more than a rule's time
+SLACK = 0.05  # seconds that a socket may take more than a rule's time
 ROLLED_BACK = (429, 503)
-LEFT_SLACK = 0.1        # seconds after a client left in which an attempt may still begin
-TOLD_SLACK = 0.15       # by which the time told to a host may be over what the client has left
+LEFT_SLACK = 0.1  # seconds after a client left in which an attempt may still begin
+TOLD_SLACK = 0.15  # by which the time told to a host may be over what the client has left
 
 
 class Offence(NamedTuple):
-    rule: str                       # lost, doubled, drains or pushed_over
+    rule: str  # lost, doubled, drains or pushed_over
     at: float
     host: int | None
     tx: str | None
@@ -19,14 +20,14 @@
 
 
 class Verdict(NamedTuple):
-    rules: dict[str, int]           # offences by rule
+    rules: dict[str, int]  # offences by rule
     first: Offence | None
-    service: float                  # share answered within the service goal, of all that was asked for
+    service: float  # share answered within the service goal, of all that was asked for
     worst_10s: float
     by_profile: dict[str, float]
-    answers: dict[str, int]         # committed, rolled_back, abandoned
-    wasted: int                     # hops that ran beyond one for each transaction
-    whole: list                     # (due, served) of each first try
+    answers: dict[str, int]  # committed, rolled_back, abandoned
+    wasted: int  # hops that ran beyond one for each transaction
+    whole: list  # (due, served) of each first try
 
     @property
     def kept(self) -> bool:
@@ -45,29 +46,48 @@
             answered[e.tx].append(e)
         elif isinstance(e, Got):
             hops[e.tx].append(e)
-    offences = sorted([*lost(asked, answered, hops, excused | left.keys() | crossed),
-                       *unasked(asked, hops, left, crossed), *doubled(asked, answered, hops),
-                       *keyed(asked, answered, hops), *drains(wire, rules), *pushed_over(wire, rules)],
-                      key=lambda o: o.at)
+    offences = sorted(
+        [
+            *lost(asked, answered, hops, excused | left.keys() | crossed),
+            *unasked(asked, hops, left, crossed),
+            *doubled(asked, answered, hops),
+            *keyed(asked, answered, hops),
+            *drains(wire, rules),
+            *pushed_over(wire, rules),
+        ],
+        key=lambda o: o.at,
+    )
     counts = dict.fromkeys(("lost", "doubled", "drains", "pushed_over"), 0)
     for offence in offences:
         counts[offence.rule] += 1
     tries, kinds = {}, dict.fromkeys(("committed", "rolled_back", "abandoned"), 0)
-    for tx, e in asked.items():         # a client's retries belong to its first try
+    for tx, e in asked.items():  # a client's retries belong to its first try
         last = answered[tx][0] if answered[tx] else None
         if tx in excused or tx in left or tx in crossed:
             continue
         good = bool(last and last.status == 200 and last.at - e.due <= goals[e.profile])
         tries[e.first] = e.due, e.profile, good or e.first in tries and tries[e.first][2]
         if last:
-            kinds["committed" if last.status == 200 else
-                  "rolled_back" if last.status in ROLLED_BACK else "abandoned"] += 1
+            kinds[
+                "committed"
+                if last.status == 200
+                else "rolled_back"
+                if last.status in ROLLED_BACK
+                else "abandoned"
+            ] += 1
     whole, served = sorted((due, good) for due, _, good in tries.values()), defaultdict(list)
     for _, profile, good in tries.values():
         served[profile].append(good)
-    return Verdict(counts, offences[0] if offences else None, share([good for _, good in whole]),
-                   worst(whole, 10.0), {name: share(v) for name, v in served.items()}, kinds,
-                   sum(max(0, sum(h.ran for h in got) - 1) for got in hops.values()), whole)
+    return Verdict(
+        counts,
+        offences[0] if offences else None,
+        share([good for _, good in whole]),
+        worst(whole, 10.0),
+        {name: share(v) for name, v in served.items()},
+        kinds,
+        sum(max(0, sum(h.ran for h in got) - 1) for got in hops.values()),
+        whole,
+    )
 
 
 def share(goods: list[bool]) -> float:
@@ -192,7 +212,7 @@
             continue
         if e.cold is None:
             continue
-        process = e.host, e.cold        # what the one before it got is not its burden
+        process = e.host, e.cold  # what the one before it got is not its burden
         window = lately[process]
         window.append((e.at, e.cost))
         sums[process] += e.cost
--- a/basalthook/lab/leases.py
+++ b/basalthook/lab/leases.py
@@ -9,6 +9,7 @@
 delays longer than a lease, kills with all forgotten, stops for up to three leases, clocks apart and fast.
 `python -m basalthook.lab.leases FIRST COUNT` plays so many seeds.
 """
+
 import sys
 from collections import Counter
 from heapq import heappop, heappush
@@ -22,11 +23,11 @@
 from ..policy import interface as i
 from ..policy.measure import Allowance
 
-TICK = 500              # ticks between two looks of a member
+TICK = 500  # ticks between two looks of a member
 TROUBLE, QUIET = 250_000, 130_000
-HARD_LIMIT = 4_000      # ticks that a hop is out at most, by its proxy's clock
+HARD_LIMIT = 4_000  # ticks that a hop is out at most, by its proxy's clock
 RATES = 1.0, 1.02, 0.98
-LONGEST_WAY = 40_000    # ticks that a datagram may be late: longer than a lease
+LONGEST_WAY = 40_000  # ticks that a datagram may be late: longer than a lease
 
 
 class Broken(NamedTuple):
@@ -64,8 +65,21 @@
         self.run, self.n, self.name, self.proxy = run, n, f"p{n}", Decisions(run.hosts)
         self.life, self.numbers = run.lives[n], count()
         chance = Random(f"{run.seed} {n} {self.life}")
-        self.limits = Limits(self.proxy, self.proxy, run.limits, self.name, self.life, run.voters, n,
-                             run.size, HARD_LIMIT, chance, self.out, run.names, run.clock(n))
+        self.limits = Limits(
+            self.proxy,
+            self.proxy,
+            run.limits,
+            self.name,
+            self.life,
+            run.voters,
+            n,
+            run.size,
+            HARD_LIMIT,
+            chance,
+            self.out,
+            run.names,
+            run.clock(n),
+        )
 
     def out(self, name: str, message: list) -> None:
         self.run.send(self.n, name, message)
@@ -75,8 +89,9 @@
         proxy.now = now
         while len(proxy.line) < run.demand[self.n]:
             number = next(self.numbers)
-            proxy.txs[number] = SimpleNamespace(id=number, key=number, tried=[], state="waiting",
-                                                grant=(i.FIRST, 0))
+            proxy.txs[number] = SimpleNamespace(
+                id=number, key=number, tried=[], state="waiting", grant=(i.FIRST, 0)
+            )
             proxy.line.append((False, now, number))
         self.limits.tick(now)
         self.go(now)
@@ -87,8 +102,11 @@
         """Hops to every host with a place, as long as there are tokens."""
         proxy, run = self.proxy, self.run
         for server in proxy.ready:
-            while proxy.line and proxy.allowed.left((i.AT_HOST, server.id), now) > len(server.out) and (
-                    proxy.allowed.left((i.FIRST, 0), now) >= 1):
+            while (
+                proxy.line
+                and proxy.allowed.left((i.AT_HOST, server.id), now) > len(server.out)
+                and (proxy.allowed.left((i.FIRST, 0), now) >= 1)
+            ):
                 number = proxy.line.pop(0)[2]
                 del proxy.txs[number]
                 proxy.allowed.use((i.FIRST, 0))
@@ -117,16 +135,18 @@
         self.voters = tuple(f"p{n}" for n in range(chance.choice((1, 3)) if self.size > 2 else 1))
         self.limits = [
             Limit("places", HOST, chance.randint(1, 5), floor=chance.choice((0.0, 0.4))),
-            Limit("rate", RATE, *chance.choice(((40, 60), (4_000, 5_000))), (), NEVER,
-                  chance.choice((0.0, 0.3)))]
+            Limit(
+                "rate", RATE, *chance.choice(((40, 60), (4_000, 5_000))), (), NEVER, chance.choice((0.0, 0.3))
+            ),
+        ]
         self.rates = [chance.choice(RATES) for _ in range(self.size)]
         self.ahead = [chance.choice((0, 36_000_000)) for _ in range(self.size)]
         self.members: list[Member | None] = [None] * self.size
         self.lives, self.stopped = [0] * self.size, {}
         self.demand = [0] * self.size
         self.held, self.spent, self.broken = Counter(), [], []
-        self.ways, self.bad = {}, []        # (from, to) -> faults that hold there
-        self.had = 0                        # hops begun in the quiet's end
+        self.ways, self.bad = {}, []  # (from, to) -> faults that hold there
+        self.had = 0  # hops begun in the quiet's end
 
     def later(self, delay: int, call, *given) -> None:
         heappush(self.heap, (self.now + max(0, delay), next(self.order), call, given))
@@ -165,8 +185,12 @@
         for _ in range(chance.randint(2, 8)):
             self.plan()
         for _ in range(chance.randint(5, 30)):
-            self.later(chance.randrange(TROUBLE), self.demand.__setitem__, chance.randrange(self.size),
-                       chance.choice((0, 0, 1, 3, 8)))
+            self.later(
+                chance.randrange(TROUBLE),
+                self.demand.__setitem__,
+                chance.randrange(self.size),
+                chance.choice((0, 0, 1, 3, 8)),
+            )
         self.later(TROUBLE, self.demand.__setitem__, slice(0, self.size), [1] * self.size)
         while self.heap and self.heap[0][0] <= self.end:
             self.now, _, call, given = heappop(self.heap)
@@ -183,8 +207,12 @@
         what = chance.choice(self.faults)
         if what == "cut":
             side = {k for k in range(self.size) if chance.random() < 0.5}
-            cut = [(a, b) for a in range(self.size) for b in range(self.size)
-                   if a in side and b not in side and a != b]
+            cut = [
+                (a, b)
+                for a in range(self.size)
+                for b in range(self.size)
+                if a in side and b not in side and a != b
+            ]
             cut += [(b, a) for a, b in cut] * chance.choice((0, 1))
             self.later(begin, self.cut, cut, 1)
             self.later(begin + lasts, self.cut, cut, -1)
@@ -257,10 +285,14 @@
 
 def main() -> None:
     from multiprocessing import Pool
+
     first, many = int(sys.argv[1]), int(sys.argv[2])
     with Pool() as pool:
-        found = [(seed, wrong) for seed, wrong in pool.imap_unordered(broken, range(first, first + many), 8)
-                 if wrong]
+        found = [
+            (seed, wrong)
+            for seed, wrong in pool.imap_unordered(broken, range(first, first + many), 8)
+            if wrong
+        ]
     for seed, wrong in sorted(found)[:20]:
         print(seed, *wrong[:2])
     print(f"{many} schedules, {len(found)} broken")
--- a/basalthook/lab/links.py
+++ b/basalthook/lab/links.py
@@ -3,6 +3,7 @@
 Ends are named `p0`, `h0`, `d`; `p0-3` is a range. `between` joins every end of its first list with every end
 of its second, both ways, or from the first to the second where it is `one_way`.
 """
+
 import re
 from random import Random
 from typing import NamedTuple
@@ -30,6 +31,7 @@
 
 class Way(NamedTuple):
     """What becomes of one datagram: seconds until each copy arrives, and whether it is spoilt."""
+
     copies: tuple[float, ...]
     spoilt: bool
 
@@ -43,8 +45,11 @@
     second: frozenset
 
     def holds(self, source: str, target: str) -> bool:
-        return source in self.first and target in self.second or (
-            not self.fault.one_way and source in self.second and target in self.first)
+        return (
+            source in self.first
+            and target in self.second
+            or (not self.fault.one_way and source in self.second and target in self.first)
+        )
 
 
 class Links:
@@ -55,8 +60,10 @@
         self.proxies, self.hosts = proxies, hosts
 
     def begin(self, fault) -> None:
-        sides = (frozenset(end for name in side for end in ends(name, self.proxies, self.hosts))
-                 for side in fault.between)
+        sides = (
+            frozenset(end for name in side for end in ends(name, self.proxies, self.hosts))
+            for side in fault.between
+        )
         self.faults.append(Joined(fault, *sides))
 
     def end(self, fault) -> None:
@@ -75,7 +82,7 @@
             if chance.random() < fault.doubles:
                 copies.append(copies[0] + 0.01 * chance.random())
             late = fault.delay
-            if chance.random() < fault.reorders:        # it comes behind others sent after it
+            if chance.random() < fault.reorders:  # it comes behind others sent after it
                 late += (0.1 + 2 * fault.delay) * chance.random()
             copies = [at + late for at in copies]
             spoilt |= chance.random() < fault.spoils
@@ -94,4 +101,4 @@
 def spoil(data: bytes, chance: Random) -> bytes:
     """The same with one bit turned over."""
     place = chance.randrange(len(data))
-    return data[:place] + bytes([data[place] ^ 1 << chance.randrange(8)]) + data[place + 1:]
+    return data[:place] + bytes([data[place] ^ 1 << chance.randrange(8)]) + data[place + 1 :]
--- a/basalthook/lab/load.py
+++ b/basalthook/lab/load.py
@@ -3,6 +3,7 @@
 A latency counts from when the transaction was due, so that a proxy that stalls can't slow its own
 measurement down. Each actor draws from a generator of its own.
 """
+
 import asyncio
 from bisect import bisect
 from itertools import accumulate
@@ -14,9 +15,9 @@
 from .standins import Messages
 from .wire import Answered, Asked, Crossed, Left
 
-GIVE_UP = 1.0           # seconds past the hard limit after which a connection that owes an answer is closed
-CROSSED = 0.05          # seconds in which a resting connection that ends has not read what was just written
-IDLE_AGAIN = 0.3        # seconds until another connection that says nothing takes the place of one that ended
+GIVE_UP = 1.0  # seconds past the hard limit after which a connection that owes an answer is closed
+CROSSED = 0.05  # seconds in which a resting connection that ends has not read what was just written
+IDLE_AGAIN = 0.3  # seconds until another connection that says nothing takes the place of one that ended
 MICROSECOND, LONGEST = 1_000_000, 60
 
 
@@ -26,13 +27,21 @@
     def __init__(self, clients: "Clients", proxy: int) -> None:
         super().__init__()
         self.clients, self.proxy, self.asked, self.timer = clients, proxy, None, None
-        self.count, self.left = 0, False        # requests so far; whether it went before its answer
+        self.count, self.left = 0, False  # requests so far; whether it went before its answer
 
     def ask(self, profile, key: str, work: float, due: float, tx: str, first: str, tries: int) -> None:
         now = self.clients.clock()
         once, keyed = profile.effect == "once", profile.effect == "by_key"
-        self.asked = Asked(now, tx, once, now + profile.hard_limit, profile.name, due, first,
-                           profile.window if keyed else None)
+        self.asked = Asked(
+            now,
+            tx,
+            once,
+            now + profile.hard_limit,
+            profile.name,
+            due,
+            first,
+            profile.window if keyed else None,
+        )
         self.count += 1
         self.again = profile, key, work, due, first, tries
         size = "Content-Length: 0\r\n" if once else ""
@@ -40,7 +49,8 @@
         self.transport.write(
             f"{'POST' if once else 'GET'} /{profile.name}/it HTTP/1.1\r\nHost: lab\r\nRequest-Id: {tx}\r\n"
             f"Cookie: k={key}\r\nRequest-Timeout: {profile.hard_limit:.3f}\r\nLab-Work: {work:.6f}\r\n"
-            f"{size}\r\n".encode())
+            f"{size}\r\n".encode()
+        )
         wait = profile.hard_limit + GIVE_UP
         loop, manners, told = asyncio.get_running_loop(), self.clients.manners, self.clients.told
         self.timer = loop.call_later(wait, self.transport.abort)
@@ -106,15 +116,16 @@
         """`addresses`: of the proxies; None while one is not to be asked."""
         self.told, self.wire, self.clock, self.addresses = told, wire, clock, addresses
         self.where = Random(f"proxies of {seed}")
-        self.schedule, self.draws, self.manners = (Random(f"{name} of {seed}") for name in
-                                                   ("schedule", "draws", "manners"))
-        self.weights = list(accumulate(rank ** -told.zipf for rank in range(1, told.keys + 1)))
-        self.free: list[list[Client]] = [[] for _ in addresses]     # by proxy
+        self.schedule, self.draws, self.manners = (
+            Random(f"{name} of {seed}") for name in ("schedule", "draws", "manners")
+        )
+        self.weights = list(accumulate(rank**-told.zipf for rank in range(1, told.keys + 1)))
+        self.free: list[list[Client]] = [[] for _ in addresses]  # by proxy
         self.all: set[Client] = set()
-        self.tasks: set[asyncio.Task] = set()       # emptied as they end
-        self.idle: set[asyncio.Transport] = set()   # emptied as they end
+        self.tasks: set[asyncio.Task] = set()  # emptied as they end
+        self.idle: set[asyncio.Transport] = set()  # emptied as they end
         self.running = False
-        self.number, self.latency = 0, HdrHistogram(1, LONGEST * MICROSECOND, 3)    # microseconds, of commits
+        self.number, self.latency = 0, HdrHistogram(1, LONGEST * MICROSECOND, 3)  # microseconds, of commits
 
     async def run(self, seconds: float, rate) -> None:
         """Ask by the schedule for so long, `rate(seconds since the start)` a second.
@@ -129,7 +140,7 @@
         while (due := due + self.schedule.expovariate(rate(due - begin))) < begin + seconds:
             if (wait := due - self.clock()) > 0:
                 await asyncio.sleep(wait)
-            profile, = self.draws.choices(self.told.profiles, [p.share for p in self.told.profiles])
+            (profile,) = self.draws.choices(self.told.profiles, [p.share for p in self.told.profiles])
             key = f"key-{bisect(self.weights, self.draws.random() * self.weights[-1])}"
             self.begin(profile, key, self.draws.expovariate(1 / profile.work), due, None, 0)
         longest = max(p.hard_limit for p in self.told.profiles) + GIVE_UP
@@ -144,7 +155,8 @@
         """Open a connection that says nothing, a little later."""
         if self.running:
             asyncio.get_running_loop().call_later(
-                IDLE_AGAIN * self.manners.random(), lambda: self.task(self.stay_on(proxy)))
+                IDLE_AGAIN * self.manners.random(), lambda: self.task(self.stay_on(proxy))
+            )
 
     async def stay_on(self, proxy: int) -> None:
         try:
@@ -153,7 +165,7 @@
                 await loop.create_connection(lambda: Idle(self, proxy), *self.addresses[proxy])
                 return
         except OSError:
-            pass        # nobody listens, or there is no room
+            pass  # nobody listens, or there is no room
         self.stay(proxy)
 
     def task(self, work) -> None:
@@ -173,8 +185,14 @@
         """
         count = len(self.addresses)
         first = self.where.randrange(count) if count > 1 else 0
-        return next((n % count for n in range(first, first + count)
-                     if self.addresses[n % count] or self.free[n % count]), None)
+        return next(
+            (
+                n % count
+                for n in range(first, first + count)
+                if self.addresses[n % count] or self.free[n % count]
+            ),
+            None,
+        )
 
     async def one(self, *given) -> None:
         proxy = self.pick()
@@ -186,8 +204,8 @@
             loop = asyncio.get_running_loop()
             _, client = await loop.create_connection(lambda: Client(self, proxy), *self.addresses[proxy])
         except OSError:
-            return      # nobody listens: it was never taken, so it is in nobody's books
-        if not self.addresses[proxy]:       # killed, or stopped, since it was picked
+            return  # nobody listens: it was never taken, so it is in nobody's books
+        if not self.addresses[proxy]:  # killed, or stopped, since it was picked
             client.transport.abort()
             return await self.one(*given)
         self.all.add(client)
--- a/basalthook/lab/model.py
+++ b/basalthook/lab/model.py
@@ -1,11 +1,15 @@
 """The machine behind a host: cores, a queue, slow start, memory for keys. No I/O; it is handed the time."""
+
 from heapq import heapreplace
 
 
 def machines(told) -> tuple[list["Machine"], list[str]]:
     """The machines of a scenario, and their zones."""
-    made = [(Machine(kind, told.rules, told.key_memory, told.key_saves), kind.zones[n % len(kind.zones)])
-            for kind in told.hosts for n in range(kind.count)]
+    made = [
+        (Machine(kind, told.rules, told.key_memory, told.key_saves), kind.zones[n % len(kind.zones)])
+        for kind in told.hosts
+        for n in range(kind.count)
+    ]
     return [machine for machine, _ in made], [zone for _, zone in made]
 
 
@@ -16,21 +20,21 @@
     evenly, after `cold_time` seconds; work begun at a time runs at that time's pace to its end.
     """
 
-    KEYS_KEPT = 5_000       # keys remembered; the oldest goes first
+    KEYS_KEPT = 5_000  # keys remembered; the oldest goes first
 
     def __init__(self, kind, rules, memory: float, saves: float) -> None:
         self.cores, self.speed, self.slots, self.rules = kind.cores, kind.speed, kind.slots, rules
         self.choke, self.choke_slow, self.memory, self.saves = kind.choke, kind.choke_slow, memory, saves
-        self.slowed, self.silent, self.gone = 1.0, 0, 0     # by faults; these may overlap
-        self.erring, self.losing = [], []       # shares of what it fails, and of answers that are lost
-        self.life = 0               # processes started here so far
+        self.slowed, self.silent, self.gone = 1.0, 0, 0  # by faults; these may overlap
+        self.erring, self.losing = [], []  # shares of what it fails, and of answers that are lost
+        self.life = 0  # processes started here so far
         self.start(None)
 
     def start(self, now: float | None) -> None:
         """A new process; None: it has run for long."""
         self.started, self.held, self.known, self.life = now, 0, {}, self.life + 1
         self.choked = False
-        self.free = [0.0] * self.cores      # a heap: when each core is free
+        self.free = [0.0] * self.cores  # a heap: when each core is free
 
     def warmth(self, now: float) -> float:
         if self.started is None:
@@ -64,4 +68,4 @@
     def done(self, life: int) -> None:
         """What a process began that is gone holds no slot of the next."""
         self.held -= life == self.life
-        self.choked &= self.held > 0        # it has rested
+        self.choked &= self.held > 0  # it has rested
--- a/basalthook/lab/overrun.py
+++ b/basalthook/lab/overrun.py
@@ -1,4 +1,5 @@
 """How far over a fleet's limit the hosts were taken, in any window: from what crossed the wire alone."""
+
 from collections import Counter, defaultdict
 
 from ..fleet import bounds
@@ -6,7 +7,7 @@
 from .scenario import Scenario, bound
 from .wire import Answered, Asked, Done, Got
 
-EXACT = 0.001           # to which the part over is told
+EXACT = 0.001  # to which the part over is told
 
 
 def figures(wire: list, told: Scenario) -> dict[str, dict]:
@@ -67,6 +68,7 @@
 
 def beyond(times: list[float], amount: float, burst: float) -> float:
     """The least part by which amount and burst would have to be larger for no window to hold too many."""
+
     def fits(part: float) -> bool:
         level, last, most = 0.0, times[0], (burst + amount * SLACK) * (1 + part)
         for at in times:
@@ -75,6 +77,7 @@
             if level > most + 1e-9:
                 return False
         return True
+
     if not times or fits(0.0):
         return 0.0
     if not amount:
--- a/basalthook/lab/processes.py
+++ b/basalthook/lab/processes.py
@@ -4,6 +4,7 @@
 The rig is one process: hosts, discovery, load and the relays of all ways, on one clock. Each proxy is a
 process of its own with its own files, console and log, started by `serve`, killed and stopped by signals.
 """
+
 import asyncio
 import os
 import shutil
@@ -30,14 +31,14 @@
 from .wire import Excused
 
 KEY = b"the lab's own key, known to all of its members"
-START, EACH = 2.0, 0.12         # seconds until the scenario begins, and more for each proxy
-GO = 5.0                        # seconds in which they end after SIGTERM
-NEW_ON, KILL_AFTER = 0.3, 0.7   # seconds after SIGTERM: of new connections; beyond the longest deadline
+START, EACH = 2.0, 0.12  # seconds until the scenario begins, and more for each proxy
+GO = 5.0  # seconds in which they end after SIGTERM
+NEW_ON, KILL_AFTER = 0.3, 0.7  # seconds after SIGTERM: of new connections; beyond the longest deadline
 SOCKETS = 256
 SEEDS = 3
-CLOCKS_APART = 0.03             # part by which a fact's age may be read off too low: clocks 2 in 100 fast
-HEALED = 5.0                    # seconds after a fault in which who was hit by it may still be suspected
-LOOK = 0.1                      # seconds from a proxy's word to the rig's reading its line in the log
+CLOCKS_APART = 0.03  # part by which a fact's age may be read off too low: clocks 2 in 100 fast
+HEALED = 5.0  # seconds after a fault in which who was hit by it may still be suspected
+LOOK = 0.1  # seconds from a proxy's word to the rig's reading its line in the log
 
 
 class Rig(Fleet):
@@ -48,15 +49,15 @@
         self.folder = folder
         self.relays = Relays(told.proxies, self.links, clock, told.seed)
         self.running: list[asyncio.subprocess.Process | None] = [None] * told.proxies
-        self.addresses: list = [None] * told.proxies        # of those that clients may ask
+        self.addresses: list = [None] * told.proxies  # of those that clients may ask
         self.consoles: list = [None] * told.proxies
         self.clients: Clients | None = None
-        self.said: list[tuple] = []     # (when read, proxy, event, fields): the proxies' own logs
-        self.readers: set[asyncio.Task] = set()     # emptied as processes end
+        self.said: list[tuple] = []  # (when read, proxy, event, fields): the proxies' own logs
+        self.readers: set[asyncio.Task] = set()  # emptied as processes end
         self.stopped: set[int] = set()
-        self.faults: list[dict] = []    # what a log called one
+        self.faults: list[dict] = []  # what a log called one
         self.begin_ns, self.begin_at = 0, 0.0
-        self.wall_ahead = time.time() - clock()     # of the machine's wall clock against the rig's
+        self.wall_ahead = time.time() - clock()  # of the machine's wall clock against the rig's
 
     async def open(self) -> None:
         await super().open()
@@ -70,29 +71,42 @@
         zones = sorted(set(self.zones))
         agreed = settings(self.told, n, zones[n % len(zones)])
         agreed["allowed"]["peers"] = self.told.fleet is not None
-        start = {"name": f"p{n}", "listen": "127.0.0.1:0", "console": "127.0.0.1:0",
-                 "discovery": self.discovery_at[n], "seed": self.told.seed * 1000 + n,
-                 "limits": {"sockets": SOCKETS}, "known": self.listing(range(self.told.size), True, n),
-                 "settings": agreed}
+        start = {
+            "name": f"p{n}",
+            "listen": "127.0.0.1:0",
+            "console": "127.0.0.1:0",
+            "discovery": self.discovery_at[n],
+            "seed": self.told.seed * 1000 + n,
+            "limits": {"sockets": SOCKETS},
+            "known": self.listing(range(self.told.size), True, n),
+            "settings": agreed,
+        }
         (folder / "start.json").write_bytes(orjson.dumps(start))
         if self.told.fleet is not None:
             key = folder / "key"
             key.write_bytes(KEY)
             key.chmod(0o600)
             seeds = [f"127.0.0.1:{port}" for _, port in self.relays.told[:SEEDS]]
-            lines = [f'listen = "127.0.0.1:{self.relays.real[n][1]}"', f"seeds = {seeds}", 'key_file = "key"',
-                     f'address = "127.0.0.1:{self.relays.told[n][1]}"', f"shares = {self.told.fleet.shares}"]
+            lines = [
+                f'listen = "127.0.0.1:{self.relays.real[n][1]}"',
+                f"seeds = {seeds}",
+                'key_file = "key"',
+                f'address = "127.0.0.1:{self.relays.told[n][1]}"',
+                f"shares = {self.told.fleet.shares}",
+            ]
             if self.told.fleet.limits:
                 lines.append(f"keepers = {keepers(self.told.proxies)}")
             for limit in self.told.fleet.limits:
                 lines.append("[[limits]]")
-                lines += [f"{name} = {orjson.dumps(value).decode()}"
-                          for name, value in msgspec.to_builtins(limit).items()]
+                lines += [
+                    f"{name} = {orjson.dumps(value).decode()}"
+                    for name, value in msgspec.to_builtins(limit).items()
+                ]
             (folder / "fleet.toml").write_text("\n".join(lines))
         return folder
 
     async def start(self, n: int) -> None:
-        folder = await asyncio.to_thread(self.files, n)     # a slow disk must not hold up what is measured
+        folder = await asyncio.to_thread(self.files, n)  # a slow disk must not hold up what is measured
         self.begins(n)
         environ = {**os.environ, "TMPDIR": str(folder), "PYTHONPATH": str(Path(__file__).parents[2])}
         module, clocks = "basalthook", self.clocks_of(n)
@@ -106,9 +120,14 @@
         if self.told.fleet is not None:
             call += ["--fleet", str(folder / "fleet.toml")]
         errors = await asyncio.to_thread(open, folder / "stderr", "ab")
-        process = await asyncio.create_subprocess_exec(*call, stdout=asyncio.subprocess.PIPE, env=environ,
-                                                       stdin=asyncio.subprocess.DEVNULL, stderr=errors,
-                                                       limit=2**20)
+        process = await asyncio.create_subprocess_exec(
+            *call,
+            stdout=asyncio.subprocess.PIPE,
+            env=environ,
+            stdin=asyncio.subprocess.DEVNULL,
+            stderr=errors,
+            limit=2**20,
+        )
         errors.close()
         self.running[n] = process
         reader = asyncio.get_running_loop().create_task(self.read(n, process))
@@ -117,10 +136,15 @@
 
     def clocks_of(self, n: int) -> list[tuple]:
         """Entries for `underclock`; a fault from the first moment on holds before it as well."""
+
         def moment(at: float) -> int:
             return self.begin_ns + int(at * 1e9)
-        return [(moment(f.at) if f.at else 0, moment(f.at + f.lasts), f.ahead, f.rate)
-                for f in self.told.faults if isinstance(f, ClockFault) and n in f.proxies]
+
+        return [
+            (moment(f.at) if f.at else 0, moment(f.at + f.lasts), f.ahead, f.rate)
+            for f in self.told.faults
+            if isinstance(f, ClockFault) and n in f.proxies
+        ]
 
     async def read(self, n: int, process) -> None:
         """Its log, line by line, until it ends."""
@@ -203,8 +227,9 @@
     def go_on_proxy(self, n: int) -> None:
         self.running[n].send_signal(signal.SIGCONT)
         self.stopped.discard(n)
-        at = next(fields["listen"] for _, who, event, fields in reversed(self.said)
-                  if who == n and event == "ready")
+        at = next(
+            fields["listen"] for _, who, event, fields in reversed(self.said) if who == n and event == "ready"
+        )
         # guards against clients that it would find waiting since before, and answer too late
         asyncio.get_running_loop().call_later(LOOK, self.addresses.__setitem__, n, tuple(at))
 
@@ -246,14 +271,22 @@
                     kind, age = relays.kinds[mark], self.acted(at, n, fields) - relays.first[mark]
                     staleness[kind] = max(staleness[kind], age)
                     over += age > LIVES[kind] / 10_000 * (1 + CLOCKS_APART) + LOOK
-        suspected = Counter((at, fields["name"]) for at, _, event, fields in self.said
-                            if event == "member" and fields["state"] == "suspect")
+        suspected = Counter(
+            (at, fields["name"])
+            for at, _, event, fields in self.said
+            if event == "member" and fields["state"] == "suspect"
+        )
         false = sum(self.alive(name, at) for at, name in suspected.elements())
         rates = [relays.sent_bytes[n] / seconds for n in range(count)]
         sent = [relays.sent[n] / seconds for n in range(count)]
-        return {"staleness": {kind: round(age, 3) for kind, age in staleness.items()}, "over_age": over,
-                "younger": len(relays.younger), **self.spread(begin), "false_suspicions": false,
-                "messages": {"datagrams_s": mean_and_most(sent), "bytes_s": mean_and_most(rates)}}
+        return {
+            "staleness": {kind: round(age, 3) for kind, age in staleness.items()},
+            "over_age": over,
+            "younger": len(relays.younger),
+            **self.spread(begin),
+            "false_suspicions": false,
+            "messages": {"datagrams_s": mean_and_most(sent), "bytes_s": mean_and_most(rates)},
+        }
 
     def acted(self, at: float, n: int, fields: dict) -> float:
         """When a proxy did what it says: when the line was read; or, as a line may lie in a process that is
@@ -280,8 +313,12 @@
             first: dict[str, dict[int, float]] = {}
             for at, n, event, fields in self.said:
                 host = fields.get("id", "")
-                if event == "verdict" and fields["state"] == OUT and at >= begin + fault.at and (
-                        host.startswith("host-") and int(host[5:]) in fault.hosts):
+                if (
+                    event == "verdict"
+                    and fields["state"] == OUT
+                    and at >= begin + fault.at
+                    and (host.startswith("host-") and int(host[5:]) in fault.hosts)
+                ):
                     first.setdefault(host, {}).setdefault(n, at - begin - fault.at)
             whole = [max(seen.values()) for seen in first.values() if len(seen) == self.told.proxies]
             detect.append(round(min(min(seen.values()) for seen in first.values()), 3) if first else None)
--- a/basalthook/lab/relays.py
+++ b/basalthook/lab/relays.py
@@ -5,6 +5,7 @@
 
 What members tell is read here too, by the msgpack library alone: a judge must not rest on what it judges.
 """
+
 import asyncio
 import socket
 from collections import Counter
@@ -15,8 +16,8 @@
 from ..fleet.facts import Fact
 from .links import Links, spoil
 
-HEAD, ANSWER = 9, 18    # bytes before the message; the kind of message that carries facts
-YOUNGER = 0.05          # seconds by which clocks and rounding may make a fact seem younger than it is
+HEAD, ANSWER = 9, 18  # bytes before the message; the kind of message that carries facts
+YOUNGER = 0.05  # seconds by which clocks and rounding may make a fact seem younger than it is
 
 
 class Socket(asyncio.DatagramProtocol):
@@ -40,9 +41,9 @@
         self.told: list[tuple[str, int]] = []
         self.by_port: dict[int, int] = {}
         self.sent, self.sent_bytes = Counter(), Counter()
-        self.first: dict[int, float] = {}       # mark of a fact -> when it first came by
-        self.kinds: dict[int, str] = {}         # mark -> kind of fact
-        self.younger: list[tuple] = []          # facts told younger than they can be: a defect
+        self.first: dict[int, float] = {}  # mark of a fact -> when it first came by
+        self.kinds: dict[int, str] = {}  # mark -> kind of fact
+        self.younger: list[tuple] = []  # facts told younger than they can be: a defect
 
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
@@ -50,8 +51,9 @@
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
                 free.bind(("127.0.0.1", 0))
                 self.real.append(free.getsockname())
-            _, end = await loop.create_datagram_endpoint(lambda n=number: Socket(self, n),
-                                                         local_addr=("127.0.0.1", 0))
+            _, end = await loop.create_datagram_endpoint(
+                lambda n=number: Socket(self, n), local_addr=("127.0.0.1", 0)
+            )
             self.sockets.append(end)
             self.told.append(end.transport.get_extra_info("sockname"))
         self.by_port = {address[1]: number for number, address in enumerate(self.real)}
@@ -62,7 +64,7 @@
 
     def came(self, target: int, data: bytes, source) -> None:
         sender = self.by_port.get(source[1])
-        if sender is None:      # none of the members'
+        if sender is None:  # none of the members'
             return
         self.sent[sender] += 1
         self.sent_bytes[sender] += len(data)
--- a/basalthook/lab/scenario.py
+++ b/basalthook/lab/scenario.py
@@ -2,6 +2,7 @@
 
 Times are seconds, rates transactions a second, work seconds of one core of speed 1.
 """
+
 import math
 import tomllib
 from pathlib import Path
@@ -25,35 +26,36 @@
 
 class Kind(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Hosts of one make."""
+
     count: Count
     cores: Count = 2
     speed: Positive = 1.0
-    slots: Count = 64               # transactions held at once, in work or waiting; more are turned away
-    zones: list[str] = msgspec.field(default_factory=lambda: ["a"])    # taken in turn
-    choke: Count | None = None      # with so many held it turns slower, until it holds none
-    choke_slow: Positive = 3.0      # by this factor
+    slots: Count = 64  # transactions held at once, in work or waiting; more are turned away
+    zones: list[str] = msgspec.field(default_factory=lambda: ["a"])  # taken in turn
+    choke: Count | None = None  # with so many held it turns slower, until it holds none
+    choke_slow: Positive = 3.0  # by this factor
 
 
 class Profile(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     name: Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9-]+$")]
-    effect: Annotated[str, msgspec.Meta(pattern=r"^(repeatable|once|by_key)$")]     # what a repeat does
-    work: Positive                  # mean of an exponential draw
+    effect: Annotated[str, msgspec.Meta(pattern=r"^(repeatable|once|by_key)$")]  # what a repeat does
+    work: Positive  # mean of an exponential draw
     service_goal: Positive
     hard_limit: Positive
-    share: Positive = 1.0           # of all transactions, against the other profiles'
-    window: Positive = 5.0          # by_key: in which hosts, all of one group, discard repeats
+    share: Positive = 1.0  # of all transactions, against the other profiles'
+    window: Positive = 5.0  # by_key: in which hosts, all of one group, discard repeats
 
 
 class Load(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     rate: Positive
     profiles: Annotated[list[Profile], msgspec.Meta(min_length=1)]
-    keys: Count = 500               # drawn by Zipf's law ...
-    zipf: Seconds = 1.0             # ... of this exponent; 0: all alike
-    retries: Annotated[int, msgspec.Meta(ge=0, le=5)] = 0       # of what was rolled back
-    obey: Share = 1.0               # of the clients wait as long as they were told
-    leave: Share = 0.0              # of the clients go before their answer, at a moment of their time ...
-    ahead: Share = 0.0              # ... and of these so many have begun to write their next request
-    idle: Annotated[int, msgspec.Meta(ge=0)] = 0    # further connections to each proxy that say nothing
+    keys: Count = 500  # drawn by Zipf's law ...
+    zipf: Seconds = 1.0  # ... of this exponent; 0: all alike
+    retries: Annotated[int, msgspec.Meta(ge=0, le=5)] = 0  # of what was rolled back
+    obey: Share = 1.0  # of the clients wait as long as they were told
+    leave: Share = 0.0  # of the clients go before their answer, at a moment of their time ...
+    ahead: Share = 0.0  # ... and of these so many have begun to write their next request
+    idle: Annotated[int, msgspec.Meta(ge=0)] = 0  # further connections to each proxy that say nothing
 
 
 class Rules(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -66,18 +68,19 @@
 
 class Discovery(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     mode: Annotated[str, msgspec.Meta(pattern=r"^(pushed|on_request)$")] = "pushed"
-    notice: Seconds = 0.3           # until it tells of a change; and up to as much more, for each proxy
-    fails: Share = 0.0              # of calls for the list; in virtual time alone
-    ask_within: Positive = 10.0     # told to the proxies: within which they have to ask
-    told_proxies: Count | None = None   # how many proxies they are told there are; None: as many as there are
+    notice: Seconds = 0.3  # until it tells of a change; and up to as much more, for each proxy
+    fails: Share = 0.0  # of calls for the list; in virtual time alone
+    ask_within: Positive = 10.0  # told to the proxies: within which they have to ask
+    told_proxies: Count | None = None  # how many proxies they are told there are; None: as many as there are
 
 
 class Network(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """One way between a proxy and a host; in virtual time alone, loopback has its own."""
-    same: Seconds = 0.0003          # within a zone
+
+    same: Seconds = 0.0003  # within a zone
     cross: Seconds = 0.001
-    jitter: Seconds = 0.2           # up to this share more
-    cross_price: Share = 0.01       # told to the proxies: service lost where every transaction crosses once
+    jitter: Seconds = 0.2  # up to this share more
+    cross_price: Share = 0.01  # told to the proxies: service lost where every transaction crosses once
 
 
 class Fault(msgspec.Struct, tag_field="what", forbid_unknown_fields=True, frozen=True, kw_only=True):
@@ -104,6 +107,7 @@
 
 class Slow(Fault, tag="slow"):
     """Something else takes part of the machine."""
+
     factor: Annotated[float, msgspec.Meta(gt=1)] = 4.0
 
     def begin(self, fleet, number):
@@ -125,6 +129,7 @@
 
 class Errors(Fault, tag="errors"):
     """It fails a share of its transactions at once."""
+
     share: Share = 0.5
 
     def begin(self, fleet, number):
@@ -136,6 +141,7 @@
 
 class LoseAnswers(Fault, tag="lose_answers"):
     """It does the work, and a share of its answers never comes back."""
+
     share: Share = 0.2
 
     def begin(self, fleet, number):
@@ -145,26 +151,30 @@
         fleet.machines[number].losing.remove(self.share)
 
 
-class Burst(msgspec.Struct, tag_field="what", tag="burst", forbid_unknown_fields=True, frozen=True,
-            kw_only=True):
+class Burst(
+    msgspec.Struct, tag_field="what", tag="burst", forbid_unknown_fields=True, frozen=True, kw_only=True
+):
     """So many times the usual load."""
+
     at: Seconds
     lasts: Positive
     factor: Positive = 2.0
-    hosts: tuple[()] = ()           # it is at none
+    hosts: tuple[()] = ()  # it is at none
 
     def of(self, at: float) -> float:
         return self.factor if self.at <= at < self.at + self.lasts else 1.0
 
 
-class LongWay(msgspec.Struct, tag_field="what", tag="long_way", forbid_unknown_fields=True, frozen=True,
-              kw_only=True):
+class LongWay(
+    msgspec.Struct, tag_field="what", tag="long_way", forbid_unknown_fields=True, frozen=True, kw_only=True
+):
     """Every way between these zones takes longer and loses some; in virtual time alone."""
+
     at: Seconds
     lasts: Positive
     zones: tuple[str, str]
-    more: Seconds = 0.2             # each way
-    loses: Share = 0.0              # of hops, and of answers
+    more: Seconds = 0.2  # each way
+    loses: Share = 0.0  # of hops, and of answers
     hosts: tuple[()] = ()
 
     def holds(self, at: float, here: str, there: str) -> bool:
@@ -173,6 +183,7 @@
 
 class Between(msgspec.Struct, tag_field="what", forbid_unknown_fields=True, frozen=True, kw_only=True):
     """A fault of ways, not of hosts; `links` says what becomes of what goes there."""
+
     at: Seconds
     lasts: Positive
     between: tuple[list[str], list[str]]
@@ -197,6 +208,7 @@
 
 class Lossy(Between, tag="lossy"):
     """Datagrams are lost, doubled, reordered, held up, spoilt; messages on connections lost or held up."""
+
     loses: Share = 0.0
     doubles: Share = 0.0
     reorders: Share = 0.0
@@ -206,6 +218,7 @@
 
 class OfProxies(msgspec.Struct, tag_field="what", forbid_unknown_fields=True, frozen=True, kw_only=True):
     """A fault of whole processes, not of hosts."""
+
     at: Seconds
     lasts: Positive
     proxies: Annotated[list[Annotated[int, msgspec.Meta(ge=0)]], msgspec.Meta(min_length=1)]
@@ -228,6 +241,7 @@
 
 class KillProxy(OfProxies, tag="kill_proxy"):
     """SIGKILL; it is started again afterwards, in an emptied folder if it forgets."""
+
     forgets: bool = True
 
     def strike(self, fleet, proxy):
@@ -249,6 +263,7 @@
 
 class ClockFault(OfProxies, tag="clock"):
     """Its clocks are ahead, and run at another rate, from then until the end of the fault."""
+
     ahead: float = 0.0
     rate: Annotated[float, msgspec.Meta(gt=0.5, lt=2)] = 1.0
 
@@ -270,10 +285,12 @@
         fleet.start_proxy(proxy, True)
 
 
-class Watches(msgspec.Struct, tag_field="what", tag="watches", forbid_unknown_fields=True, frozen=True,
-              kw_only=True):
+class Watches(
+    msgspec.Struct, tag_field="what", tag="watches", forbid_unknown_fields=True, frozen=True, kw_only=True
+):
     """Every open watch falls silent for good, or is reset; and so many that each proxy opens next are silent
     from the first. On sockets alone."""
+
     at: Seconds
     silent: bool = True
     more: Annotated[int, msgspec.Meta(ge=0)] = 0
@@ -290,6 +307,7 @@
 class Reconfigure(OfProxies, tag="reconfigure"):
     """SIGHUP so many times, evenly over the span; each start-up file names another discovery. On processes
     alone."""
+
     times: Count = 1
 
     def strike(self, fleet, proxy):
@@ -299,14 +317,16 @@
         """The last start-up file stays in force."""
 
 
-class DiscoveryFails(msgspec.Struct, tag_field="what", tag="discovery", forbid_unknown_fields=True,
-                     frozen=True, kw_only=True):
+class DiscoveryFails(
+    msgspec.Struct, tag_field="what", tag="discovery", forbid_unknown_fields=True, frozen=True, kw_only=True
+):
     """Discovery answers every call with 503, is down, or is slow to look at a call, for all proxies. On
     sockets alone."""
+
     at: Seconds
     lasts: Positive
     how: Annotated[str, msgspec.Meta(pattern=r"^(refuses|down|slow)$")] = "refuses"
-    delay: Seconds = 0.0            # where it is slow: until it looks at a call
+    delay: Seconds = 0.0  # where it is slow: until it looks at a call
     hosts: tuple[()] = ()
 
     def begin(self, fleet) -> None:
@@ -324,19 +344,22 @@
 
 class Limit(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """A bound on all proxies together."""
+
     name: Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9-]+$")]
     kind: Annotated[str, msgspec.Meta(pattern="^(rate|host|retries)$")]
-    amount: Seconds                 # tokens a second; places at each host
-    burst: Seconds = 0.0            # tokens at once
-    profiles: list[str] = msgspec.field(default_factory=list)   # of a rate, by name; none: all
+    amount: Seconds  # tokens a second; places at each host
+    burst: Seconds = 0.0  # tokens at once
+    profiles: list[str] = msgspec.field(default_factory=list)  # of a rate, by name; none: all
     over: Annotated[str, msgspec.Meta(pattern="^(never|bounded)$")] = "never"
-    floor: Share = 0.0              # part that proxies have without any message
+    floor: Share = 0.0  # part that proxies have without any message
 
 
 class Shares(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """What the proxies hold together; without it nobody talks."""
-    shares: Annotated[list[Annotated[str, msgspec.Meta(pattern="^(verdicts|limits)$")]],
-                      msgspec.Meta(min_length=1)]
+
+    shares: Annotated[
+        list[Annotated[str, msgspec.Meta(pattern="^(verdicts|limits)$")]], msgspec.Meta(min_length=1)
+    ]
     limits: list[Limit] = msgspec.field(default_factory=list)
 
 
@@ -371,10 +394,28 @@
         fleet.order(number, False)
 
 
-AnyFault = (Kill | Slow | Silent | Errors | LoseAnswers | Vanish | Drain | Maintain | Burst | LongWay | Cut
-            | Lossy | KillProxy | StopProxy | ClockFault | Watches | Reconfigure | DiscoveryFails
-            | Terminate)
-ON_PROCESSES = Watches | Reconfigure | DiscoveryFails | Terminate    # no other depth plays these
+AnyFault = (
+    Kill
+    | Slow
+    | Silent
+    | Errors
+    | LoseAnswers
+    | Vanish
+    | Drain
+    | Maintain
+    | Burst
+    | LongWay
+    | Cut
+    | Lossy
+    | KillProxy
+    | StopProxy
+    | ClockFault
+    | Watches
+    | Reconfigure
+    | DiscoveryFails
+    | Terminate
+)
+ON_PROCESSES = Watches | Reconfigure | DiscoveryFails | Terminate  # no other depth plays these
 
 
 class Scenario(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -386,12 +427,12 @@
     faults: list[AnyFault] = msgspec.field(default_factory=list)
     fleet: Shares | None = None
     network: Network = msgspec.field(default_factory=Network)
-    proxies: Count = 1              # at depth `sockets` there is one
+    proxies: Count = 1  # at depth `sockets` there is one
     discovery: Discovery = msgspec.field(default_factory=Discovery)
-    key_memory: Seconds = 10.0      # a host that met a key so lately does less work for it ...
-    key_saves: Share = 0.5          # ... by this share
+    key_memory: Seconds = 10.0  # a host that met a key so lately does less work for it ...
+    key_saves: Share = 0.5  # ... by this share
     seed: Annotated[int, msgspec.Meta(ge=0)] = 1
-    system_calls: Chances | None = None     # that fail in every proxy; on processes alone
+    system_calls: Chances | None = None  # that fail in every proxy; on processes alone
 
     def rate(self, at: float) -> float:
         """Transactions a second, so many seconds after the start."""
@@ -408,15 +449,25 @@
     for fault in faults:
         if hasattr(fault, "begin"):
             given = [(host,) for host in fault.hosts] or [()]
-            found += [(at, act, one) for one in given
-                      for at, act in ((fault.at, fault.begin), (fault.at + fault.lasts, fault.end))]
+            found += [
+                (at, act, one)
+                for one in given
+                for at, act in ((fault.at, fault.begin), (fault.at + fault.lasts, fault.end))
+            ]
     return found
 
 
 def bound(limit: Limit, names: list[str]) -> bounds.Limit:
     """As the program has it; `names`: of the profiles, in order."""
-    return bounds.Limit(limit.name, limit.kind, limit.amount, limit.burst,
-                        tuple(names.index(name) for name in limit.profiles), limit.over, limit.floor)
+    return bounds.Limit(
+        limit.name,
+        limit.kind,
+        limit.amount,
+        limit.burst,
+        tuple(names.index(name) for name in limit.profiles),
+        limit.over,
+        limit.floor,
+    )
 
 
 def load(path: str | Path) -> Scenario:
@@ -438,12 +489,16 @@
     for n, fault in enumerate(found.faults):
         for which, number in enumerate(fault.hosts):
             if number >= found.size:
-                raise BadScenario(f"{path}: Expected a host from 0 to {found.size - 1}, got {number} - at "
-                                  f"`$.faults[{n}].hosts[{which}]`")
+                raise BadScenario(
+                    f"{path}: Expected a host from 0 to {found.size - 1}, got {number} - at "
+                    f"`$.faults[{n}].hosts[{which}]`"
+                )
         for which, number in enumerate(getattr(fault, "proxies", ())):
             if number >= found.proxies:
-                raise BadScenario(f"{path}: Expected a proxy from 0 to {found.proxies - 1}, got {number} - "
-                                  f"at `$.faults[{n}].proxies[{which}]`")
+                raise BadScenario(
+                    f"{path}: Expected a proxy from 0 to {found.proxies - 1}, got {number} - "
+                    f"at `$.faults[{n}].proxies[{which}]`"
+                )
         for side, ends in enumerate(getattr(fault, "between", ())):
             for which, name in enumerate(ends):
                 try:
@@ -453,19 +508,25 @@
                     raise BadScenario(f"{path}: {wrong} - at `{at}`") from None
     names = [profile.name for profile in found.load.profiles]
     if found.fleet and bool(found.fleet.limits) != ("limits" in found.fleet.shares):
-        raise BadScenario(f"{path}: Expected `limits` in shares where there are some, and only there - at "
-                          "`$.fleet.shares`")
+        raise BadScenario(
+            f"{path}: Expected `limits` in shares where there are some, and only there - at `$.fleet.shares`"
+        )
     for n, limit in enumerate(found.fleet.limits if found.fleet else ()):
-        wrong = bounds.wrong(bound(limit, names)) if set(limit.profiles) <= set(names) else (
-            f"Expected profiles of this scenario, got {limit.profiles}")
+        wrong = (
+            bounds.wrong(bound(limit, names))
+            if set(limit.profiles) <= set(names)
+            else (f"Expected profiles of this scenario, got {limit.profiles}")
+        )
         if wrong:
             raise BadScenario(f"{path}: {wrong} - at `$.fleet.limits[{n}]`")
     for n, profile in enumerate(found.load.profiles):
         if profile.name in names[:n]:
-            raise BadScenario(f"{path}: Expected a name of its own, got {profile.name!r} - at "
-                              f"`$.load.profiles[{n}].name`")
+            raise BadScenario(
+                f"{path}: Expected a name of its own, got {profile.name!r} - at `$.load.profiles[{n}].name`"
+            )
         if profile.hard_limit < profile.service_goal:
-            raise BadScenario(f"{path}: Expected no less than the service goal, got {profile.hard_limit} - "
-                              f"at `$.load.profiles[{n}].hard_limit`")
+            raise BadScenario(
+                f"{path}: Expected no less than the service goal, got {profile.hard_limit} - "
+                f"at `$.load.profiles[{n}].hard_limit`"
+            )
     return found
-
--- a/basalthook/lab/schedules.py
+++ b/basalthook/lab/schedules.py
@@ -10,6 +10,7 @@
 all forgotten, stops, clocks apart and fast. `python -m basalthook.lab.schedules FIRST COUNT` plays so many
 seeds.
 """
+
 import sys
 from collections import Counter
 from heapq import heappop, heappush
@@ -22,10 +23,10 @@
 from .scenario import Cut, Lossy
 
 KEY, LIVES = b"schedules have a key of their own", {"host": 30_000, "trial": 600_000}
-TICK, WAY = 500, 10             # tenths of a millisecond: between two ticks of a member; a datagram's way
+TICK, WAY = 500, 10  # tenths of a millisecond: between two ticks of a member; a datagram's way
 TROUBLE, QUIET = 200_000, 150_000
 RATES = 1.0, 1.0, 1.02, 0.98
-DRIFT, GRAIN = 0.05, 600        # parts by which clocks may be apart; ticks between two looks
+DRIFT, GRAIN = 0.05, 600  # parts by which clocks may be apart; ticks between two looks
 
 
 class Broken(NamedTuple):
@@ -45,7 +46,7 @@
         self.lives, self.stopped, self.seeds = [0] * self.size, {}, min(2, self.size)
         self.rates = [self.chance.choice(RATES) for _ in range(self.size)]
         self.ahead = [self.chance.choice((0, 0, 36_000_000)) for _ in range(self.size)]
-        self.told: dict[tuple, int] = {}        # (author, life, sequence) -> when, by the true clock
+        self.told: dict[tuple, int] = {}  # (author, life, sequence) -> when, by the true clock
         self.broken: list[Broken] = []
 
     def later(self, delay: int, call, *given) -> None:
@@ -78,11 +79,21 @@
         one_way, n = chance.random() < 0.4, chance.randrange(self.size)
         what = chance.choice(("cut", "lossy", "kill", "stop"))
         if what == "cut" or what == "lossy":
-            fault = (Cut(at=0, lasts=1, between=sides, one_way=one_way) if what == "cut" else
-                     Lossy(at=0, lasts=1, between=sides, one_way=one_way,
-                           loses=chance.choice((0, 0.1, 0.5)),
-                           doubles=chance.choice((0, 0.3)), reorders=chance.choice((0, 0.3)),
-                           delay=chance.choice((0, 0.05, 4.0)), spoils=chance.choice((0, 0.1))))
+            fault = (
+                Cut(at=0, lasts=1, between=sides, one_way=one_way)
+                if what == "cut"
+                else Lossy(
+                    at=0,
+                    lasts=1,
+                    between=sides,
+                    one_way=one_way,
+                    loses=chance.choice((0, 0.1, 0.5)),
+                    doubles=chance.choice((0, 0.3)),
+                    reorders=chance.choice((0, 0.3)),
+                    delay=chance.choice((0, 0.05, 4.0)),
+                    spoils=chance.choice((0, 0.1)),
+                )
+            )
             self.later(begin, self.links.begin, fault)
             self.later(begin + lasts, self.links.end, fault)
         elif what == "kill":
@@ -100,9 +111,16 @@
         self.lives[n] += 1
         life = max(1, self.clock(n) // 10)
         seeds = [(f"p{k}", 1) for k in range(self.seeds)]
-        talk = self.talks[n] = self.make(f"p{n}", (f"p{n}", 1), life, seeds, KEY, LIVES,
-                                         Random(self.chance.random()),
-                                         lambda address, data: self.send(n, address, data))
+        talk = self.talks[n] = self.make(
+            f"p{n}",
+            (f"p{n}", 1),
+            life,
+            seeds,
+            KEY,
+            LIVES,
+            Random(self.chance.random()),
+            lambda address, data: self.send(n, address, data),
+        )
         talk.begin(self.clock(n))
         self.later(self.chance.randrange(TICK), self.tick, n, self.lives[n])
 
@@ -169,8 +187,11 @@
             words = talk.table.all(self.clock(n))
             held[n] = {(f.author, f.life, f.kind, f.subject, f.sequence) for f in words if self.sure(f)}
             mine = {(f.author, f.life, f.sequence) for f in words}
-            last = max((key for key in self.told if key[0] == f"p{n}" and key[1] == talk.table.life),
-                       key=lambda key: key[2], default=None)
+            last = max(
+                (key for key in self.told if key[0] == f"p{n}" and key[1] == talk.table.life),
+                key=lambda key: key[2],
+                default=None,
+            )
             if last not in mine and self.now - self.told.get(last, 0) < min(LIVES.values()) * 0.9:
                 self.broken.append(Broken("forgot", self.now - self.begin, n, f"{last}"))
         first = next(iter(held.values()), None)
--- a/basalthook/lab/show.py
+++ b/basalthook/lab/show.py
@@ -1,4 +1,5 @@
 """What a person sees of a trial: a live table while it runs, a summary at its end."""
+
 from rich.console import Console, Group
 from rich.live import Live
 from rich.table import Table
@@ -8,8 +9,12 @@
 from .scenario import Scenario
 from .trial import lately
 
-RULE_NAMES = {"lost": "no transaction lost", "doubled": "no effect twice", "drains": "drains kept",
-              "pushed_over": "cold hosts not pushed over"}
+RULE_NAMES = {
+    "lost": "no transaction lost",
+    "doubled": "no effect twice",
+    "drains": "drains kept",
+    "pushed_over": "cold hosts not pushed over",
+}
 
 
 class Board:
@@ -33,9 +38,11 @@
     def __call__(self, seconds: float, fleet, clients, wire: list) -> None:
         hops, answers, asked = lately(wire, clients.clock())
         p99 = clients.latency.get_value_at_percentile(99) / 1000
-        line = (f"{min(seconds, self.told.seconds):4.0f} s of {self.told.seconds:.0f}   asked {asked}/s   "
-                f"committed {answers[200]}/s   rolled back {answers[503]}/s   abandoned "
-                f"{sum(answers.values()) - answers[200] - answers[503]}/s   p99 so far {p99:.0f} ms")
+        line = (
+            f"{min(seconds, self.told.seconds):4.0f} s of {self.told.seconds:.0f}   asked {asked}/s   "
+            f"committed {answers[200]}/s   rolled back {answers[503]}/s   abandoned "
+            f"{sum(answers.values()) - answers[200] - answers[503]}/s   p99 so far {p99:.0f} ms"
+        )
         if self.live is not None:
             self.live.update(Group(Text(line), self.hosts(fleet, hops)), refresh=True)
         elif seconds >= self.next:
@@ -46,30 +53,53 @@
         table = Table("host", "zone", "listed as", "state", "capacity", "held", "hops/s", "")
         now = fleet.clock()
         for n, machine in enumerate(fleet.machines):
-            state = ("down" if not fleet.serving(n) else "silent" if machine.silent else
-                     "slow" if machine.slowed > 1 else "cold" if machine.warmth(now) < 1 else "up")
+            state = (
+                "down"
+                if not fleet.serving(n)
+                else "silent"
+                if machine.silent
+                else "slow"
+                if machine.slowed > 1
+                else "cold"
+                if machine.warmth(now) < 1
+                else "up"
+            )
             style = {"up": "green", "cold": "cyan", "down": "red"}.get(state, "yellow")
-            table.add_row(f"host-{n}", fleet.zones[n], fleet.states[n], Text(state, style),
-                          f"{machine.capacity(now):.1f}" if state != "down" else "-", str(machine.held),
-                          str(hops[n]), "#" * min(30, hops[n] // 3))
+            table.add_row(
+                f"host-{n}",
+                fleet.zones[n],
+                fleet.states[n],
+                Text(state, style),
+                f"{machine.capacity(now):.1f}" if state != "down" else "-",
+                str(machine.held),
+                str(hops[n]),
+                "#" * min(30, hops[n] // 3),
+            )
         return table
 
 
 def summary(told: Scenario, found: Result, console: Console) -> None:
     verdict = found.verdict
-    table = Table(title=f"{told.name}: {sum(verdict.answers.values())} answers in {told.seconds:g} s, "
-                        f"seed {found.seed}", show_header=False)
+    table = Table(
+        title=f"{told.name}: {sum(verdict.answers.values())} answers in {told.seconds:g} s, "
+        f"seed {found.seed}",
+        show_header=False,
+    )
     table.add_row("answered within the service goal", f"{verdict.service:.2%}")
     if told.seconds > 10:
         table.add_row("  in the worst 10 s", f"{verdict.worst_10s:.2%}")
     for name, part in verdict.by_profile.items():
         table.add_row(f"  of {name}", f"{part:.2%}")
     table.add_row("committed, rolled back, abandoned", ", ".join(map(str, verdict.answers.values())))
-    table.add_row("latency from when due: " + ", ".join(found.latency),
-                  ", ".join(f"{ms:.0f}" for ms in found.latency.values()) + " ms")
+    table.add_row(
+        "latency from when due: " + ", ".join(found.latency),
+        ", ".join(f"{ms:.0f}" for ms in found.latency.values()) + " ms",
+    )
     if found.recovery:
-        table.add_row("back after each fault's end", ", ".join(
-            "never" if s is None else f"{s:.0f} s" for s in found.recovery))
+        table.add_row(
+            "back after each fault's end",
+            ", ".join("never" if s is None else f"{s:.0f} s" for s in found.recovery),
+        )
     if len(found.hops) <= 12:
         table.add_row("hops by host", ", ".join(f"{n}: {count}" for n, count in found.hops.items()))
     table.add_row("hops that ran more than once", str(verdict.wasted))
@@ -79,15 +109,24 @@
     console.print(table)
     if verdict.first is not None:
         first = verdict.first
-        console.print(f"first offence: {first.rule} at {first.at:.3f}, host {first.host}, "
-                      f"transaction {first.tx}: {first.why}", style="red", highlight=False)
+        console.print(
+            f"first offence: {first.rule} at {first.at:.3f}, host {first.host}, "
+            f"transaction {first.tx}: {first.why}",
+            style="red",
+            highlight=False,
+        )
     for fault in found.faults[:3]:
         console.print(f"the program's log tells of a fault: {fault}", style="red", highlight=False)
 
 
 def told_of(told: Scenario) -> str:
     """One line on what will be seen."""
-    faults = "; ".join(f"{type(f).__name__.lower()} host {', '.join(map(str, f.hosts))} at {f.at:g} s "
-                       f"for {f.lasts:g} s" for f in told.faults if f.at < told.seconds)
-    return (f"One proxy on loopback before {told.size} stand-in hosts, {told.load.rate:g} transactions a "
-            f"second for {told.seconds:g} s. {faults.capitalize() or 'No fault'}.")
+    faults = "; ".join(
+        f"{type(f).__name__.lower()} host {', '.join(map(str, f.hosts))} at {f.at:g} s for {f.lasts:g} s"
+        for f in told.faults
+        if f.at < told.seconds
+    )
+    return (
+        f"One proxy on loopback before {told.size} stand-in hosts, {told.load.rate:g} transactions a "
+        f"second for {told.seconds:g} s. {faults.capitalize() or 'No fault'}."
+    )
--- a/basalthook/lab/soak.py
+++ b/basalthook/lab/soak.py
@@ -1,14 +1,15 @@
 """Short days of many faults at once on real processes, drawn from a seed."""
+
 from random import Random
 
 from . import scenario
 from .scenario import Discovery, Kind, Load, Profile, Rules, Scenario
 from .syscalls import Chances
 
-SECONDS = 14.0          # of load; faults begin within the first `FAULTS`
+SECONDS = 14.0  # of load; faults begin within the first `FAULTS`
 FAULTS = 8.0
 HOSTS, PROXIES = 8, 4
-RESTARTED = 4.5         # seconds from SIGTERM to the next start: past the earliest kill
+RESTARTED = 4.5  # seconds from SIGTERM to the next start: past the earliest kill
 
 
 def drawn(seed: int) -> Scenario:
@@ -18,39 +19,81 @@
     profiles = [
         Profile(name="read", effect="repeatable", work=0.01, service_goal=0.4, hard_limit=limit, share=2),
         Profile(name="order", effect="once", work=0.015, service_goal=0.4, hard_limit=limit),
-        Profile(name="put", effect="by_key", work=0.01, service_goal=0.4, hard_limit=limit,
-                window=random.choice((0.3, 0.6, 2.0)))]
+        Profile(
+            name="put",
+            effect="by_key",
+            work=0.01,
+            service_goal=0.4,
+            hard_limit=limit,
+            window=random.choice((0.3, 0.6, 2.0)),
+        ),
+    ]
     crowd = random.random() < 0.3
-    load = Load(rate=random.uniform(60, 160), profiles=profiles, leave=random.choice((0.0, 0.1, 0.3)),
-                ahead=0.5, retries=random.choice((0, 2)), idle=random.randint(120, 260) if crowd else 0)
-    discovery = Discovery(mode=random.choice(("pushed", "on_request")), notice=0.05,
-                          ask_within=random.choice((2.0, 5.0, 10.0)))
-    chances = None if random.random() < 0.5 else Chances(
-        accept=random.uniform(0, 0.5), create=random.uniform(0, 0.1), connect=random.uniform(0, 0.2),
-        short=random.uniform(0, 0.3), broken=random.uniform(0, 0.01))
-    return Scenario(name=f"soak-{seed}", seconds=SECONDS, hosts=[Kind(count=HOSTS, zones=["a", "b"])],
-                    load=load, rules=Rules(drain_grace=random.choice((0.3, 0.5))), discovery=discovery,
-                    proxies=PROXIES, seed=seed, system_calls=chances, faults=faults(random))
+    load = Load(
+        rate=random.uniform(60, 160),
+        profiles=profiles,
+        leave=random.choice((0.0, 0.1, 0.3)),
+        ahead=0.5,
+        retries=random.choice((0, 2)),
+        idle=random.randint(120, 260) if crowd else 0,
+    )
+    discovery = Discovery(
+        mode=random.choice(("pushed", "on_request")), notice=0.05, ask_within=random.choice((2.0, 5.0, 10.0))
+    )
+    chances = (
+        None
+        if random.random() < 0.5
+        else Chances(
+            accept=random.uniform(0, 0.5),
+            create=random.uniform(0, 0.1),
+            connect=random.uniform(0, 0.2),
+            short=random.uniform(0, 0.3),
+            broken=random.uniform(0, 0.01),
+        )
+    )
+    return Scenario(
+        name=f"soak-{seed}",
+        seconds=SECONDS,
+        hosts=[Kind(count=HOSTS, zones=["a", "b"])],
+        load=load,
+        rules=Rules(drain_grace=random.choice((0.3, 0.5))),
+        discovery=discovery,
+        proxies=PROXIES,
+        seed=seed,
+        system_calls=chances,
+        faults=faults(random),
+    )
 
 
 def faults(random: Random) -> list:
     """Of discovery, of hosts and of proxies; what a proxy suffers begins after the one before is over."""
     found = []
     if random.random() < 0.8:
-        found.append(scenario.DiscoveryFails(at=random.uniform(0, 3), lasts=random.uniform(0.5, 5),
-                                             how=random.choice(("refuses", "down", "slow")),
-                                             delay=random.uniform(0.1, 3.0)))
+        found.append(
+            scenario.DiscoveryFails(
+                at=random.uniform(0, 3),
+                lasts=random.uniform(0.5, 5),
+                how=random.choice(("refuses", "down", "slow")),
+                delay=random.uniform(0.1, 3.0),
+            )
+        )
     if random.random() < 0.5:
-        found.append(scenario.Watches(at=random.uniform(0, FAULTS), silent=random.random() < 0.7,
-                                      more=random.randint(0, 1)))
+        found.append(
+            scenario.Watches(
+                at=random.uniform(0, FAULTS), silent=random.random() < 0.7, more=random.randint(0, 1)
+            )
+        )
     for proxy in range(PROXIES):
         found += of_proxy(random, proxy)
     hosts = random.sample(range(HOSTS), 5)
-    found.append(scenario.Drain(at=random.uniform(1, FAULTS), lasts=60, hosts=hosts[:random.randint(1, 2)]))
+    found.append(scenario.Drain(at=random.uniform(1, FAULTS), lasts=60, hosts=hosts[: random.randint(1, 2)]))
     kinds = (scenario.Silent, scenario.Errors, scenario.LoseAnswers, scenario.Kill, scenario.Slow)
     for number in range(2, random.randint(3, 4)):
-        found.append(random.choice(kinds)(at=random.uniform(0, FAULTS), lasts=random.uniform(0.5, 4),
-                                          hosts=hosts[number:number + 1]))
+        found.append(
+            random.choice(kinds)(
+                at=random.uniform(0, FAULTS), lasts=random.uniform(0.5, 4), hosts=hosts[number : number + 1]
+            )
+        )
     return found
 
 
@@ -58,8 +101,11 @@
     """New start-up files in a row, and then the end, in any order and overlapping."""
     found, at = [], random.uniform(0.5, FAULTS / 2)
     if random.random() < 0.6:
-        found.append(scenario.Reconfigure(at=at, lasts=random.uniform(0.2, 2.0), proxies=[proxy],
-                                          times=random.randint(1, 6)))
+        found.append(
+            scenario.Reconfigure(
+                at=at, lasts=random.uniform(0.2, 2.0), proxies=[proxy], times=random.randint(1, 6)
+            )
+        )
     if random.random() < 0.5:
         found.append(scenario.Terminate(at=at + random.uniform(0, 2.5), lasts=RESTARTED, proxies=[proxy]))
     elif random.random() < 0.3:
--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -4,6 +4,7 @@
 and faults can lie on it: what a way loses or holds up is lost or held up here, before the host sees it. Their
 HTTP/1.1 is read here, without the project's parser: a judge must not rest on what it judges.
 """
+
 import asyncio
 import json
 import re
@@ -37,7 +38,7 @@
             whole = end + 4 + int(fields.get("content-length", 0))
             if len(self.rest) < whole:
                 return
-            first, body = self.rest[:self.rest.find(b"\r\n")].decode("latin-1"), self.rest[end + 4:whole]
+            first, body = self.rest[: self.rest.find(b"\r\n")].decode("latin-1"), self.rest[end + 4 : whole]
             self.rest = self.rest[whole:]
             self.message(first, fields, body)
 
@@ -74,8 +75,20 @@
         fails = ends is not None and any(fleet.chance[self.number].random() < s for s in machine.erring)
         if ends is not None and not fails:
             ends = machine.take(now, cost)
-        fleet.wire.append(Got(now, self.number, tx, cost, capacity, cold, ends is not None, self.proxy, left,
-                              float(fields["request-timeout"]) if "request-timeout" in fields else None))
+        fleet.wire.append(
+            Got(
+                now,
+                self.number,
+                tx,
+                cost,
+                capacity,
+                cold,
+                ends is not None,
+                self.proxy,
+                left,
+                float(fields["request-timeout"]) if "request-timeout" in fields else None,
+            )
+        )
         if ends is None:
             self.say(503, more="Not-Started: 1\r\n")
         elif fails:
@@ -99,9 +112,9 @@
     def __init__(self, fleet: "Fleet", proxy: int) -> None:
         super().__init__()
         self.fleet, self.proxy, self.waits, self.timer = fleet, proxy, None, None
-        self.silent: float | None = None        # since when, for good
-        self.until = 0.0                        # when the wait of the last call is over
-        self.owes = False                       # whether it has a call without an answer
+        self.silent: float | None = None  # since when, for good
+        self.until = 0.0  # when the wait of the last call is over
+        self.owes = False  # whether it has a call without an answer
 
     def connection_made(self, transport) -> None:
         super().connection_made(transport)
@@ -115,7 +128,7 @@
     def connection_lost(self, _) -> None:
         self.over()
         self.fleet.watching.discard(self)
-        if self.owes:           # given up by the proxy
+        if self.owes:  # given up by the proxy
             self.fleet.failed[self.proxy] = True
 
     def message(self, first: str, fields: dict, body: bytes) -> None:
@@ -184,22 +197,22 @@
         count = len(self.machines)
         self.chance = [Random(f"host {n} of {seed}") for n in range(count)]
         self.ends: list[set[HostEnd]] = [set() for _ in range(count)]
-        self.servers: list[list] = [[] for _ in range(count)]   # by host and proxy
+        self.servers: list[list] = [[] for _ in range(count)]  # by host and proxy
         self.ports = [[0] * proxies for _ in range(count)]
         self.states, self.changed, self.version = ["up"] * count, [1] * count, 1
         self.started_ms = [0] * count
-        self.watches: set[DiscoveryEnd] = set()     # emptied as they are answered or end
-        self.watching: set[DiscoveryEnd] = set()    # connections to discovery, emptied as they end
-        self.to_silence = [0] * proxies             # so many of the next of each are silent
+        self.watches: set[DiscoveryEnd] = set()  # emptied as they are answered or end
+        self.watching: set[DiscoveryEnd] = set()  # connections to discovery, emptied as they end
+        self.to_silence = [0] * proxies  # so many of the next of each are silent
         self.last_call = [0.0] * proxies
-        self.failed = [False] * proxies             # the last call of each was refused, or could not be made
-        self.moved: list[float | None] = [None] * proxies   # when its discovery moved, until that one answers
-        self.discovery_delay = 0.0                  # seconds until discovery looks at a call
-        self.failing = ""                           # how discovery fails at present
-        self.reachable = 0.0                        # since when it has worked
-        self.untold: list[tuple[int, str]] = []     # changes made while it failed; emptied when it works
-        self.console: tuple[str, int] | None = None     # the proxy's second address
-        self.calls: set[asyncio.Task] = set()       # of the staff, emptied as they are answered
+        self.failed = [False] * proxies  # the last call of each was refused, or could not be made
+        self.moved: list[float | None] = [None] * proxies  # when its discovery moved, until that one answers
+        self.discovery_delay = 0.0  # seconds until discovery looks at a call
+        self.failing = ""  # how discovery fails at present
+        self.reachable = 0.0  # since when it has worked
+        self.untold: list[tuple[int, str]] = []  # changes made while it failed; emptied when it works
+        self.console: tuple[str, int] | None = None  # the proxy's second address
+        self.calls: set[asyncio.Task] = set()  # of the staff, emptied as they are answered
 
     async def open(self) -> None:
         for number in range(len(self.machines)):
@@ -211,14 +224,16 @@
     async def open_discovery(self, proxy: int) -> None:
         """Another address of discovery for this proxy; those before it go on serving."""
         server = await asyncio.get_running_loop().create_server(
-            partial(DiscoveryEnd, self, proxy), "127.0.0.1", 0)
+            partial(DiscoveryEnd, self, proxy), "127.0.0.1", 0
+        )
         self.discovery.append(server)
         self.discovery_at[proxy] = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
     async def listen(self, number: int) -> None:
         for proxy, port in enumerate(self.ports[number]):
             server = await asyncio.get_running_loop().create_server(
-                partial(HostEnd, self, number, proxy), "127.0.0.1", port, backlog=512)
+                partial(HostEnd, self, number, proxy), "127.0.0.1", port, backlog=512
+            )
             self.servers[number].append(server)
             self.ports[number][proxy] = server.sockets[0].getsockname()[1]
 
@@ -247,10 +262,19 @@
             end.transport.abort()
 
     def listing(self, numbers, full: bool, proxy: int = 0) -> dict:
-        lines = [{"id": f"host-{n}", "addr": f"127.0.0.1:{self.ports[n][proxy]}", "zone": self.zones[n],
-                  "cell": 0, "state": self.states[n],
-                  "weight": self.machines[n].cores * self.machines[n].speed, "started_ms": self.started_ms[n]}
-                 for n in numbers if not (full and self.states[n] == "removed")]
+        lines = [
+            {
+                "id": f"host-{n}",
+                "addr": f"127.0.0.1:{self.ports[n][proxy]}",
+                "zone": self.zones[n],
+                "cell": 0,
+                "state": self.states[n],
+                "weight": self.machines[n].cores * self.machines[n].speed,
+                "started_ms": self.started_ms[n],
+            }
+            for n in numbers
+            if not (full and self.states[n] == "removed")
+        ]
         return {"version": self.version, "full": full, "servers": lines}
 
     def ended(self, number: int, tx: str) -> None:
@@ -301,15 +325,20 @@
         """News binds also where it does not arrive."""
         now, ends = self.clock(), [end for end in self.watching if end.proxy == proxy]
         silent = tuple(end.counts() for end in ends if end.silent is not None)
-        view = ProxyView(len(ends) > len(silent) and not self.failed[proxy], silent, self.last_call[proxy],
-                         self.failed[proxy], self.moved[proxy])
+        view = ProxyView(
+            len(ends) > len(silent) and not self.failed[proxy],
+            silent,
+            self.last_call[proxy],
+            self.failed[proxy],
+            self.moved[proxy],
+        )
         mode = self.told.discovery
         at = counts_at(now, self.reachable, view, mode.mode == "pushed", mode.ask_within)
         if at is not None:
             asyncio.get_running_loop().call_later(max(0.0, at - now), self.note_told, proxy, number, state)
 
     def note_told(self, proxy: int, number: int, state: str) -> None:
-        if self.states[number] == state:        # not what has changed again since
+        if self.states[number] == state:  # not what has changed again since
             self.wire.append(Told(self.clock(), number, state, proxy))
 
     def watches_fail(self, silent: bool, more: int) -> None:
@@ -347,7 +376,7 @@
 
     def kill(self, number: int) -> None:
         self.deaf(number)
-        self.machines[number].start(self.clock())       # what it had begun is gone
+        self.machines[number].start(self.clock())  # what it had begun is gone
         self.ended(number, "")
         for end in list(self.ends[number]):
             end.transport.abort()
--- a/basalthook/lab/syscalls.py
+++ b/basalthook/lab/syscalls.py
@@ -2,6 +2,7 @@
 
 For `underclock`, which starts the program: `install` replaces `socket.socket` in its process alone.
 """
+
 import errno
 import os
 import socket
@@ -18,11 +19,12 @@
 
 class Chances(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Share of calls that fail, or that do less than was asked for."""
+
     accept: float = 0.0
     create: float = 0.0
     connect: float = 0.0
-    short: float = 0.0              # of reads and writes
-    broken: float = 0.0             # of reads from an endpoint or discovery: the connection is lost
+    short: float = 0.0  # of reads and writes
+    broken: float = 0.0  # of reads from an endpoint or discovery: the connection is lost
     seed: int = 1
 
 
@@ -36,7 +38,7 @@
             raise OSError(code, os.strerror(code))
 
     class FaultySocket(real):
-        outgoing = False                # what breaks a client's connection is its own
+        outgoing = False  # what breaks a client's connection is its own
 
         def __init__(self, family=-1, type=-1, proto=-1, fileno=None):
             if fileno is None and family == socket.AF_INET:
@@ -57,7 +59,7 @@
                 self.shutdown(socket.SHUT_RDWR)
                 fail(1.0, BROKEN)
             if chances.short and random.random() < chances.short:
-                buffers = [memoryview(buffers[0])[:random.randint(1, 40)]]
+                buffers = [memoryview(buffers[0])[: random.randint(1, 40)]]
             return super().recvmsg_into(buffers, *more)
 
         def sendmsg(self, parts, *more):
@@ -71,7 +73,7 @@
             if not chances.short or random.random() >= chances.short:
                 return parts
             whole = memoryview(parts[0]).cast("B")
-            return [whole[:random.randint(1, max(1, len(whole)))]]
+            return [whole[: random.randint(1, max(1, len(whole)))]]
 
     return FaultySocket
 
