--- a/basalthook/lab/talking.py
+++ b/basalthook/lab/talking.py
@@ -1,4 +1,5 @@
 """The members of a virtual fleet: what they send one another, and what the lab reads off them."""
+
 from collections import Counter
 from random import Random
 
@@ -11,11 +12,11 @@
 from .result import mean_and_most
 from .scenario import bound
 
-TICK = 0.05             # seconds between two looks of a member, as the program does
+TICK = 0.05  # seconds between two looks of a member, as the program does
 KEY = b"the lab's own key, known to all of its members"
-SEEDS = 3               # the first so many members are told to all as seeds
-BACKLOG = 256           # datagrams that wait at a stopped process, as in a kernel's buffer
-DRIFT = 0.03            # part by which a fact's age may be read off too low: clocks run up to 2 in 100 apart
+SEEDS = 3  # the first so many members are told to all as seeds
+BACKLOG = 256  # datagrams that wait at a stopped process, as in a kernel's buffer
+DRIFT = 0.03  # part by which a fact's age may be read off too low: clocks run up to 2 in 100 apart
 
 
 def keepers(proxies: int) -> list[str]:
@@ -32,11 +33,11 @@
         self.minds: list[Verdicts | None] = [None] * count
         self.limits: list[Limits | None] = [None] * count
         self.ways = Random(f"datagrams of {fleet.seed}")
-        self.waiting: dict[int, list] = {}      # stopped proxy -> datagrams; emptied as it goes on
-        self.said: list[tuple] = []             # (when, proxy, event, fields)
-        self.told_at: dict[tuple, float] = {}   # (author, life, sequence) -> when it was told
+        self.waiting: dict[int, list] = {}  # stopped proxy -> datagrams; emptied as it goes on
+        self.said: list[tuple] = []  # (when, proxy, event, fields)
+        self.told_at: dict[tuple, float] = {}  # (author, life, sequence) -> when it was told
         self.staleness = {kind: 0.0 for kind in LIVES}
-        self.over_age: list[tuple] = []         # facts acted on past their kind's life: a defect
+        self.over_age: list[tuple] = []  # facts acted on past their kind's life: a defect
         self.lives = [0] * count
         self.sent, self.sent_bytes = Counter(), Counter()
         self.false = 0
@@ -49,32 +50,49 @@
         life = max(1, int(fleet.wall(n) * 1000))
         seeds = [(f"p{seed}", 1) for seed in range(min(SEEDS, self.count))]
         chance = Random(f"member {n} of {fleet.seed}, life {self.lives[n]}")
-        talk = Talk(name, (name, 1), life, seeds, KEY, LIVES, chance,
-                    lambda address, data: self.send(n, address, data),
-                    lambda event, **fields: self.said.append((fleet.now, n, event, fields)))
+        talk = Talk(
+            name,
+            (name, 1),
+            life,
+            seeds,
+            KEY,
+            LIVES,
+            chance,
+            lambda address, data: self.send(n, address, data),
+            lambda event, **fields: self.said.append((fleet.now, n, event, fields)),
+        )
         tell = talk.table.tell
 
         def noted(*given):
             fact = tell(*given)
             self.told_at[fact.author, fact.life, fact.sequence] = self.fleet.now
             return fact
+
         talk.table.tell = noted
+
         def say(event, **fields):
             self.said.append((fleet.now, n, event, fields))
+
         mind = None
         if "verdicts" in fleet.told.fleet.shares:
             mind = Verdicts(proxy, talk.table, zone, talk.live, say)
             mind.hurry = talk.rumours
             mind.acted = lambda name, kind, words: self.acted(n, kind, words)
-        known = [Update(f"p{k}", f"p{k}", 1, max(1, int(fleet.wall(k) * 1000)), 0, ALIVE)
-                 for k in range(self.count)] if first else []
+        known = (
+            [
+                Update(f"p{k}", f"p{k}", 1, max(1, int(fleet.wall(k) * 1000)), 0, ALIVE)
+                for k in range(self.count)
+            ]
+            if first
+            else []
+        )
         talk.begin(fleet.ticks_of(n), known)
         self.talks[n], self.minds[n] = talk, mind
         fleet.later(TICK * self.ways.random(), self.tick, n, self.lives[n])
         beside = mind or Counting(proxy)
         if "limits" in fleet.told.fleet.shares:
             beside = self.limit(n, life, proxy, beside, talk, say)
-            if first:       # a run begins with a fleet that holds nothing
+            if first:  # a run begins with a fleet that holds nothing
                 beside.own_from = fleet.ticks_of(n)
                 if beside.seat is not None:
                     beside.seat.silent_until = beside.seat.next = fleet.ticks_of(n)
@@ -86,10 +104,22 @@
         names = [p.name for p in told.load.profiles]
         voters = tuple(keepers(self.count))
         hard_limit = int(max(p.hard_limit for p in told.load.profiles) * 10_000)
-        limits = Limits(inner, proxy, [bound(limit, names) for limit in told.fleet.limits], f"p{n}", life,
-                        voters, proxy.terms.position, proxy.terms.proxies, hard_limit,
-                        Random(f"limits {n} of {fleet.seed}, life {self.lives[n]}"), talk.post, talk.live,
-                        fleet.ticks_of(n), say)
+        limits = Limits(
+            inner,
+            proxy,
+            [bound(limit, names) for limit in told.fleet.limits],
+            f"p{n}",
+            life,
+            voters,
+            proxy.terms.position,
+            proxy.terms.proxies,
+            hard_limit,
+            Random(f"limits {n} of {fleet.seed}, life {self.lives[n]}"),
+            talk.post,
+            talk.live,
+            fleet.ticks_of(n),
+            say,
+        )
         limits.wake = lambda event: fleet.later(0, fleet.tell, n, event, fleet.lives[n])
         talk.kinds, talk.others = KINDS, limits.received
         self.limits[n] = limits
@@ -161,10 +191,13 @@
             self.close_books(n)
         rates = [self.sent_bytes[n] / told.seconds for n in range(self.count)]
         sent = [self.sent[n] / told.seconds for n in range(self.count)]
-        return {"staleness": {kind: round(age, 3) for kind, age in self.staleness.items()},
-                "over_age": len(self.over_age), **self.spread(told, begin),
-                "false_suspicions": self.false,
-                "messages": {"datagrams_s": mean_and_most(sent), "bytes_s": mean_and_most(rates)}}
+        return {
+            "staleness": {kind: round(age, 3) for kind, age in self.staleness.items()},
+            "over_age": len(self.over_age),
+            **self.spread(told, begin),
+            "false_suspicions": self.false,
+            "messages": {"datagrams_s": mean_and_most(sent), "bytes_s": mean_and_most(rates)},
+        }
 
     def spread(self, told, begin: float) -> dict:
         """For each fault of hosts: seconds until the first and the last live member had one of them out."""
@@ -183,4 +216,3 @@
 
     def living(self) -> int:
         return sum(talk is not None for talk in self.talks)
-
--- a/basalthook/lab/trial.py
+++ b/basalthook/lab/trial.py
@@ -1,4 +1,5 @@
 """One proxy, the real one, in this process on real loopback, before the stand-ins of a scenario."""
+
 import asyncio
 from collections import Counter
 
@@ -14,7 +15,7 @@
 from .start import settings
 from .wire import Answered, Asked, Got
 
-LOOK = 0.25             # seconds between two looks of who watches
+LOOK = 0.25  # seconds between two looks of who watches
 SOCKETS = 512
 
 
@@ -32,10 +33,16 @@
 
 def start_up(told: Scenario, fleet: Fleet) -> dict:
     """The start-up file of the one proxy of this scenario."""
-    return {"name": told.name, "listen": "127.0.0.1:0", "console": "127.0.0.1:0",
-            "discovery": fleet.discovery_at[0], "seed": told.seed,
-            "limits": {"sockets": SOCKETS}, "known": fleet.listing(range(told.size), True),
-            "settings": settings(msgspec.structs.replace(told, proxies=1), 0, fleet.zones[0])}
+    return {
+        "name": told.name,
+        "listen": "127.0.0.1:0",
+        "console": "127.0.0.1:0",
+        "discovery": fleet.discovery_at[0],
+        "seed": told.seed,
+        "limits": {"sockets": SOCKETS},
+        "known": fleet.listing(range(told.size), True),
+        "settings": settings(msgspec.structs.replace(told, proxies=1), 0, fleet.zones[0]),
+    }
 
 
 def play(told: Scenario, watch=None) -> Result:
@@ -68,7 +75,7 @@
         await service.end(listener)
     finally:
         work.cancel()
-        for handle in to_come:      # guards against a host that comes back after its fleet has closed
+        for handle in to_come:  # guards against a host that comes back after its fleet has closed
             handle.cancel()
         fleet.close()
     return found(told, wire, begin, "sockets", books.faults)
@@ -87,4 +94,3 @@
         elif isinstance(e, Asked):
             asked += 1
     return hops, answers, asked
-
--- a/basalthook/lab/underclock.py
+++ b/basalthook/lab/underclock.py
@@ -4,6 +4,7 @@
 clock, by how many seconds the wall clock is ahead meanwhile, and the rate of the monotonic one. Nothing else
 reads it.
 """
+
 import os
 import time
 
@@ -29,13 +30,15 @@
 
     def monotonic_ns(self) -> int:
         now = time.monotonic_ns()
-        return now + int(sum((min(now, end) - begin) * (rate - 1) for begin, end, _, rate in self.faults
-                             if now > begin))
+        return now + int(
+            sum((min(now, end) - begin) * (rate - 1) for begin, end, _, rate in self.faults if now > begin)
+        )
 
     def wall_ns(self) -> int:
         now = time.monotonic_ns()
-        return time.time_ns() + sum(int(ahead * 1e9) for begin, end, ahead, _ in self.faults
-                                    if begin <= now < end)
+        return time.time_ns() + sum(
+            int(ahead * 1e9) for begin, end, ahead, _ in self.faults if begin <= now < end
+        )
 
 
 if __name__ == "__main__":
--- a/basalthook/membership/driver.py
+++ b/basalthook/membership/driver.py
@@ -1,11 +1,12 @@
 """The members' socket: datagrams in and out on the loop that is there. It knows nothing of what they say."""
+
 import asyncio
 import socket
 from contextlib import suppress
 
-READ_MOST = 64          # datagrams in one turn of the loop: clients come between two of these
-LENGTH_MOST = 2048      # bytes read of one: what is longer than a member sends shows as such
-BUFFER = 256 * 1024     # of the kernel: a burst from a few hundred members
+READ_MOST = 64  # datagrams in one turn of the loop: clients come between two of these
+LENGTH_MOST = 2048  # bytes read of one: what is longer than a member sends shows as such
+BUFFER = 256 * 1024  # of the kernel: a burst from a few hundred members
 
 
 class Driver:
@@ -28,7 +29,7 @@
         for _ in range(READ_MOST):
             try:
                 data, source = self.socket.recvfrom(LENGTH_MOST)
-            except OSError:     # nothing more; or the word that nobody listened where one was sent to
+            except OSError:  # nothing more; or the word that nobody listened where one was sent to
                 return
             self.took(data, source[:2])
 
--- a/basalthook/membership/member.py
+++ b/basalthook/membership/member.py
@@ -8,6 +8,7 @@
 
 Times are whole ticks of the caller's clock, tenths of a millisecond.
 """
+
 from math import log, log10
 from random import Random
 from typing import NamedTuple
@@ -15,28 +16,29 @@
 ALIVE, SUSPECT, DEAD = 0, 1, 2
 STATES = "alive", "suspect", "dead"
 PING, ACK, PING_REQUEST, NACK, ASK_PAGE, PAGE = range(6)
-PERIOD, TIMEOUT = 5_000, 2_000      # ticks between two probes, and until others are asked
-ASKED = 3               # members that ping in our place
-WITNESSES = 3           # independent ones that bring a suspicion to its least time
-LEAST, STRETCH = 3.0, 4.0       # least time of a suspicion: periods times log10 of the members; most: so much
-LATE_MOST = 8           # of the local health multiplier
-LATE = 2.0              # so many times its period between two ticks: this process was late itself
-RIDE, PAGE_SIZE, ROOM = 8, 20, 1_050    # updates that ride on a message; members in a page; bytes of either
-RETOLD = 3              # an update is told so many times for each doubling of the members
-FORGET = 6_000_000      # ticks after which a dead member is no more asked whether it is back
-BACK, REFRESH = 20_000, 150_000     # ticks between two such questions, between two pages asked of a member
+PERIOD, TIMEOUT = 5_000, 2_000  # ticks between two probes, and until others are asked
+ASKED = 3  # members that ping in our place
+WITNESSES = 3  # independent ones that bring a suspicion to its least time
+LEAST, STRETCH = 3.0, 4.0  # least time of a suspicion: periods times log10 of the members; most: so much
+LATE_MOST = 8  # of the local health multiplier
+LATE = 2.0  # so many times its period between two ticks: this process was late itself
+RIDE, PAGE_SIZE, ROOM = 8, 20, 1_050  # updates that ride on a message; members in a page; bytes of either
+RETOLD = 3  # an update is told so many times for each doubling of the members
+FORGET = 6_000_000  # ticks after which a dead member is no more asked whether it is back
+BACK, REFRESH = 20_000, 150_000  # ticks between two such questions, between two pages asked of a member
 MEMBERS_MOST, OPEN_LEAST, OPEN_FOR = 8_192, 512, 100_000
 
 
 class Update(NamedTuple):
     """What is told of a member; greater (life, incarnation, state) stands."""
+
     name: str
     host: str
     port: int
-    life: int                       # of its process
+    life: int  # of its process
     incarnation: int
     state: int
-    by: str = ""                    # of a suspicion: whose own probes found it so
+    by: str = ""  # of a suspicion: whose own probes found it so
 
     @property
     def address(self) -> tuple[str, int]:
@@ -49,6 +51,7 @@
 
 class Changed(NamedTuple):
     """A member is seen otherwise than before; `by`: whose word it is, of a suspicion its first witness."""
+
     update: Update
     before: int | None
     by: str
@@ -65,8 +68,10 @@
     if not isinstance(plain, list | tuple) or len(plain) != 7:
         return None
     name, host, port, life, incarnation, state, by = plain
-    numbers = all(isinstance(n, int) and not isinstance(n, bool) and 0 <= n < 2 ** 62
-                  for n in (port, life, incarnation, state))
+    numbers = all(
+        isinstance(n, int) and not isinstance(n, bool) and 0 <= n < 2**62
+        for n in (port, life, incarnation, state)
+    )
     words = all(isinstance(word, str) and len(word) <= 64 for word in (name, host, by))
     return Update(*plain) if numbers and words and name and host and port < 65_536 and state <= DEAD else None
 
@@ -74,21 +79,29 @@
 class Member:
     """`send(address, message)` is called for what goes out; `changed(Changed)` for what is seen anew."""
 
-    def __init__(self, name: str, address: tuple[str, int], life: int, seeds: list[tuple[str, int]],
-                 chance: Random, send, changed=lambda change: None) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: tuple[str, int],
+        life: int,
+        seeds: list[tuple[str, int]],
+        chance: Random,
+        send,
+        changed=lambda change: None,
+    ) -> None:
         self.me = Update(name, *address, life, 0, ALIVE)
         self.seeds, self.chance, self.send, self.changed = seeds, chance, send, changed
-        self.known: dict[str, Update] = {}      # all others; bounded; the dead go after FORGET
+        self.known: dict[str, Update] = {}  # all others; bounded; the dead go after FORGET
         self.suspicions: dict[str, Suspicion] = {}
-        self.died: dict[str, int] = {}          # name -> when; a part of `known`
-        self.riding: dict[str, list] = {}       # name -> [times told, update]; emptied as they are told
-        self.row: list[str] = []                # who is probed next, from its end
-        self.open: dict[int, tuple] = {}        # nonce -> what was asked; emptied by answers and by time
-        self.probe: list | None = None          # [name, nonce, asked others, since]
-        self.others: tuple[str, ...] = ()       # alive or suspected, sorted
-        self.late = 0                           # the local health multiplier
+        self.died: dict[str, int] = {}  # name -> when; a part of `known`
+        self.riding: dict[str, list] = {}  # name -> [times told, update]; emptied as they are told
+        self.row: list[str] = []  # who is probed next, from its end
+        self.open: dict[int, tuple] = {}  # nonce -> what was asked; emptied by answers and by time
+        self.probe: list | None = None  # [name, nonce, asked others, since]
+        self.others: tuple[str, ...] = ()  # alive or suspected, sorted
+        self.late = 0  # the local health multiplier
         self.last = self.next = self.back_next = self.page_next = None
-        self.lived = lambda life: None          # told when this process had to take a later life
+        self.lived = lambda life: None  # told when this process had to take a later life
         self.false_suspicions = 0
 
     # ---- what others ask of it
@@ -107,8 +120,9 @@
     def some(self, most: int, without: str = "") -> list[str]:
         """Others that live, by chance."""
         if len(self.others) <= most + 2:
-            return [n for n in self.chance.sample(self.others, len(self.others))
-                    if n not in (self.name, without)][:most]
+            return [
+                n for n in self.chance.sample(self.others, len(self.others)) if n not in (self.name, without)
+            ][:most]
         found: list[str] = []
         while len(found) < most:
             name = self.others[self.chance.randrange(len(self.others))]
@@ -166,7 +180,7 @@
     def patience(self, suspicion: Suspicion) -> int:
         least = LEAST * PERIOD * max(1.0, log10(max(1, len(self.others))))
         most, others = least * STRETCH, min(len(suspicion.witnesses) - 1, WITNESSES)
-        if len(self.others) <= WITNESSES + 1:       # too few to wait for witnesses
+        if len(self.others) <= WITNESSES + 1:  # too few to wait for witnesses
             return int(least)
         return int(max(least, most - (most - least) * log(others + 1) / log(WITNESSES + 1)))
 
@@ -178,8 +192,9 @@
                 self.probe[2] = True
                 self.send(self.known[name].address, [PING, self.name, nonce, name, self.ride(name)])
                 for other in self.some(ASKED, name):
-                    self.send(self.known[other].address,
-                              [PING_REQUEST, self.name, nonce, list(self.known[name])])
+                    self.send(
+                        self.known[other].address, [PING_REQUEST, self.name, nonce, list(self.known[name])]
+                    )
             if now - since >= PERIOD * slower:
                 self.probe = None
                 self.late = min(LATE_MOST, self.late + 1)
@@ -208,7 +223,8 @@
             del self.died[name], self.known[name]
         alive = {update.address for update in self.known.values() if update.state != DEAD}
         asked = [(name, self.known[name].address) for name in self.died] + [
-            ("", seed) for seed in self.seeds if seed not in alive and seed != self.me.address]
+            ("", seed) for seed in self.seeds if seed not in alive and seed != self.me.address
+        ]
         if not asked:
             return
         name, address = self.chance.choice(asked)
@@ -241,9 +257,9 @@
 
     def pinged(self, now: int, message: list, source) -> None:
         if len(message) != 5 or message[3] != self.name:
-            return      # guards against a member that now lives at another's address
+            return  # guards against a member that now lives at another's address
         self.told(now, message[4], message[1])
-        if message[1] not in self.known:        # whoever asks and is unknown here is asked who it is
+        if message[1] not in self.known:  # whoever asks and is unknown here is asked who it is
             self.ask_page(now, source, "")
         self.send(source, [ACK, self.name, message[2], self.ride(message[1])])
 
@@ -252,7 +268,7 @@
         if found is None or len(message) != 4:
             return
         self.told(now, message[3], message[1])
-        if found[1] == PING_REQUEST:            # asked for another's sake
+        if found[1] == PING_REQUEST:  # asked for another's sake
             self.send(found[3], [ACK, self.name, found[4], []])
         elif found[1] == PING and self.probe is not None and self.probe[1] == message[2]:
             self.probe = None
@@ -277,9 +293,11 @@
         if who is None or not isinstance(message[4], str):
             return
         self.take(now, who, message[1])
-        rumour = [self.known[who.name]] if who.name in self.known else []   # it may have lived here before
-        names = sorted([name for name in self.known if name > message[4]] +
-                       ([self.name] if self.name > message[4] else []))
+        rumour = [self.known[who.name]] if who.name in self.known else []  # it may have lived here before
+        names = sorted(
+            [name for name in self.known if name > message[4]]
+            + ([self.name] if self.name > message[4] else [])
+        )
         rest = [self.me if name == self.name else self.known[name] for name in names[:PAGE_SIZE]]
         page = fitting(rumour + rest)
         last = page[-1][0] if len(page) - len(rumour) < len(names) else ""
@@ -299,7 +317,7 @@
 
     def told(self, now: int, updates, by: str) -> None:
         if isinstance(updates, list):
-            for plain in updates[:PAGE_SIZE + 1]:
+            for plain in updates[: PAGE_SIZE + 1]:
                 if (update := read(plain)) is not None:
                     self.take(now, update, by)
 
@@ -309,18 +327,21 @@
         old = self.known.get(update.name)
         if old is not None and update.rank == old.rank and update.state == SUSPECT:
             suspicion = self.suspicions.get(update.name)
-            if suspicion is not None and update.by not in suspicion.witnesses and (
-                    len(suspicion.witnesses) <= WITNESSES):
-                suspicion.witnesses.add(update.by)      # an independent one, not who passes it on
+            if (
+                suspicion is not None
+                and update.by not in suspicion.witnesses
+                and (len(suspicion.witnesses) <= WITNESSES)
+            ):
+                suspicion.witnesses.add(update.by)  # an independent one, not who passes it on
                 self.tell(update)
         if old is not None and update.rank <= old.rank:
             if update.state != ALIVE and old.state == ALIVE:
-                self.tell(old)      # guards against one that missed the refutation and suspects till death
+                self.tell(old)  # guards against one that missed the refutation and suspects till death
             return
         if old is None and len(self.known) >= MEMBERS_MOST:
             return
         if old is None and update.state == DEAD:
-            return      # guards against a newcomer that fills up with those long gone
+            return  # guards against a newcomer that fills up with those long gone
         self.known[update.name] = update
         self.suspicions.pop(update.name, None)
         self.died.pop(update.name, None)
@@ -343,7 +364,7 @@
             if update.state != ALIVE:
                 self.tell(mine)
             return
-        if update.life > mine.life:     # guards against a process that a clock set back makes older
+        if update.life > mine.life:  # guards against a process that a clock set back makes older
             self.me = mine._replace(life=update.life + 1, incarnation=0)
             self.lived(self.me.life)
         else:
@@ -358,10 +379,13 @@
         """What rides on a message: a suspect's own suspicion first, then what was told least often."""
         riding, most = self.riding, RETOLD * max(1, len(self.others)).bit_length()
         first = [self.known[to]] if to in self.suspicions else []
-        chosen = sorted(riding.values(), key=lambda entry: entry[0])[:RIDE] if len(riding) > RIDE else list(
-            riding.values())
+        chosen = (
+            sorted(riding.values(), key=lambda entry: entry[0])[:RIDE]
+            if len(riding) > RIDE
+            else list(riding.values())
+        )
         told = fitting(first + [entry[1] for entry in chosen])
-        for entry in chosen[:len(told) - len(first)]:
+        for entry in chosen[: len(told) - len(first)]:
             entry[0] += 1
             if entry[0] >= most:
                 del riding[entry[1].name]
@@ -375,7 +399,7 @@
     """As many of them, from the first on, as there is room for in one datagram, as msgpack takes them."""
     found, room = [], ROOM
     for update in updates:
-        room -= len(update.name.encode()) + len(update.host) + len(update.by.encode()) + 30     # at most
+        room -= len(update.name.encode()) + len(update.host) + len(update.by.encode()) + 30  # at most
         if room < 0:
             break
         found.append(list(update))
--- a/basalthook/membership/wire.py
+++ b/basalthook/membership/wire.py
@@ -5,6 +5,7 @@
 carry the nonce of a question that is still open, so a datagram played again answers nothing; the rest of what
 is told is ordered by lives and incarnations, so that an old one changes nothing.
 """
+
 from hashlib import blake2b
 from hmac import compare_digest
 
@@ -33,15 +34,20 @@
         return SPOILT
     if data[0] != VERSION:
         return OTHER_VERSION
-    body = data[1 + CHECK:]
-    if not compare_digest(data[1:1 + CHECK], check(key, body)):
+    body = data[1 + CHECK :]
+    if not compare_digest(data[1 : 1 + CHECK], check(key, body)):
         return SPOILT
     try:
         message = msgpack.unpackb(body, **DEPTH)
     except (ValueError, msgpack.UnpackException, RecursionError):
         return SPOILT
-    if (not isinstance(message, list) or len(message) < 3 or not isinstance(message[0], int)
-            or not isinstance(message[1], str) or not 0 < len(message[1]) <= 64
-            or not isinstance(message[2], int)):
+    if (
+        not isinstance(message, list)
+        or len(message) < 3
+        or not isinstance(message[0], int)
+        or not isinstance(message[1], str)
+        or not 0 < len(message[1]) <= 64
+        or not isinstance(message[2], int)
+    ):
         return SPOILT
     return message
--- a/basalthook/policy/decide.py
+++ b/basalthook/policy/decide.py
@@ -1,4 +1,5 @@
 """The life of a transaction: every event of one client proxy comes in here, and all effects go out."""
+
 from bisect import bisect, insort
 
 from . import interface as i
@@ -73,13 +74,14 @@
                 self.left_out(server)
         for line in event.hosts:
             server = self.servers.get(line.host) or self.servers.setdefault(
-                line.host, Server(line, self.terms.fall_time))
-            if line.ready or line.draining:     # not by a line that it is gone: its start may be unsaid
+                line.host, Server(line, self.terms.fall_time)
+            )
+            if line.ready or line.draining:  # not by a line that it is gone: its start may be unsaid
                 self.listed(server, line)
             else:
                 self.left_out(server)
         self.servers = {n: s for n, s in self.servers.items() if s.line.ready or s.out}
-        if self.terms.live_weights:     # a weight is size / (1 + held a core)
+        if self.terms.live_weights:  # a weight is size / (1 + held a core)
             held = sum(s.size * (s.size / s.line.weight - 1) for s in self.servers.values())
             self.cores = held / (sum(s.size for s in self.servers.values()) or 1.0)
         self.reset_rankings()
@@ -91,21 +93,21 @@
         self.chosen = None
         if self.drags(tx) and any(t.out and t.groups == tx.groups for t in self.txs.values()):
             tx.refusal = "its group is slow at every endpoint"
-            return "hopeless"       # one at a time looks whether that is over: more would fill the hosts
-        if self.terms.live_weights:     # guards against hosts that all answer too late
+            return "hopeless"  # one at a time looks whether that is over: more would fill the hosts
+        if self.terms.live_weights:  # guards against hosts that all answer too late
             part = max(self.cores, self.strain) * self.latency[tx.kind].quiet / max(1, tx.goal - self.now)
             if self.chance.random() < min(MOST, STEEP * (part - EARLY)):
                 tx.refusal = "all endpoints answer late"
                 return "hopeless"
         if server is not None and self.send(tx, server):
             return "sent"
-        tx.give_up = tx.goal - int(self.latency[tx.kind].usual)     # kept: the estimate behind it moves
+        tx.give_up = tx.goal - int(self.latency[tx.kind].usual)  # kept: the estimate behind it moves
         ahead = bisect(self.line, (bool(tx.tried), tx.give_up, tx.id))
         tx.refusal = self.obstacle(tx)
         hope = not tx.refusal
-        took = max(1.0, self.strain) * self.quiet_mix + self.unread     # by Little's law, what is out
+        took = max(1.0, self.strain) * self.quiet_mix + self.unread  # by Little's law, what is out
         turn, left = ahead * took / max(1, len(self.flying)), tx.give_up - self.now
-        tx.come_back = int(turn) if turn < left else tx.profile.service_goal    # back when its turn would be
+        tx.come_back = int(turn) if turn < left else tx.profile.service_goal  # back when its turn would be
         if self.allowed.later and self.allowed.left(tx.grant, self.now) < 1:
             tx.come_back, hope, tx.refusal = self.allowed.later, False, "over the fleet's limit"
         if hope and PROMPT * turn < left:
@@ -149,14 +151,18 @@
 
     def answer(self, tx):
         """The gate that every answer of ours passes: an early rollback only where a retry is harmless."""
-        harmless = tx.ran is None or tx.profile.kind == i.IDEMPOTENT or (
-            tx.profile.group == i.EVERYWHERE and self.repeatable(tx))
+        harmless = (
+            tx.ran is None
+            or tx.profile.kind == i.IDEMPOTENT
+            or (tx.profile.group == i.EVERYWHERE and self.repeatable(tx))
+        )
         come_back = min(self.terms.come_back_max, int(tx.come_back * (0.75 + self.chance.random() / 2)))
-        self.effects.append(i.RollBack(tx.id, come_back, tx.refusal) if harmless
-                            else i.Abandon(tx.id, tx.refusal))
+        self.effects.append(
+            i.RollBack(tx.id, come_back, tx.refusal) if harmless else i.Abandon(tx.id, tx.refusal)
+        )
 
     def send(self, tx, server):
-        if not (self.goes_on(tx) and self.admits(tx, server)):      # the rules, at every hop
+        if not (self.goes_on(tx) and self.admits(tx, server)):  # the rules, at every hop
             return False
         hop, now, usual = len(tx.tried), self.now, self.latency[tx.kind]
         late_after = int(min(max(usual.mean + 4 * usual.deviation, usual.least), usual.goal / 2))
@@ -182,9 +188,13 @@
                 self.effects.append(i.SetTimer(max(0, shut - self.now), 1))
 
     EVENTS = {
-        i.HostsListed: on_listed, i.TxArrived: on_arrived, i.HopEnded: on_ended,
-        i.Allowed: lambda self, event: (self.allowed.tell(event), self.fill()), i.Judged: on_judged,
+        i.HostsListed: on_listed,
+        i.TxArrived: on_arrived,
+        i.HopEnded: on_ended,
+        i.Allowed: lambda self, event: (self.allowed.tell(event), self.fill()),
+        i.Judged: on_judged,
         i.Shared: lambda self, event: vars(self).update(event._asdict()),
-        i.StreamBegan: lambda self, event: self.tell(event.tx, "began"), i.TimerDue: on_timer,
+        i.StreamBegan: lambda self, event: self.tell(event.tx, "began"),
+        i.TimerDue: on_timer,
         i.TxGone: lambda self, event: self.tell(event.tx, "gone"),
     }
--- a/basalthook/policy/hosts.py
+++ b/basalthook/policy/hosts.py
@@ -1,49 +1,57 @@
 """What is known of hosts: which a transaction may go to and which it gets; what outcomes do to them."""
+
 from random import Random
 
 from . import interface as i
 from .measure import Allowance, Drag, Latency, Rendezvous, Spread, Window
 from .rules import Rules
 
-COOLDOWN, BACKOFF, TIMEOUT_RUN, SPREAD = 100_000, 500, 3, 2     # the design's
-FIRST_BAN, BACKOFF_MOST = 5_000, 25_000     # bans of failed connections double from one, backoffs up to one
-ROOMY, FAIR = 1.5, 1.25 # no more of our hops at a host than make it so slow, or so many times its share
-BEARABLE = 4            # hops of all proxies that a host may always hold: else it idles between two of ours
+COOLDOWN, BACKOFF, TIMEOUT_RUN, SPREAD = 100_000, 500, 3, 2  # the design's
+FIRST_BAN, BACKOFF_MOST = 5_000, 25_000  # bans of failed connections double from one, backoffs up to one
+ROOMY, FAIR = 1.5, 1.25  # no more of our hops at a host than make it so slow, or so many times its share
+BEARABLE = 4  # hops of all proxies that a host may always hold: else it idles between two of ours
 BUSY, CROWDED, OTHERS = 1.25, 3.0, 1.5  # so much slower than in quiet; the slowness of others counts up to
 SPARE, UNHURRIED = 0.7, 64  # held a core, by the list, at hosts with room; a goal's part that is quick
 AT_HOME, FROM, SWIFT, SPILL = 2.0, 1.5, 1.5, 3  # a crowd at home, in a fleet; elsewhere; so many a proxy
-REACH = 2               # while busy, a key waits for one of its first so many hosts before it goes elsewhere
+REACH = 2  # while busy, a key waits for one of its first so many hosts before it goes elsewhere
 DRAGS, KNOWN, ERRING = 0.5, 3, 0.3  # share of slow answers that is a group's; by so many; of errors, a host's
 SELDOM, LEARN = 0.4, 3  # weight of a host's one answer in a fall time; over all, of answers as far apart
-LEARN_EVERY, COLD_STEPS = 10_000, 16    # how often slow changes are looked at; steps of a fresh slice
-LEFT_OUT, KEPT = 600_000, 2_000     # a host that the list leaves out goes after such silence; bound of tables
-TRIAL = 3               # part of the time left that the fleet's trial of a host may take
+LEARN_EVERY, COLD_STEPS = 10_000, 16  # how often slow changes are looked at; steps of a fresh slice
+LEFT_OUT, KEPT = 600_000, 2_000  # a host that the list leaves out goes after such silence; bound of tables
+TRIAL = 3  # part of the time left that the fleet's trial of a host may take
 
 # outcome -> what it does to the host, and whether the transaction may have run
 SORTED = {
-    i.COMMITTED: ("sound", True), i.ERROR: ("erred", True), i.TIMED_OUT: ("timed_out", True),
-    i.RESET: ("erred", True), i.CANCELLED: ("weigh", True), i.REFUSED: ("back_off", False),
-    i.UNREACHABLE: ("ban", False), i.UNSENT: (None, False), i.DECLINED: (None, True),
-    i.DROPPED: ("erred", False)}
+    i.COMMITTED: ("sound", True),
+    i.ERROR: ("erred", True),
+    i.TIMED_OUT: ("timed_out", True),
+    i.RESET: ("erred", True),
+    i.CANCELLED: ("weigh", True),
+    i.REFUSED: ("back_off", False),
+    i.UNREACHABLE: ("ban", False),
+    i.UNSENT: (None, False),
+    i.DECLINED: (None, True),
+    i.DROPPED: ("erred", False),
+}
 SPOKEN, KEYED_FAILURES = {i.COMMITTED, i.ERROR, i.REFUSED, i.DECLINED}, {i.ERROR, i.TIMED_OUT, i.RESET}
 
 
 class Hosts(Rules):
     def __init__(self, agreement, seed, now):
         self.terms, self.chance, self.now, self.born, self.seen = agreement, Random(seed), now, now, now
-        self.servers, self.txs = {}, {}     # listed, or with hops out; open, or answered with a hop out
-        self.line, self.chosen = [], None   # (tried, give up, tx): emptied by answers, time; the next's host
+        self.servers, self.txs = {}, {}  # listed, or with hops out; open, or answered with a hop out
+        self.line, self.chosen = [], None  # (tried, give up, tx): emptied by answers, time; the next's host
         self.last_commit = now
-        self.flying = {}            # hops out: (tx, hop) -> server, sent at, late after; emptied as they end
-        self.sent = Window(agreement.fall_time)     # our hops
-        self.rankings = {}          # key -> first servers; bounded, cleared by the list, a ban or a step
+        self.flying = {}  # hops out: (tx, hop) -> server, sent at, late after; emptied as they end
+        self.sent = Window(agreement.fall_time)  # our hops
+        self.rankings = {}  # key -> first servers; bounded, cleared by the list, a ban or a step
         self.latency = [Latency(p.service_goal, p.service_goal / UNHURRIED) for p in agreement.profiles]
-        self.failing, self.trying = Spread(COOLDOWN, KEPT), None    # keys, hosts; which one to try
+        self.failing, self.trying = Spread(COOLDOWN, KEPT), None  # keys, hosts; which one to try
         self.quiet_mix, self.strain, self.cores = min(k.quiet for k in self.latency), 1.0, 1.0  # held a core
         self.drag, self.usual_rate, self.unread, self.processes = Drag(COOLDOWN, KEPT, KNOWN), 0.0, 0.0, 1
         self.learn_next, self.least = now, max(1.0, BEARABLE // agreement.proxies)
         bound = any(p.zones and agreement.zone in p.zones for p in agreement.profiles)
-        self.rooted, self.extra = agreement.zone if bound else None, 0      # hosts elsewhere of free profiles
+        self.rooted, self.extra = agreement.zone if bound else None, 0  # hosts elsewhere of free profiles
         self.allowed = Allowance()  # by the fleet's limits
         self.reset_rankings()
 
@@ -52,7 +60,7 @@
             return None
         best, banned, unbanned, reach, now = [], [], False, len(self.home), self.now
         if tx.key is not None and self.terms.warm_keys and self.busy() and now < tx.give_up:
-            reach = REACH       # guards against keys strewn over hosts that don't know them and work more
+            reach = REACH  # guards against keys strewn over hosts that don't know them and work more
         for server in self.ranking(tx.key):
             ban = self.away(server, "ban")
             if server.id in tx.tried or not self.admits(tx, server):
@@ -66,7 +74,7 @@
                     best.append(server)
             if len(best) == 2 or not reach:
                 break
-        if not best and not unbanned:       # all banned, or none proven since: ready ones count
+        if not best and not unbanned:  # all banned, or none proven since: ready ones count
             best = [s for s in banned if self.has_room(s)][:2]
         if len(best) == 2 and len(best[0].out) == len(best[1].out):
             return best[0] if self.busy() else self.chance.choice(best)
@@ -80,11 +88,11 @@
             return True
         if self.now < server.whole and self.judged(server):
             return True
-        if server.throttles or not server.proven:       # back from a ban or rest: one hop at a time, and
-            return bool(server.out) or tx.profile.kind == i.NON_IDEMPOTENT      # only what may be repeated
+        if server.throttles or not server.proven:  # back from a ban or rest: one hop at a time, and
+            return bool(server.out) or tx.profile.kind == i.NON_IDEMPOTENT  # only what may be repeated
         if not server.out:
-            return False        # else guards against hosts that went silent or stand still
-        _, sent_at, late_after = next(iter(server.out.values()))   # by its own measure, not by this one's
+            return False  # else guards against hosts that went silent or stand still
+        _, sent_at, late_after = next(iter(server.out.values()))  # by its own measure, not by this one's
         return self.seen - max(server.heard, sent_at) >= late_after
 
     def judged(self, server):
@@ -108,7 +116,7 @@
         """Little's law: our hops at a host whose answers take ROOMY times as long as in quiet."""
         share = server.size * self.warmth(server) / self.weight * FAIR * (len(self.flying) + 1)
         if self.terms.live_weights and server.size < (1 + SPARE) * server.line.weight:
-            return share + 2 * share ** 0.5 + 1     # told to hold little: room for a usual swing
+            return share + 2 * share**0.5 + 1  # told to hold little: room for a usual swing
         return max(self.least, min(ROOMY * self.quiet_out(server.sent), share) if self.busy() else share)
 
     def has_room(self, server):
@@ -118,8 +126,10 @@
 
     def owed(self, out):
         """So many hops are late with nothing heard since, or later ones answered: that tells of no crowd."""
-        return sum(self.seen - sent_at >= late_after and (server.heard <= sent_at or sent_at < server.passed)
-                   for server, sent_at, late_after in out.values())
+        return sum(
+            self.seen - sent_at >= late_after and (server.heard <= sent_at or sent_at < server.passed)
+            for server, sent_at, late_after in out.values()
+        )
 
     def busy(self):
         """Answers are slow, or some wait: when they quicken the whole line must not go out at once."""
@@ -130,11 +140,11 @@
         if self.terms.live_weights or not (self.rooted or self.busy()):
             return False
         usual, out = self.quiet_out(self.sent), len(self.flying)
-        if self.rooted:     # a hop of each proxy at each host would fill these before any answer tells
+        if self.rooted:  # a hop of each proxy at each host would fill these before any answer tells
             few = max(1.0, BEARABLE * len(self.ready) / self.terms.proxies, ROOMY * usual)
             return out >= few and sum(not self.drags(self.txs[n]) for n, _ in self.flying) >= few
         spare = max(0.0, min(1.0, (CROWDED - self.strain) / (CROWDED - BUSY)))
-        most = max(1.0, ROOMY * usual + spare * (1 + 2 * usual ** 0.5))
+        most = max(1.0, ROOMY * usual + spare * (1 + 2 * usual**0.5))
         return out - spare * self.owed(self.flying) >= most
 
     def quiet_out(self, sent):
@@ -156,7 +166,7 @@
             first = self.rankings[key] = self.rendezvous.first(key)
         yield from first
         if len(first) < len(self.home):
-            yield from self.rendezvous.order(key)[len(first):]
+            yield from self.rendezvous.order(key)[len(first) :]
 
     def reset_rankings(self):
         self.rankings.clear()
@@ -166,17 +176,25 @@
         self.weight = sum(s.size * self.warmth(s) for s in self.ready)
         # a key's warm hosts in all zones are worth more than a crossing while the list tells of busy ones
         lean = 0 if self.terms.live_weights and self.cores > SPARE else 100 * self.terms.cross_price
-        self.rendezvous = Rendezvous(self.home, [s.line.hash for s in self.home], [
-            s.size * self.warmth(s) * (1.0 + lean * (s.line.zone == self.terms.zone)) for s in self.home])
+        self.rendezvous = Rendezvous(
+            self.home,
+            [s.line.hash for s in self.home],
+            [s.size * self.warmth(s) * (1.0 + lean * (s.line.zone == self.terms.zone)) for s in self.home],
+        )
         steps = [self.now + self.terms.cold_time // COLD_STEPS for s in self.ready if s.fresh_from]
         self.ranked_until = min([float("inf"), *steps] + [s.away["ban"] for s in near if self.away(s, "ban")])
 
     def elsewhere(self, needed):
         """A few hosts of other zones that answer quickly: each proxy others, not to crowd these."""
-        far = [s for s in self.ready if s.line.zone != self.rooted and not s.failures and (
-            s.strain < SWIFT or s.heard + COOLDOWN < self.now)]
+        far = [
+            s
+            for s in self.ready
+            if s.line.zone != self.rooted
+            and not s.failures
+            and (s.strain < SWIFT or s.heard + COOLDOWN < self.now)
+        ]
         order = Rendezvous(far, [s.line.hash for s in far], [1.0] * len(far)).order(self.terms.position)
-        return order[:max(self.extra, needed)]
+        return order[: max(self.extra, needed)]
 
     def learn(self):
         """What changes slowly: what a warm host usually commits for us, and how crowded home is."""
@@ -186,9 +204,9 @@
         known = [s for s in self.ready if not self.away(s, "ban")]
         if warm := [s for s in known if s.fresh_from is None]:  # not what hosts gone or banned have committed
             rate = sum(s.committed.count(self.now) for s in warm) / sum(s.size for s in warm)
-            if rate > self.usual_rate or not self.busy():   # in a crowd they commit less than they could
+            if rate > self.usual_rate or not self.busy():  # in a crowd they commit less than they could
                 self.usual_rate += (rate - self.usual_rate) * 0.3
-        if self.rooted:     # free profiles go elsewhere while home is crowded, where hosts suffice
+        if self.rooted:  # free profiles go elsewhere while home is crowded, where hosts suffice
             near = [s.strain for s in known if s.line.zone == self.rooted] or [1.0]
             strain, most = sum(near) / len(near), SPILL * len(self.ready) // self.terms.proxies
             self.extra = max(0, min(most, self.extra + (strain > AT_HOME) - (strain < BUSY)))
@@ -203,8 +221,11 @@
         if line.started is not None and line.started != server.line.started:
             server.renew(line)
         server.line, server.doubted = line, False
-        server.size = line.weight if not self.terms.live_weights else max(
-            server.size, min(line.weight, 2 * server.size or line.weight))
+        server.size = (
+            line.weight
+            if not self.terms.live_weights
+            else max(server.size, min(line.weight, 2 * server.size or line.weight))
+        )
 
     def left_out(self, server):
         """Gone, by the list. Where only draining binds that is a doubt: its next fault proves it."""
@@ -220,7 +241,7 @@
         if event.outcome in SPOKEN:
             server.heard, server.passed = self.now, max(server.passed, sent_at)
             server.passed_by[tx.kind] = max(server.passed_by.get(tx.kind, 0), sent_at)
-        elif server.doubted and effect not in (None, "weigh"):      # not where we called it back ourselves
+        elif server.doubted and effect not in (None, "weigh"):  # not where we called it back ourselves
             server.line = server.line._replace(ready=False)
             self.reset_rankings()
         if ran and not tx.ran:
@@ -255,9 +276,9 @@
 
     def weigh(self, server, tx, event, strain=None):
         if event.outcome != i.COMMITTED and self.now - event.elapsed < server.passed:
-            return      # guards against a crowd seen where single hops stay unanswered, later ones not
+            return  # guards against a crowd seen where single hops stay unanswered, later ones not
         strain = strain or max(server.strain, self.slowness(server, tx, event))
-        often = max(1, server.sent.count(self.now))     # guards against jams that many proxies meet seldom
+        often = max(1, server.sent.count(self.now))  # guards against jams that many proxies meet seldom
         server.strain += (strain - server.strain) * (0.5 if server.throttles else max(0.1, SELDOM / often))
         # guards against hosts that turn slower when crowded until they rest; not all, where all are slow
         others = min(OTHERS, max(1.0, self.strain)) if self.terms.live_weights else 1.0
@@ -274,27 +295,27 @@
         server.timeouts[tx.kind] = run + 1, since
         if run + 1 >= TIMEOUT_RUN and server.heard <= since:
             self.ban(server, tx, event)
-        elif run + 1 >= TIMEOUT_RUN:    # guards against hosts that answer all but one profile: kept away
-            self.keep_away(server, tx.kind, COOLDOWN)   # for that one; its next time-out does it again
+        elif run + 1 >= TIMEOUT_RUN:  # guards against hosts that answer all but one profile: kept away
+            self.keep_away(server, tx.kind, COOLDOWN)  # for that one; its next time-out does it again
 
     def erred(self, server, tx, event):
         """Quick errors look like an idle host and draw more: those of several keys are the host's fault."""
         self.effects += [i.MetFault(server.id)] * self.terms.peers
         if tx.key is None or tx.key != server.erred_key:
             server.erring, server.erred_key = server.erring * 0.9 + 0.1, tx.key
-        server.proven = server.proven and event.outcome == i.ERROR      # a reset: one repeatable looks
+        server.proven = server.proven and event.outcome == i.ERROR  # a reset: one repeatable looks
         median = sorted(s.erring for s in self.servers.values())[(len(self.servers) - 1) // 2]
-        if server.erring > ERRING + 2 * median:     # beyond what most share
+        if server.erring > ERRING + 2 * median:  # beyond what most share
             self.ban(server, tx, event)
 
     def ban(self, server, tx, event):
-        lost = event.outcome == i.UNREACHABLE   # guards against ten seconds without a host for one pause
-        self.keep_away(server, "ban", min(COOLDOWN, FIRST_BAN * 2 ** server.failures) if lost else COOLDOWN)
+        lost = event.outcome == i.UNREACHABLE  # guards against ten seconds without a host for one pause
+        self.keep_away(server, "ban", min(COOLDOWN, FIRST_BAN * 2**server.failures) if lost else COOLDOWN)
         server.failures = min(server.failures + lost, 8)
         server.erring, server.timeouts, server.proven = 0, {}, False
         if self.rooted:
             self.reset_rankings()
 
     def back_off(self, server, tx, event, first=BACKOFF, most=BACKOFF_MOST):
-        self.keep_away(server, "rest", min(most, first * 2 ** server.throttles))
+        self.keep_away(server, "rest", min(most, first * 2**server.throttles))
         server.throttles = min(server.throttles + 1, 8)
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -6,6 +6,7 @@
 a rule bounds are rounded down and cold times up. Transactions and hosts are whole numbers chosen by the
 caller, never used again for another one; a key and a host's `hash` are the same number at every proxy.
 """
+
 from typing import NamedTuple
 
 # Kinds of profile: what a repeat does.
@@ -15,64 +16,67 @@
 # Outcomes of a hop. Of REFUSED, UNREACHABLE, DROPPED and UNSENT it is certain that nothing ran.
 COMMITTED, ERROR, TIMED_OUT, RESET = "committed", "error", "timed out", "reset"
 CANCELLED, REFUSED, UNREACHABLE, UNSENT = "cancelled", "refused", "unreachable", "unsent"
-DROPPED = "dropped"     # the host's machine took the connection, and it broke before all was written
-DECLINED = "declined"   # the host answered that the transaction itself is wrong: its last word, like a commit
+DROPPED = "dropped"  # the host's machine took the connection, and it broke before all was written
+DECLINED = "declined"  # the host answered that the transaction itself is wrong: its last word, like a commit
 
 # News of a host: one proxy met a fault there, told to the one who counts; many did, told to all.
 MET_FAULT, AT_FAULT = "met fault", "at fault"
 
 
 class Profile(NamedTuple):
-    kind: str                       # one of the three kinds
-    group: str                      # repeat group and window: journalled only
+    kind: str  # one of the three kinds
+    group: str  # repeat group and window: journalled only
     repeat_window: int
     service_goal: int
     zones: frozenset | None = None  # it goes to hosts in these only; None: in any
-    host_kinds: frozenset | None = None     # and to hosts of these kinds only
+    host_kinds: frozenset | None = None  # and to hosts of these kinds only
 
 
 class Agreement(NamedTuple):
     """What the operator grants and demands, read once at start."""
+
     profiles: tuple[Profile, ...]
-    position: int                   # this proxy among its fellows, from 0
+    position: int  # this proxy among its fellows, from 0
     proxies: int
     zone: str
-    cross_price: float              # points lost where every transaction crosses zones once, of 1
-    warm_keys: bool                 # a host that met a key lately does less work for it
-    list_on_request: bool           # the host list comes only to those who ask
+    cross_price: float  # points lost where every transaction crosses zones once, of 1
+    warm_keys: bool  # a host that met a key lately does less work for it
+    list_on_request: bool  # the host list comes only to those who ask
     ask_within: int
-    cold_share: float               # a fresh host has at least this share of its capacity
-    cold_time: int                  # and all of it after this time
-    fall_multiple: float            # sent more than this multiple of present capacity ...
-    fall_time: int                  # ... for this long, a cold host falls
+    cold_share: float  # a fresh host has at least this share of its capacity
+    cold_time: int  # and all of it after this time
+    fall_multiple: float  # sent more than this multiple of present capacity ...
+    fall_time: int  # ... for this long, a cold host falls
     max_hops: int
     cancelling: bool
-    come_back_max: int              # longest come-back time that clients are told; 0: none
-    live_weights: bool = False      # listed weights are size / (1 + transactions held a core), and late
-    peers: bool = False             # proxies may tell one another news, which may be lost
-    only_draining_binds: bool = False       # hosts gone or left out, but not seen draining, may be sent to
-    grace: int = 0                  # after it was told that a host drains nothing goes there
+    come_back_max: int  # longest come-back time that clients are told; 0: none
+    live_weights: bool = False  # listed weights are size / (1 + transactions held a core), and late
+    peers: bool = False  # proxies may tell one another news, which may be lost
+    only_draining_binds: bool = False  # hosts gone or left out, but not seen draining, may be sent to
+    grace: int = 0  # after it was told that a host drains nothing goes there
 
 
 class Host(NamedTuple):
     """One line of the host list."""
+
     host: int
     hash: int
     zone: str
     cell: int
-    ready: bool                     # false: draining or gone
-    weight: float                   # its size; or, by the agreement, what its load leaves of it
-    started: int | None             # None: long ago
-    kind: str = ""                  # a make of machine, for placement; "": not told
-    draining: bool = False          # where not ready: it is finishing, not gone
+    ready: bool  # false: draining or gone
+    weight: float  # its size; or, by the agreement, what its load leaves of it
+    started: int | None  # None: long ago
+    kind: str = ""  # a make of machine, for placement; "": not told
+    draining: bool = False  # where not ready: it is finishing, not gone
 
 
 # Events
 
+
 class HostsListed(NamedTuple):
     hosts: tuple[Host, ...]
-    complete: bool                  # the whole list: a host that is not in it is gone
-    answered: bool                  # false: the list held from before, nobody was asked
+    complete: bool  # the whole list: a host that is not in it is gone
+    answered: bool  # false: the list held from before, nobody was asked
 
 
 class ListFailed(NamedTuple):
@@ -81,11 +85,11 @@
 
 class TxArrived(NamedTuple):
     tx: int
-    profile: int                    # index in Agreement.profiles
+    profile: int  # index in Agreement.profiles
     key: int | None
-    patience: int                   # what is left of it now
-    waited: int = 0                 # since its last byte came in, where this process was late to look
-    party: int | None = None        # whose it is, where that is told
+    patience: int  # what is left of it now
+    waited: int = 0  # since its last byte came in, where this process was late to look
+    party: int | None = None  # whose it is, where that is told
 
 
 class HopEnded(NamedTuple):
@@ -94,8 +98,8 @@
     host: int
     outcome: str
     elapsed: int
-    closed: bool                    # the transaction has its final answer
-    waited: int = 0                 # its answer lay here unread for this long; not in `elapsed`
+    closed: bool  # the transaction has its final answer
+    waited: int = 0  # its answer lay here unread for this long; not in `elapsed`
 
 
 class StreamBegan(NamedTuple):
@@ -112,20 +116,22 @@
 
 
 class Shared(NamedTuple):
-    processes: int                  # so many of this proxy live at present, within the limits of one
+    processes: int  # so many of this proxy live at present, within the limits of one
 
 
 class Judged(NamedTuple):
     """What whoever speaks for the fleet holds of hosts, beside what this proxy knows itself."""
-    hosts: tuple                    # (host, kept away until, a growing part of all until)
-    trial: int | None = None        # one of these that this proxy is to try once; None: none
+
+    hosts: tuple  # (host, kept away until, a growing part of all until)
+    trial: int | None = None  # one of these that this proxy is to try once; None: none
 
 
 class Allowed(NamedTuple):
     """What the fleet's limits leave this proxy from now on; what is not named stays as it was told."""
-    rows: tuple                     # (key, so many always, so many more until, until); keys see below
-    same: tuple = ()                # (key, the key whose row it shares)
-    come_back: int = 0              # for those refused for want of them; 0: more may come within moments
+
+    rows: tuple  # (key, so many always, so many more until, until); keys see below
+    same: tuple = ()  # (key, the key whose row it shares)
+    come_back: int = 0  # for those refused for want of them; 0: more may come within moments
 
 
 # Keys of what a limit may bind: (AT_HOST, host), (FIRST, profile), (FURTHER, None). None in place of a number
@@ -135,13 +141,15 @@
 
 class NewsCame(NamedTuple):
     """For the decider beside the decisions that counts news (`fleet.counting`)."""
-    sender: int                     # another proxy's position; whatever it says is no more than its word
+
+    sender: int  # another proxy's position; whatever it says is no more than its word
     host: int
     what: str
 
 
 # Effects
 
+
 class SendHop(NamedTuple):
     tx: int
     host: int
@@ -150,8 +158,8 @@
 
 class RollBack(NamedTuple):
     tx: int
-    come_back: int                  # 0: nothing said
-    reason: str = ""                # for the log
+    come_back: int  # 0: nothing said
+    reason: str = ""  # for the log
 
 
 class Abandon(NamedTuple):
@@ -169,12 +177,13 @@
 
 
 class MetFault(NamedTuple):
-    host: int                       # a host fault, not a transaction's own; given where `peers` allows news
+    host: int  # a host fault, not a transaction's own; given where `peers` allows news
 
 
 class TellNews(NamedTuple):
     """Of the decider that counts news."""
-    peer: int | None                # a position; None: all
+
+    peer: int | None  # a position; None: all
     host: int
     what: str
 
--- a/basalthook/policy/measure.py
+++ b/basalthook/policy/measure.py
@@ -1,4 +1,5 @@
 """Counting and hashing for the decisions; nothing is decided here, thresholds are handed in."""
+
 from collections import OrderedDict, deque
 from math import exp, log
 
@@ -41,7 +42,7 @@
         self.low, self.wide = self.ones * LANE, wide
         self.hashes = int.from_bytes(b"".join((h & LANE).to_bytes(16, "little") for h in hashes), "little")
         bound = few / (sum(weights) or 1.0)
-        self.least = [int(exp(-weight * bound) * 2 ** 64) for weight in weights]
+        self.least = [int(exp(-weight * bound) * 2**64) for weight in weights]
 
     def mixed(self, key: int) -> list[int]:
         x = (self.hashes ^ self.ones * (key & LANE)) * 0x9E3779B97F4A7C15 & self.low
@@ -49,7 +50,7 @@
         return memoryview(((x ^ x >> 32) & self.low).to_bytes(self.wide, "little")).cast("Q").tolist()[::2]
 
     def sorted(self, numbers, mixed: list[int]) -> list:
-        claims = {n: -log((mixed[n] + 1) / 2 ** 64) / self.weights[n] for n in numbers}
+        claims = {n: -log((mixed[n] + 1) / 2**64) / self.weights[n] for n in numbers}
         return [self.hosts[n] for n in sorted(claims, key=claims.__getitem__)]
 
     def first(self, key: int) -> list:
@@ -74,7 +75,7 @@
         error = elapsed - self.mean
         self.mean += error * 0.05
         self.deviation += (abs(error) - self.deviation) * 0.05
-        self.level += (elapsed - self.level) * 0.01     # steady: few are very heavy
+        self.level += (elapsed - self.level) * 0.01  # steady: few are very heavy
         gap = self.level - self.quiet
         self.quiet = max(self.quiet + gap * (0.02 if gap < 0 else 0.00005), self.least)
 
@@ -122,8 +123,11 @@
     def beyond(self, group: tuple, now: int) -> float:
         """By how much its share is over the least of another of its sort; 0 where too little is known."""
         found = self.heard.get(group)
-        others = [share for (sort, which), (share, answers, at) in self.heard.items() if sort == group[0] and
-                  which != group[1] and answers >= self.known and at > now - self.span]
+        others = [
+            share
+            for (sort, which), (share, answers, at) in self.heard.items()
+            if sort == group[0] and which != group[1] and answers >= self.known and at > now - self.span
+        ]
         return found[0] - min(others) if found and others and found[1] >= 3 * self.known else 0.0
 
 
@@ -134,10 +138,10 @@
     """
 
     def __init__(self) -> None:
-        self.rows: dict[tuple, tuple] = {}      # as many as hosts and profiles
-        self.used: dict[tuple, int] = {}        # since the row was told
+        self.rows: dict[tuple, tuple] = {}  # as many as hosts and profiles
+        self.used: dict[tuple, int] = {}  # since the row was told
         self.same: dict[tuple, tuple] = {}
-        self.later = 0                          # a come-back time for those whom limits refuse; 0: none yet
+        self.later = 0  # a come-back time for those whom limits refuse; 0: none yet
 
     def tell(self, event: i.Allowed) -> None:
         self.later = event.come_back
--- a/basalthook/policy/rules.py
+++ b/basalthook/policy/rules.py
@@ -1,8 +1,9 @@
 """The operators' rules for a request and an attempt: asked at the decision and again at the first byte."""
+
 from . import interface as i
 
-COLD_KEYS = 2.5         # a fresh host knows no key: a hop may cost it several times what a warm one pays
-CONNECTED_LATE = 500    # after its decision: an attempt that begins so late counts anew in a slow start
+COLD_KEYS = 2.5  # a fresh host knows no key: a hop may cost it several times what a warm one pays
+CONNECTED_LATE = 500  # after its decision: an attempt that begins so late counts anew in a slow start
 
 
 class Rules:
@@ -15,8 +16,11 @@
 
     def repeatable(self, tx):
         """Whether a further attempt now is known to have no second effect."""
-        return tx.profile.kind == i.IDEMPOTENT or not tx.ran or (
-            tx.profile.kind == i.JOURNALLED and self.now < tx.ran[0] + tx.profile.repeat_window)
+        return (
+            tx.profile.kind == i.IDEMPOTENT
+            or not tx.ran
+            or (tx.profile.kind == i.JOURNALLED and self.now < tx.ran[0] + tx.profile.repeat_window)
+        )
 
     def may_begin(self, now, tx_id, host):
         """Whether an attempt decided earlier may still begin: asked right before its first byte goes out."""
@@ -26,28 +30,33 @@
         if not (self.repeatable(tx) and self.open_to(tx, server.line)):
             return False
         if server.fresh_from is not None and any(now - at > CONNECTED_LATE for _, at in tx.out.values()):
-            server.sent.add(now)    # its window moved while the connection came up
+            server.sent.add(now)  # its window moved while the connection came up
         return True
 
     def open_to(self, tx, line):
         """Drains; placement: a bound profile goes to the named zones and kinds only; and repeat groups."""
         profile, ran = tx.profile, tx.ran[1] if tx.ran and tx.profile.kind == i.JOURNALLED else line
-        return line.ready and (profile.zones is None or line.zone in profile.zones) and (
-            profile.host_kinds is None or line.kind in profile.host_kinds) and {
-            i.ZONE: line.zone == ran.zone, i.CELL: line.cell == ran.cell}.get(profile.group, True)
+        return (
+            line.ready
+            and (profile.zones is None or line.zone in profile.zones)
+            and (profile.host_kinds is None or line.kind in profile.host_kinds)
+            and {i.ZONE: line.zone == ran.zone, i.CELL: line.cell == ran.cell}.get(profile.group, True)
+        )
 
     def admits(self, tx, server):
         """Whether this host may have it, if it may have a hop: a fresh one its share in a fall time. Under a
         hop luck decides, where a hop of each proxy would be too much: a line at hundreds pushes it over."""
         free = self.allowed.left((i.AT_HOST, server.id), self.now) > len(server.out) and (
-            self.allowed.left(tx.grant, self.now) > 0 and self.open_to(tx, server.line))
+            self.allowed.left(tx.grant, self.now) > 0 and self.open_to(tx, server.line)
+        )
         if server.fresh_from is None or not free:
             return free
         if self.now >= server.redraw:
             server.luck, server.redraw = self.chance.random(), self.now + self.terms.fall_time
         most = self.usual_rate * server.size * self.warmth(server) / self.processes
         return server.sent.count(self.now) < (
-            max(1.0, most) if most * self.terms.fall_multiple >= 1.0 else int(most + server.luck))
+            max(1.0, most) if most * self.terms.fall_multiple >= 1.0 else int(most + server.luck)
+        )
 
     def warmth(self, server):
         """The share that it can carry for sure, a fresh one without knowing a key."""
--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -1,4 +1,5 @@
 """The command line."""
+
 import os
 import sys
 from typing import NoReturn
@@ -15,10 +16,20 @@
 from .reload import EarlyHangup
 from .service import Service
 
-FILE = click.option("--file", "path", envvar="RELAY_CONFIG", required=True, type=click.Path(dir_okay=False),
-                    help="The start-up file; by default what RELAY_CONFIG names.")
-FLEET = click.option("--fleet", envvar="BASALTHOOK_FLEET", type=click.Path(dir_okay=False),
-                     help="The fleet file, if this process talks with others; by default BASALTHOOK_FLEET.")
+FILE = click.option(
+    "--file",
+    "path",
+    envvar="RELAY_CONFIG",
+    required=True,
+    type=click.Path(dir_okay=False),
+    help="The start-up file; by default what RELAY_CONFIG names.",
+)
+FLEET = click.option(
+    "--fleet",
+    envvar="BASALTHOOK_FLEET",
+    type=click.Path(dir_okay=False),
+    help="The fleet file, if this process talks with others; by default BASALTHOOK_FLEET.",
+)
 
 
 @click.group()
@@ -31,7 +42,7 @@
 @FLEET
 def serve(path: str, fleet: str | None) -> None:
     """Run one client proxy in the foreground until SIGTERM; SIGHUP takes the file over anew."""
-    early = EarlyHangup()       # before the file is read
+    early = EarlyHangup()  # before the file is read
     told = read(path, fleet)
     log = Log(told.name)
     try:
@@ -52,12 +63,16 @@
 def check(path: str, fleet: str | None) -> None:
     """Read the start-up file and say what it holds, without starting anything."""
     told = read(path, fleet)
-    click.echo(f"{told.name}: listens on {told.listen[0]}:{told.listen[1]}, discovery at {told.discovery[0]}:"
-               f"{told.discovery[1]}, {len(told.known.lines)} hosts known, {len(told.profiles)} profiles, "
-               f"{told.sockets} descriptors")
+    click.echo(
+        f"{told.name}: listens on {told.listen[0]}:{told.listen[1]}, discovery at {told.discovery[0]}:"
+        f"{told.discovery[1]}, {len(told.known.lines)} hosts known, {len(told.profiles)} profiles, "
+        f"{told.sockets} descriptors"
+    )
     if told.fleet is not None:
-        click.echo(f"{told.fleet.name or told.name}: talks on {told.fleet.listen[0]}:{told.fleet.listen[1]}, "
-                   f"{len(told.fleet.seeds)} seeds, {len(told.fleet.limits)} limits")
+        click.echo(
+            f"{told.fleet.name or told.name}: talks on {told.fleet.listen[0]}:{told.fleet.listen[1]}, "
+            f"{len(told.fleet.seeds)} seeds, {len(told.fleet.limits)} limits"
+        )
 
 
 @main.command()
@@ -77,8 +92,16 @@
 @click.option("--listen", help="The address that the pool's clients reach.")
 @click.option("--balancers", type=int, help="How many proxies the pool has.")
 @click.option("--position", type=int, help="This proxy's place in the pool, from 0.")
-def migrate(old: str, output: str | None, replace: bool, drop_unknown: bool, dry_run: bool,
-            listen: str | None, balancers: int | None, position: int | None) -> None:
+def migrate(
+    old: str,
+    output: str | None,
+    replace: bool,
+    drop_unknown: bool,
+    dry_run: bool,
+    listen: str | None,
+    balancers: int | None,
+    position: int | None,
+) -> None:
     """Turn the start-up file OLD into one of the new shape: a pushed list, weights that move with load.
 
     What was done and what could not be goes to standard error. Exit code 0: done; 1: something is to be
@@ -137,8 +160,12 @@
 
 @lab.command("run")
 @click.argument("scenario", type=click.Path(dir_okay=False))
-@click.option("--depth", type=click.Choice(("decisions", "sockets", "processes")), default="decisions",
-              show_default=True)
+@click.option(
+    "--depth",
+    type=click.Choice(("decisions", "sockets", "processes")),
+    default="decisions",
+    show_default=True,
+)
 @click.option("--seed", type=click.IntRange(0), help="In place of the scenario's own.")
 @click.option("--json", "out", type=click.Path(dir_okay=False), help="Write the result there as well.")
 def lab_run(scenario: str, depth: str, seed: int | None, out: str | None) -> None:
--- a/basalthook/program/figures.py
+++ b/basalthook/program/figures.py
@@ -1,11 +1,12 @@
 """A line of figures in the log at a steady pace: what an operator plots, and raises alarms on."""
+
 from ..routing.clients import Clients
 from ..routing.hops import Hops
 from ..routing.owner import Owner
 from ..routing.watch import Watch
 from ..transport.timers import Timers
 
-EVERY = 10.0            # seconds between two lines
+EVERY = 10.0  # seconds between two lines
 
 
 class Figures:
@@ -20,9 +21,16 @@
 
     def write(self) -> None:
         following = self.watch.following
-        self.log("figures", list_age_s=round(self.watch.age(), 1), list_failures=following.failures,
-                 list_urgent=following.urgent, list_calls=self.watch.calls_begun,
-                 endpoints_ready=sum(place.ready for place in self.owner.roster.places.values()),
-                 requests_open=len(self.owner.orders), connections=len(self.clients.open),
-                 answers=dict(self.clients.answers), attempts=dict(self.hops.outcomes))
+        self.log(
+            "figures",
+            list_age_s=round(self.watch.age(), 1),
+            list_failures=following.failures,
+            list_urgent=following.urgent,
+            list_calls=self.watch.calls_begun,
+            endpoints_ready=sum(place.ready for place in self.owner.roster.places.values()),
+            requests_open=len(self.owner.orders),
+            connections=len(self.clients.open),
+            answers=dict(self.clients.answers),
+            attempts=dict(self.hops.outcomes),
+        )
         self.begin()
--- a/basalthook/program/fleetline.py
+++ b/basalthook/program/fleetline.py
@@ -1,4 +1,5 @@
 """What operators ask of a process that talks with others: who is a member, which hosts are out and why."""
+
 import http.client
 import json
 import sys
@@ -45,6 +46,7 @@
         return
     from rich.console import Console  # loaded only here
     from rich.table import Table
+
     table = Table(*columns, title=title)
     for row in found:
         table.add_row(*cells(row))
@@ -59,17 +61,32 @@
     """Who the process with its second address at HOST:PORT holds for alive, suspect or dead."""
     found = rows(address, seconds, calls.MEMBERS)
     living = sum(row["state"] != "dead" for row in found)
-    show(found, plain, f"{living} live of {len(found)}", ("name", "address", "state", "suspected by", "life"),
-         lambda row: (row["name"] + (" (this)" if row["this"] else ""), row["address"], row["state"],
-                      ", ".join(row["suspected_by"]), f"{row['life']}.{row['incarnation']}"))
+    show(
+        found,
+        plain,
+        f"{living} live of {len(found)}",
+        ("name", "address", "state", "suspected by", "life"),
+        lambda row: (
+            row["name"] + (" (this)" if row["this"] else ""),
+            row["address"],
+            row["state"],
+            ", ".join(row["suspected_by"]),
+            f"{row['life']}.{row['incarnation']}",
+        ),
+    )
 
 
 def evidence(row: dict) -> str:
     """Who says what of a host, and how old that is against how long it counts; a line each."""
-    words = [f"{w['by']}: {w['late']} late, {w['lost']} lost, {w['errors']} errors, {w['answers']} answers; "
-             f"{w['age_ms'] / 1000:.1f} of {w['life_ms'] / 1000:.0f} s" for w in row["words"]]
-    tried = [f"{t['by']}: trial {t['round']} {t['phase']}; {t['age_ms'] / 1000:.1f} of "
-             f"{t['life_ms'] / 1000:.0f} s" for t in row["trials"]]
+    words = [
+        f"{w['by']}: {w['late']} late, {w['lost']} lost, {w['errors']} errors, {w['answers']} answers; "
+        f"{w['age_ms'] / 1000:.1f} of {w['life_ms'] / 1000:.0f} s"
+        for w in row["words"]
+    ]
+    tried = [
+        f"{t['by']}: trial {t['round']} {t['phase']}; {t['age_ms'] / 1000:.1f} of {t['life_ms'] / 1000:.0f} s"
+        for t in row["trials"]
+    ]
     return "\n".join(words + tried)
 
 
@@ -80,9 +97,20 @@
 def verdicts(address: str, seconds: float, plain: bool) -> None:
     """Which hosts are out or on their way back, why, who says so, and how old that is against its life."""
     found = rows(address, seconds, calls.VERDICTS)
-    show(found, plain, f"{len(found)} hosts", ("host", "state", "since", "why", "by", "what is told"),
-         lambda row: (row["host"], row["state"], f"{row['since_ms'] / 1000:.1f} s", row["reason"],
-                      ", ".join(row["by"]), evidence(row)))
+    show(
+        found,
+        plain,
+        f"{len(found)} hosts",
+        ("host", "state", "since", "why", "by", "what is told"),
+        lambda row: (
+            row["host"],
+            row["state"],
+            f"{row['since_ms'] / 1000:.1f} s",
+            row["reason"],
+            ", ".join(row["by"]),
+            evidence(row),
+        ),
+    )
 
 
 @click.command()
@@ -99,15 +127,27 @@
         explain(path, proxies, hard_limit, plain)
         return
     found = rows(what, seconds, calls.LIMITS)
-    show(found, plain, f"{len(found)} limits", ("limit", "amount", "own", "lent", "age", "keeper", "refused"),
-         lambda row: (row["limit"], f"{row['amount']:g}", str(row["own"]), str(row["lent"]),
-                      f"{row['age_ms'] / 1000:.1f} of {row['stale_ms'] / 1000:.1f} s", row["keeper"],
-                      str(row["refused"])))
+    show(
+        found,
+        plain,
+        f"{len(found)} limits",
+        ("limit", "amount", "own", "lent", "age", "keeper", "refused"),
+        lambda row: (
+            row["limit"],
+            f"{row['amount']:g}",
+            str(row["own"]),
+            str(row["lent"]),
+            f"{row['age_ms'] / 1000:.1f} of {row['stale_ms'] / 1000:.1f} s",
+            row["keeper"],
+            str(row["refused"]),
+        ),
+    )
 
 
 def explain(path: str | None, proxies: int, hard_limit: float, plain: bool) -> None:
     from ..config import fleet  # loaded only here
     from ..fleet import bounds
+
     if path is None:
         raise click.UsageError("explain: FILE is missing")
     try:
@@ -117,19 +157,49 @@
     longest, found = int(hard_limit * bounds.TICKS), []
     for row in told.limits:
         limit = bounds.Limit(row.name, row.kind, row.amount, row.burst, (), row.over, row.floor)
-        own = (f"{int(limit.floor * limit.amount)} places a host over all proxies" if limit.places else
-               f"{limit.own_rate(proxies)[0] * bounds.TICKS:g} a second each")
-        found.append({"limit": limit.name, "kind": limit.kind, "amount": limit.amount, "lent": limit.lent(),
-                      "own": own, "over_most": limit.over_bound(),
-                      "stale_s": limit.stale() / bounds.TICKS,
-                      "unused_after_death_s": limit.unused_after_death(longest) / bounds.TICKS,
-                      "paused_after_keeper_s": limit.paused_after_keeper(longest) / bounds.TICKS})
-    show(found, plain, f"{len(found)} limits before {proxies} proxies",
-         ("limit", "amount", "lent by the keeper", "without a message", "over at most", "stale at most",
-          "unused after a death", "no new grants after the keeper's"),
-         lambda row: (row["limit"], f"{row['amount']:g}", f"{row['lent']:g}", row["own"],
-                      f"{row['over_most']:.0%}", f"{row['stale_s']:.2f} s",
-                      f"{row['unused_after_death_s']:.2f} s", f"{row['paused_after_keeper_s']:.2f} s"))
+        own = (
+            f"{int(limit.floor * limit.amount)} places a host over all proxies"
+            if limit.places
+            else f"{limit.own_rate(proxies)[0] * bounds.TICKS:g} a second each"
+        )
+        found.append(
+            {
+                "limit": limit.name,
+                "kind": limit.kind,
+                "amount": limit.amount,
+                "lent": limit.lent(),
+                "own": own,
+                "over_most": limit.over_bound(),
+                "stale_s": limit.stale() / bounds.TICKS,
+                "unused_after_death_s": limit.unused_after_death(longest) / bounds.TICKS,
+                "paused_after_keeper_s": limit.paused_after_keeper(longest) / bounds.TICKS,
+            }
+        )
+    show(
+        found,
+        plain,
+        f"{len(found)} limits before {proxies} proxies",
+        (
+            "limit",
+            "amount",
+            "lent by the keeper",
+            "without a message",
+            "over at most",
+            "stale at most",
+            "unused after a death",
+            "no new grants after the keeper's",
+        ),
+        lambda row: (
+            row["limit"],
+            f"{row['amount']:g}",
+            f"{row['lent']:g}",
+            row["own"],
+            f"{row['over_most']:.0%}",
+            f"{row['stale_s']:.2f} s",
+            f"{row['unused_after_death_s']:.2f} s",
+            f"{row['paused_after_keeper_s']:.2f} s",
+        ),
+    )
 
 
 COMMANDS = members, verdicts, limits
--- a/basalthook/program/log.py
+++ b/basalthook/program/log.py
@@ -1,4 +1,5 @@
 """The log: one JSON line an event on standard output. A slow reader never stalls the loop."""
+
 import os
 import sys
 import threading
@@ -7,8 +8,8 @@
 
 import orjson
 
-WAITING_MOST = 8192     # events; more are dropped and counted
-GATHER = 0.05           # seconds between two looks of the writer: one wake-up an event costs more
+WAITING_MOST = 8192  # events; more are dropped and counted
+GATHER = 0.05  # seconds between two looks of the writer: one wake-up an event costs more
 
 
 class Log:
@@ -16,7 +17,7 @@
 
     def __init__(self, name: str) -> None:
         self.name, self.dropped, self.ending = name, 0, threading.Event()
-        self.events: deque[tuple] = deque()     # emptied by the writer
+        self.events: deque[tuple] = deque()  # emptied by the writer
         self.writer = threading.Thread(target=self._write, name="log", daemon=True)
         self.writer.start()
 
@@ -46,6 +47,6 @@
             data = b"\n".join([*lines, b""])
             try:
                 while data:
-                    data = data[os.write(target, data):]
-            except OSError:         # nobody reads the log: the service goes on
+                    data = data[os.write(target, data) :]
+            except OSError:  # nobody reads the log: the service goes on
                 continue
--- a/basalthook/program/reload.py
+++ b/basalthook/program/reload.py
@@ -1,11 +1,12 @@
 """SIGHUP: the start-up file is read again, and once more for a while where it can't be taken as it is."""
+
 import signal
 
 from ..transport.timers import Timers
 from .startup import BadStart, StartUp
 
-READ_AGAIN = 0.1        # seconds between two looks at a file that was refused
-LOOKS = 30              # then it is left; news of another discovery counts 4 s after SIGHUP
+READ_AGAIN = 0.1  # seconds between two looks at a file that was refused
+LOOKS = 30  # then it is left; news of another discovery counts 4 s after SIGHUP
 
 
 class EarlyHangup:
@@ -35,12 +36,12 @@
         self.looks += 1
         try:
             told: StartUp = self.read()
-        except BadStart as fault:       # guards against half a file: what is in force stays
+        except BadStart as fault:  # guards against half a file: what is in force stays
             return self.refuse(str(fault))
         self.take(told)
 
     def refuse(self, reason: str) -> None:
-        again = self.looks < LOOKS      # who writes it may not be done
+        again = self.looks < LOOKS  # who writes it may not be done
         if self.looks == 1 or not again:
             self.log("file refused", reason=reason, looks=self.looks, looks_again=again)
         if again:
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -1,4 +1,5 @@
 """The running client proxy: its parts put together, its start, its end."""
+
 import asyncio
 import gc
 import signal
@@ -32,18 +33,24 @@
 
 BUFFER = 16 * 1024
 BUFFERS_KEPT = 128
-ACCEPT_ON = 0.6         # seconds after SIGTERM: new connections still come for up to 0.4 s
+ACCEPT_ON = 0.6  # seconds after SIGTERM: new connections still come for up to 0.4 s
 AT_START_ONLY = ("listen", "console", "inherited", "folder", "agreed", "profiles", "fleet")
-DOOR = 0xD008           # sets the door's chance apart from the decisions', which must not follow it
-KILL_AFTER = 0.7        # seconds after SIGTERM, beyond the longest deadline: SIGKILL comes no sooner
-ANSWERED_BEFORE = 0.2   # seconds before it by which all is answered: SIGTERM may have been noticed late
-RESTED = 0.3            # seconds without a request after which the next one is not just being sent
-READ_ON = 0.1           # seconds for what the last of them carry
+DOOR = 0xD008  # sets the door's chance apart from the decisions', which must not follow it
+KILL_AFTER = 0.7  # seconds after SIGTERM, beyond the longest deadline: SIGKILL comes no sooner
+ANSWERED_BEFORE = 0.2  # seconds before it by which all is answered: SIGTERM may have been noticed late
+RESTED = 0.3  # seconds without a request after which the next one is not just being sent
+READ_ON = 0.1  # seconds for what the last of them carry
 
 
 class Service:
-    def __init__(self, told: StartUp, log: Log, reread=None, turns: Turns | None = None,
-                 early: EarlyHangup | None = None) -> None:
+    def __init__(
+        self,
+        told: StartUp,
+        log: Log,
+        reread=None,
+        turns: Turns | None = None,
+        early: EarlyHangup | None = None,
+    ) -> None:
         """`turns`: of the loop this runs on; without them it can't tell its own lateness from silence."""
         self.told, self.log, self.early, self.ending = told, log, early, asyncio.Event()
         self.handover: Handover | None = None
@@ -53,8 +60,9 @@
         self.reload = Reload(reread, self.take, timers, log.say)
         buffers, descriptors = BufferPool(BUFFER, BUFFERS_KEPT), Descriptors(self.sockets(told))
         self.descriptors = descriptors
-        self.owner = Owner(told.agreed, told.seed, clock, timers, roster,
-                           turns.behind if turns else lambda: 0, log.say)
+        self.owner = Owner(
+            told.agreed, told.seed, clock, timers, roster, turns.behind if turns else lambda: 0, log.say
+        )
         urgent: set[int] = set()
         if turns:
             turns.first, turns.urgent = descriptors.outgoing, urgent
@@ -62,28 +70,58 @@
         self.pool = HostPool(buffers, descriptors, timers, told.idle_seconds, told.connect_seconds)
         self.hops = Hops(self.pool, clock, timers, roster, self.owner, log.say)
         following = Following(told.agreed, self.owner.proxy.chance)
-        self.watch = Watch(told.discovery, told.known.version, following, self.owner, buffers, descriptors,
-                           timers, log.say)
+        self.watch = Watch(
+            told.discovery, told.known.version, following, self.owner, buffers, descriptors, timers, log.say
+        )
         self.owner.begin_hop = self.hops.begin
         roster.left = self.pool.close_idle
-        self.clients = Clients(self.owner, clock, timers, door, told.profiles, buffers, descriptors,
-                               Room(told.bodies_most), log.say)
+        self.clients = Clients(
+            self.owner,
+            clock,
+            timers,
+            door,
+            told.profiles,
+            buffers,
+            descriptors,
+            Room(told.bodies_most),
+            log.say,
+        )
         self.figures = Figures(self.owner, self.clients, self.hops, self.watch, timers, log.say)
         self.staff = Staff(self.owner, roster, self.clients, clock, log.say)
         self.callers = Callers(self.staff.carry_out, timers, buffers, urgent, log.say)
         self.console: Listener | None = None
         self.listener: Listener | None = None
         self.together = None
-        if told.fleet is not None:      # loaded only here
+        if told.fleet is not None:  # loaded only here
             from .together import Together
+
             self.together = self.staff.fleet = Together(
-                told.fleet, told.name, told.agreed, told.fleet.bounds(told.profiles), told.longest_patience,
-                told.seed, self.owner, clock, timers, bool(told.folder), log.say)
+                told.fleet,
+                told.name,
+                told.agreed,
+                told.fleet.bounds(told.profiles),
+                told.longest_patience,
+                told.seed,
+                self.owner,
+                clock,
+                timers,
+                bool(told.folder),
+                log.say,
+            )
         if told.folder:
             names = [name for name, _ in sorted(told.profiles.items(), key=lambda each: each[1])]
-            self.handover = Handover(Neighbours(told.folder, told.name), self.owner, self.clients, self.watch,
-                                     timers, clock, names, told.agreed.fall_time,
-                                     Here(self.accept, self.share), log.say)
+            self.handover = Handover(
+                Neighbours(told.folder, told.name),
+                self.owner,
+                self.clients,
+                self.watch,
+                timers,
+                clock,
+                names,
+                told.agreed.fall_time,
+                Here(self.accept, self.share),
+                log.say,
+            )
             self.staff.keep = self.handover.keep_orders
 
     def sockets(self, told: StartUp) -> int:
@@ -111,7 +149,7 @@
         if self.early is not None and self.early.came:
             self.reload.hangup()
         gc.collect()
-        gc.freeze()             # what is here stays; looking at it again stopped everything for 4 ms
+        gc.freeze()  # what is here stays; looking at it again stopped everything for 4 ms
         await self.ending.wait()
         await self.end(listener)
 
@@ -147,7 +185,7 @@
                 raise BadStart(f"cannot talk on {where}: {fault.strerror}") from None
         if self.told.agreed.list_on_request:
             self.say_ready()
-        else:       # guards against hosts that left before this process began: their news counts already
+        else:  # guards against hosts that left before this process began: their news counts already
             self.watch.on_contact = self.say_ready
             self.timers.set(SILENT, self.say_ready)
         return listener
@@ -158,8 +196,12 @@
         self.clients.ready = True
         if self.handover is not None:
             self.handover.ready()
-        self.log.say("ready", listen=list(self.listener.address), hosts=len(self.owner.roster.places),
-                     **({"console": list(self.console.address)} if self.console else {}))
+        self.log.say(
+            "ready",
+            listen=list(self.listener.address),
+            hosts=len(self.owner.roster.places),
+            **({"console": list(self.console.address)} if self.console else {}),
+        )
 
     def listen(self, address: tuple[str, int], take, inherited=None) -> Listener:
         try:
@@ -182,15 +224,20 @@
 
     async def end(self, listener: Listener) -> None:
         """Idle connections go at once, while whoever crosses that can come anew; then all is finished."""
-        self.log.say("ending", connections=len(self.clients.open), transactions=len(self.owner.orders),
-                     list_age_s=round(self.watch.age(), 1))
+        self.log.say(
+            "ending",
+            connections=len(self.clients.open),
+            transactions=len(self.owner.orders),
+            list_age_s=round(self.watch.age(), 1),
+        )
         self.clients.ready = False
         self.clients.last_answer = self.clock.now() + int(
-            (self.told.longest_patience + KILL_AFTER - ANSWERED_BEFORE) * TICKS)
+            (self.told.longest_patience + KILL_AFTER - ANSWERED_BEFORE) * TICKS
+        )
         if self.handover is not None:
             self.handover.end()
         if listener.inherited:
-            listener.close()        # who comes now is for the next process
+            listener.close()  # who comes now is for the next process
             await self.send_over()
         else:
             self.clients.close_idle()
--- a/basalthook/program/staffline.py
+++ b/basalthook/program/staffline.py
@@ -1,4 +1,5 @@
 """The staff's commands: each is one call to the second address of a running client proxy."""
+
 import http.client
 import sys
 from typing import NoReturn
@@ -8,8 +9,14 @@
 from ..console import calls
 from ..protocol import catalogue
 
-CONSOLE = click.option("--console", "address", envvar="RELAY_CONSOLE", required=True, metavar="HOST:PORT",
-                       help="The proxy's second address; by default what RELAY_CONSOLE names.")
+CONSOLE = click.option(
+    "--console",
+    "address",
+    envvar="RELAY_CONSOLE",
+    required=True,
+    metavar="HOST:PORT",
+    help="The proxy's second address; by default what RELAY_CONSOLE names.",
+)
 SECONDS = click.option("--seconds", default=2.0, show_default=True, help="How long to wait for the answer.")
 
 
@@ -41,6 +48,7 @@
     @SECONDS
     def run(address: str, seconds: float) -> None:
         make(address, seconds, what)
+
     return run
 
 
@@ -51,14 +59,19 @@
     @SECONDS
     def run(host: str, address: str, seconds: float) -> None:
         make(address, seconds, what, host)
+
     return run
 
 
-host = click.Group("host", help="Take hosts out for maintenance, and put them back.", commands=[
-    host_command("disable", calls.DISABLE, "Take HOST (its id in the list) out, until it is put back."),
-    host_command("enable", calls.ENABLE, "Put HOST back; it counts as restarted, and so as cold."),
-    command("list", calls.HOSTS, "Every host known, one JSON line each."),
-])
+host = click.Group(
+    "host",
+    help="Take hosts out for maintenance, and put them back.",
+    commands=[
+        host_command("disable", calls.DISABLE, "Take HOST (its id in the list) out, until it is put back."),
+        host_command("enable", calls.ENABLE, "Put HOST back; it counts as restarted, and so as cold."),
+        command("list", calls.HOSTS, "Every host known, one JSON line each."),
+    ],
+)
 COMMANDS = (
     host,
     command("drain", calls.DRAIN, "Send clients away: the process runs on."),
--- a/basalthook/program/together.py
+++ b/basalthook/program/together.py
@@ -2,6 +2,7 @@
 
 Built only where a fleet file is named; nothing of it is imported otherwise.
 """
+
 from random import Random
 
 from ..fleet.counting import Counting
@@ -15,25 +16,52 @@
 from ..routing.owner import Owner
 from ..transport.timers import Timers
 
-TICK = 0.05             # seconds between two looks
-AGAIN = 0.5             # seconds until an address that the process before this one still holds is tried again
+TICK = 0.05  # seconds between two looks
+AGAIN = 0.5  # seconds until an address that the process before this one still holds is tried again
 TALK, LIMITS = 0x7A1C, 0x11317  # set their chance apart from the decisions', which must not follow it
 
 
 class Together:
     """`begin` once the owner has started; OSError where the address can't be had, unless `wait` is told."""
 
-    def __init__(self, told, name: str, agreed, limits: list, longest: float, seed: int,
-                 owner: Owner, clock: Clock, timers: Timers, wait: bool, say) -> None:
+    def __init__(
+        self,
+        told,
+        name: str,
+        agreed,
+        limits: list,
+        longest: float,
+        seed: int,
+        owner: Owner,
+        clock: Clock,
+        timers: Timers,
+        wait: bool,
+        say,
+    ) -> None:
         """`told`: config.fleet.Told; `limits`: fleet.bounds.Limit each, `longest`: hard limit in seconds;
         `wait`: a process before this one may hold the address for a moment."""
         self.told, self.owner, self.clock, self.timers, self.wait, self.log = (
-            told, owner, clock, timers, wait, say)
+            told,
+            owner,
+            clock,
+            timers,
+            wait,
+            say,
+        )
         lives = {kind: int(seconds * TICKS) for kind, seconds in told.lives.items()}
         life = clocks.wall_ns() // 1_000_000
         self.driver: Driver | None = None
-        self.talk = Talk(told.name or name, told.address, life, list(told.seeds), told.key, lives,
-                         Random(seed ^ TALK), self.send, say)
+        self.talk = Talk(
+            told.name or name,
+            told.address,
+            life,
+            list(told.seeds),
+            told.key,
+            lives,
+            Random(seed ^ TALK),
+            self.send,
+            say,
+        )
         self.mind = self.limits = None
         if told.verdicts:
             self.mind = Verdicts(owner.proxy, self.talk.table, agreed.zone, self.talk.live, self.say)
@@ -41,9 +69,22 @@
         owner.mind = self.mind or Counting(owner.proxy)
         if limits:
             hard_limit = int(longest * TICKS)
-            self.limits = Limits(owner.mind, owner.proxy, limits, self.talk.name, life, told.keepers,
-                                 agreed.position, agreed.proxies, hard_limit, Random(seed ^ LIMITS),
-                                 self.talk.post, self.talk.live, clock.now(), self.say)
+            self.limits = Limits(
+                owner.mind,
+                owner.proxy,
+                limits,
+                self.talk.name,
+                life,
+                told.keepers,
+                agreed.position,
+                agreed.proxies,
+                hard_limit,
+                Random(seed ^ LIMITS),
+                self.talk.post,
+                self.talk.live,
+                clock.now(),
+                self.say,
+            )
             self.limits.wake = owner.post
             self.talk.kinds, self.talk.others = KINDS, self.limits.received
             owner.mind = self.limits
@@ -83,7 +124,7 @@
     def took(self, data: bytes, source: tuple[str, int]) -> None:
         try:
             self.talk.received(self.clock.now(), data, source)
-        except Exception as fault:      # exceptions stop at the datagram
+        except Exception as fault:  # exceptions stop at the datagram
             self.log("fault", where="members", error=repr(fault))
 
     def send(self, address: tuple[str, int], data: bytes) -> None:
@@ -104,19 +145,30 @@
 
     def members(self) -> list[dict]:
         member = self.talk.member
-        rows = [{"name": u.name, "address": f"{u.host}:{u.port}", "state": STATES[u.state], "life": u.life,
-                 "incarnation": u.incarnation, "this": u.name == member.name,
-                 "suspected_by": sorted(member.suspicions[u.name].witnesses) if u.name in member.suspicions
-                 else []}
-                for u in (member.me, *member.known.values())]
+        rows = [
+            {
+                "name": u.name,
+                "address": f"{u.host}:{u.port}",
+                "state": STATES[u.state],
+                "life": u.life,
+                "incarnation": u.incarnation,
+                "this": u.name == member.name,
+                "suspected_by": sorted(member.suspicions[u.name].witnesses)
+                if u.name in member.suspicions
+                else [],
+            }
+            for u in (member.me, *member.known.values())
+        ]
         return sorted(rows, key=lambda row: row["name"])
 
     def verdicts(self) -> list[dict]:
         places = self.owner.roster.places
         if self.mind is None:
             return []
-        return [{**row, "host": places[row["host"]].id if row["host"] in places else str(row["host"])}
-                for row in self.mind.view(self.clock.now())]
+        return [
+            {**row, "host": places[row["host"]].id if row["host"] in places else str(row["host"])}
+            for row in self.mind.view(self.clock.now())
+        ]
 
     def shares(self) -> list[dict]:
         return self.limits.view(self.clock.now()) if self.limits is not None else []
--- a/basalthook/protocol/application.py
+++ b/basalthook/protocol/application.py
@@ -1,4 +1,5 @@
 """What the application beside this proxy asks, and what it is answered."""
+
 import re
 from typing import NamedTuple
 
@@ -10,10 +11,19 @@
 TIMEOUT_MOST = 3600.0
 KEY_COOKIE = "k"
 # Fields that speak of one connection only; lengths are written anew on each.
-OF_ONE_CONNECTION = ("connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
-                     "upgrade", "content-length", "expect")
+OF_ONE_CONNECTION = (
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+)
 DECIDING = ("request-id", "request-class", "request-timeout")
-WANTED = (*DECIDING, "cookie")      # what the parser of the application's messages looks for
+WANTED = (*DECIDING, "cookie")  # what the parser of the application's messages looks for
 PER_HOP = (*OF_ONE_CONNECTION, "request-timeout")
 COMMITTED_LONG = b"HTTP/1.1 200 OK\r\n%b%b%b\r\n"
 CHUNKED, LAST_CHUNK = b"Transfer-Encoding: chunked\r\n", b"0\r\n\r\n"
@@ -23,10 +33,11 @@
 
 class Asked(NamedTuple):
     """A transaction as the application sent it."""
+
     id: str
     profile: int
     key: str | None
-    timeout: float                  # seconds
+    timeout: float  # seconds
     message: Message
 
 
@@ -37,7 +48,7 @@
         return Malformed(400, "no path")
     ids, classes, timeouts = (message.values(name) for name in DECIDING)
     if len(ids) > 1 or len(classes) > 1 or len(timeouts) > 1:
-        return Malformed(400, "a deciding field twice")     # which one a host would follow is not known
+        return Malformed(400, "a deciding field twice")  # which one a host would follow is not known
     first = message.target.split("?", 1)[0].split("/")[1]
     profile = profiles.get(classes[0] if classes and classes[0] else first)
     if profile is None or first in profiles and profiles[first] != profile:
--- a/basalthook/protocol/catalogue.py
+++ b/basalthook/protocol/catalogue.py
@@ -1,4 +1,5 @@
 """Discovery's messages: the call for the host list, and the lists that come back."""
+
 import ipaddress
 from functools import lru_cache
 from typing import NamedTuple
@@ -28,8 +29,8 @@
 class Listing(NamedTuple):
     version: int
     complete: bool
-    lines: tuple[Line, ...]         # one a host
-    doubled: int = 0                # lines of hosts named before in the same list, of which one counts
+    lines: tuple[Line, ...]  # one a host
+    doubled: int = 0  # lines of hosts named before in the same list, of which one counts
 
 
 def call(host: str, version: int | None, wait_ms: int) -> bytes:
@@ -54,9 +55,18 @@
     if None in entry.values():
         entry = {name: value for name, value in entry.items() if value is not None}
     state, get = entry["state"], entry.get
-    return Line(str(entry["id"]), known_address(entry["addr"]), str(get("zone", "")), int(get("cell", 0)),
-                READY[state], state == "removed", float(get("weight", 1.0)),
-                int(get("started_ms", 0)) * 1_000_000, str(get("kind", "")), state == "draining")
+    return Line(
+        str(entry["id"]),
+        known_address(entry["addr"]),
+        str(get("zone", "")),
+        int(get("cell", 0)),
+        READY[state],
+        state == "removed",
+        float(get("weight", 1.0)),
+        int(get("started_ms", 0)) * 1_000_000,
+        str(get("kind", "")),
+        state == "draining",
+    )
 
 
 def listing(found: dict) -> Listing | None:
@@ -66,11 +76,12 @@
         if not all(entry.id and entry.weight > 0 for entry in lines):
             return None
         once = {each.id: each for each in lines}
-        if len(once) < len(lines):      # guards against a host that leaves by one line and is up by another
+        if len(once) < len(lines):  # guards against a host that leaves by one line and is up by another
             for each in lines:
                 once[each.id] = min(once[each.id], each, key=lambda x: (x.ready, not x.removed))
-        return Listing(int(found["version"]), bool(found["full"]), tuple(once.values()),
-                       len(lines) - len(once))
+        return Listing(
+            int(found["version"]), bool(found["full"]), tuple(once.values()), len(lines) - len(once)
+        )
     except (ValueError, TypeError, KeyError, AttributeError, OverflowError):
         return None
 
--- a/basalthook/protocol/hosts.py
+++ b/basalthook/protocol/hosts.py
@@ -1,9 +1,10 @@
 """A hop on the wire: the message that goes to a host, and what its answer means."""
+
 from ..policy import interface as i
 from .application import PER_HOP
 from .http1 import Message
 
-WANTED = ("not-started",)           # what the parser of hosts' answers looks for
+WANTED = ("not-started",)  # what the parser of hosts' answers looks for
 
 
 def hop(message: Message, seconds: float) -> tuple[bytes, ...]:
@@ -11,11 +12,16 @@
     body = message.body
     sized = b"Content-Length: %d\r\n" % len(body) if body or message.method not in ("GET", "HEAD") else b""
     head = b"%b %b HTTP/1.1\r\n%bRequest-Timeout: %.4f\r\n%b\r\n" % (
-        message.method.encode(), message.target.encode(), message.lines_without(*PER_HOP), seconds, sized)
+        message.method.encode(),
+        message.target.encode(),
+        message.lines_without(*PER_HOP),
+        seconds,
+        sized,
+    )
     return (head, body) if body else (head,)
 
 
-MAY_PASS = {408, 425, 429}      # of 4xx: these speak of the moment, not of the message
+MAY_PASS = {408, 425, 429}  # of 4xx: these speak of the moment, not of the message
 
 
 def outcome(answer: Message, written: bool) -> str:
@@ -25,5 +31,5 @@
     if answer.status == 200:
         return i.COMMITTED if written else i.ERROR
     if written and 400 <= answer.status < 500 and answer.status not in MAY_PASS:
-        return i.DECLINED       # guards against blaming hosts, and asking further ones, for a bad transaction
+        return i.DECLINED  # guards against blaming hosts, and asking further ones, for a bad transaction
     return i.ERROR
--- a/basalthook/protocol/http1.py
+++ b/basalthook/protocol/http1.py
@@ -4,15 +4,16 @@
 A head is read in one pass of compiled expressions: one checks it whole, one finds the fields that decide; the
 rest is carried as the bytes that came.
 """
+
 import re
 from functools import lru_cache
 from typing import NamedTuple
 
 HEAD_MOST = 16 * 1024
 BODY_MOST = 64 * 1024
-LONG_MOST = 1024 ** 3       # of a body that goes on in pieces: one that says more is no sound message
+LONG_MOST = 1024**3  # of a body that goes on in pieces: one that says more is no sound message
 INTERIMS_MOST = 64
-LINE_MOST = 256             # of a chunk's size line
+LINE_MOST = 256  # of a chunk's size line
 TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]++"
 # possessive, so that a head that does not match costs one pass and no more
 LINES = rb"(?:" + TOKEN + rb":[\t\x20-\x7e\x80-\xff]*+\r\n)*+"
@@ -42,16 +43,17 @@
 
 class Message(NamedTuple):
     """A whole message."""
-    method: str                     # requests
+
+    method: str  # requests
     target: str
-    status: int                     # responses
-    lines: bytes                    # its field lines as they came, each with its CRLF
-    marked: dict[str, list[str]]    # values of the fields that were looked for, names in lower case
+    status: int  # responses
+    lines: bytes  # its field lines as they came, each with its CRLF
+    marked: dict[str, list[str]]  # values of the fields that were looked for, names in lower case
     body: bytes
-    keep: bool                      # the connection can be used again
-    delimited: bool                 # its own framing told where it ends, not the connection's end
-    minor: int = 1                  # of its version, HTTP/1.x
-    length: int | None = None       # of a body that is not all here: as its head says, None if it does not
+    keep: bool  # the connection can be used again
+    delimited: bool  # its own framing told where it ends, not the connection's end
+    minor: int = 1  # of its version, HTTP/1.x
+    length: int | None = None  # of a body that is not all here: as its head says, None if it does not
 
     def values(self, name: str) -> list[str]:
         """Of all fields of this name (lower case), in order."""
@@ -75,7 +77,7 @@
 
 
 class Malformed(NamedTuple):
-    status: int                     # what a server answers to it
+    status: int  # what a server answers to it
     reason: str
 
 
@@ -87,8 +89,14 @@
     tells it: from then on `take_body` gives what has come of the body, and `found` has none.
     """
 
-    def __init__(self, responses: bool, body_most: int = BODY_MOST, wanted: tuple[str, ...] = (),
-                 long: bool = False, open_most: int | None = None) -> None:
+    def __init__(
+        self,
+        responses: bool,
+        body_most: int = BODY_MOST,
+        wanted: tuple[str, ...] = (),
+        long: bool = False,
+        open_most: int | None = None,
+    ) -> None:
         """`wanted`: names of fields that whoever reads the message will ask for, in lower case. `open_most`:
         of a body whose length nobody told, in place of `body_most`."""
         self.responses, self.body_most, self.long = responses, body_most, long
@@ -103,7 +111,7 @@
         self.body, self.need, self.seen, self.interims = bytearray(), 0, 0, 0
         self.head: tuple | None = None
         self.begun: Message | None = None
-        self.state = Parser._head       # not bound: that would be a circle that holds the body
+        self.state = Parser._head  # not bound: that would be a circle that holds the body
 
     def feed(self, data) -> None:
         self.rest += data
@@ -124,26 +132,31 @@
     @property
     def awaits_body(self) -> bool:
         """The head is there and asks to be told before the body is sent."""
-        return self.found is None and self.head is not None and not self.body and not self.rest and any(
-            v.lower() == "100-continue" for v in self.head[4].get("expect", ()))
+        return (
+            self.found is None
+            and self.head is not None
+            and not self.body
+            and not self.rest
+            and any(v.lower() == "100-continue" for v in self.head[4].get("expect", ()))
+        )
 
     # ---- the states: each takes what it can from `rest` and says whether another look is worth while
 
     def _head(self) -> bool:
         rest = self.rest
         if not self.responses and rest.startswith(b"\r\n"):
-            del rest[:2]            # an empty line before a request is passed over
+            del rest[:2]  # an empty line before a request is passed over
             self.seen = 0
             return True
         at = rest.find(b"\r\n\r\n", max(0, self.seen - 3))
         if at < 0 or at + 4 > HEAD_MOST:
             if BARE_END.search(rest, max(0, self.seen - 1)):
-                return self._bad(400, "bare line end")      # its sender takes the head for ended
+                return self._bad(400, "bare line end")  # its sender takes the head for ended
             self.seen = len(rest)
             return self._bad(431, "head too long") if self.seen > HEAD_MOST or at >= 0 else False
-        head = bytes(rest[:at + 2])
-        del rest[:at + 4]
-        self.seen = 0                   # guards against missing a short head behind an interim one
+        head = bytes(rest[: at + 2])
+        del rest[: at + 4]
+        self.seen = 0  # guards against missing a short head behind an interim one
         line = self.whole.fullmatch(head)
         if line is None:
             return self._bad(400, "no start line" if self.whole.match(head) is None else "bad field line")
@@ -154,7 +167,7 @@
                 marked[name].append(value.decode("latin-1").strip(" \t"))
             else:
                 marked[name] = [value.decode("latin-1").strip(" \t")]
-        return self._start(line, head[head.index(b"\n") + 1:], marked)
+        return self._start(line, head[head.index(b"\n") + 1 :], marked)
 
     def _start(self, line, lines: bytes, marked: dict[str, list[str]]) -> bool:
         if self.responses:
@@ -178,7 +191,7 @@
             options = {o.strip().lower() for v in marked["connection"] for o in v.split(",")}
             keep = CLOSED not in options and (keep or KEPT in options)
         if self.responses and 100 <= status < 200 and status != 101:
-            self.interims += 1          # an interim answer; the next head follows
+            self.interims += 1  # an interim answer; the next head follows
             return True if self.interims <= INTERIMS_MOST else self._bad(400, "no end of interim answers")
         self.head, self.minor = (method, target, status, lines, marked, keep), int(version[1])
         if self.responses and (status in NO_BODY or status == 101):
@@ -244,7 +257,7 @@
         line = self._line()
         if line is None:
             return self.found is not None
-        self.seen += len(line) + 2      # trailers are passed over, as many as a head may be long
+        self.seen += len(line) + 2  # trailers are passed over, as many as a head may be long
         if self.seen > HEAD_MOST:
             return self._bad(431, "trailers too long")
         if line and TRAILER.fullmatch(line) is None:
@@ -260,12 +273,12 @@
                 self._bad(400, "line too long")
             return None
         line = bytes(self.rest[:at])
-        del self.rest[:at + 2]
+        del self.rest[: at + 2]
         return line
 
     def _take(self, count: int) -> None:
         if not self.body and count == len(self.rest):
-            self.body, self.rest = self.rest, bytearray()       # the ordinary case: handed on, not copied
+            self.body, self.rest = self.rest, bytearray()  # the ordinary case: handed on, not copied
             return
         with memoryview(self.rest) as rest, rest[:count] as part:
             self.body += part
@@ -300,11 +313,21 @@
     return head(f"{method} {target} HTTP/1.1", [*fields, *sized]) + body
 
 
-PHRASES = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-           409: "Conflict",
-           413: "Content Too Large", 431: "Request Header Fields Too Large", 501: "Not Implemented",
-           502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
-           505: "HTTP Version Not Supported"}
+PHRASES = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
+}
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
--- a/basalthook/protocol/news.py
+++ b/basalthook/protocol/news.py
@@ -1,4 +1,5 @@
 """News among proxies: one fact of one host a message, in seven bytes. Malformed ones are nothing."""
+
 from ..policy import interface as i
 
 LENGTH = 7
--- a/basalthook/recovery/door.py
+++ b/basalthook/recovery/door.py
@@ -9,12 +9,13 @@
 The idea of steering by the time spent in the queue, not by its length, is CoDel's (RFC 8289); the
 proportional rule is PIE's (RFC 8033).
 """
+
 from random import Random
 
-EASE = 0.12     # parts of the service goal that arrivals may wait unread, on average, with nobody turned away
-LOST = 0.50     # with all turned away; the rest of the goal is for the hop and the answer
-WEIGHT = 0.02   # of one arrival in the mean
-FADE = 1_000    # tenths of a millisecond without an arrival after which the mean is halved
+EASE = 0.12  # parts of the service goal that arrivals may wait unread, on average, with nobody turned away
+LOST = 0.50  # with all turned away; the rest of the goal is for the hop and the answer
+WEIGHT = 0.02  # of one arrival in the mean
+FADE = 1_000  # tenths of a millisecond without an arrival after which the mean is halved
 
 
 class Door:
@@ -24,7 +25,7 @@
         """`goal`: the shortest service goal of a profile."""
         self.goal, self.chance = goal, chance
         self.mean, self.last = 0.0, 0
-        self.turned_away = 0            # since the start
+        self.turned_away = 0  # since the start
 
     def admit(self, now: int, waited: int) -> bool:
         """Whether what came in `waited` ago is taken in; if not, it has run nowhere."""
--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -21,35 +21,36 @@
       else, and after these: ask_within / 4, `RETRY_MOST` at most. However long discovery has been away, its
       news counts at a fixed time after it is back
 """
+
 from random import Random
 
 from ..policy import interface as i
 
-SILENT = 20_000         # tenths of a millisecond past a call's wait: by then its news counts as told
-WAIT_MOST = 600_000     # discovery waits no longer: a longer one would be taken for silent too late
-FIRST_MOST = 35_000     # until the first call of a new process: a second one must fit in 6 s
-WAIT_AFTER = 20_000     # the first wait after a call that failed or fell silent; each answer doubles it, ...
-WAITS_GROW = 5          # ... so often at most: news of the call after a broken one counts sooner
-PARTS = 5               # of what is left until the grace is over; calls beside begin after 1, 2 and 4 of them
-BESIDE_MOST = 6         # calls out at a time
-GIVE_UP = 50_000        # past a call's wait; news counts 6 s after discovery had it, answered or not
-RETRY_MOST = 20_000     # tenths of a millisecond: what discovery has counts as told 6 s after it is back
-FLEET_PACE = 100        # between two calls of all proxies, while they are turned away
-URGENT_FIRST = 2_000    # the first wait after a silence, or at a new address
-URGENT_MOST = 10_000    # the longest after a silence, or at a new address
-URGENT_TRIES = 8        # after that the news has counted for a while
-URGENT_GROWTH = 1.5     # of each wait against the one before: too many callers must thin out
-LEAST = 200             # no shorter wait between two tries
-MARK = 0                # of the timer to ask; the decisions' own are above it
+SILENT = 20_000  # tenths of a millisecond past a call's wait: by then its news counts as told
+WAIT_MOST = 600_000  # discovery waits no longer: a longer one would be taken for silent too late
+FIRST_MOST = 35_000  # until the first call of a new process: a second one must fit in 6 s
+WAIT_AFTER = 20_000  # the first wait after a call that failed or fell silent; each answer doubles it, ...
+WAITS_GROW = 5  # ... so often at most: news of the call after a broken one counts sooner
+PARTS = 5  # of what is left until the grace is over; calls beside begin after 1, 2 and 4 of them
+BESIDE_MOST = 6  # calls out at a time
+GIVE_UP = 50_000  # past a call's wait; news counts 6 s after discovery had it, answered or not
+RETRY_MOST = 20_000  # tenths of a millisecond: what discovery has counts as told 6 s after it is back
+FLEET_PACE = 100  # between two calls of all proxies, while they are turned away
+URGENT_FIRST = 2_000  # the first wait after a silence, or at a new address
+URGENT_MOST = 10_000  # the longest after a silence, or at a new address
+URGENT_TRIES = 8  # after that the news has counted for a while
+URGENT_GROWTH = 1.5  # of each wait against the one before: too many callers must thin out
+LEAST = 200  # no shorter wait between two tries
+MARK = 0  # of the timer to ask; the decisions' own are above it
 
 
 class Following:
     def __init__(self, settings: i.Agreement, random: Random) -> None:
         self.settings, self.random = settings, random
         self.pushed = not settings.list_on_request
-        self.failures = 0               # since the last answer
-        self.answers: int | None = None     # since a call failed, fell silent or moved; None: none has
-        self.urgent_tries = 0           # left since a watch fell silent, or discovery moved
+        self.failures = 0  # since the last answer
+        self.answers: int | None = None  # since a call failed, fell silent or moved; None: none has
+        self.urgent_tries = 0  # left since a watch fell silent, or discovery moved
 
     def part(self) -> float:
         """This proxy's own part of a span that the fleet shares, from 0 up to 1."""
@@ -97,7 +98,7 @@
         if self.urgent:
             made = URGENT_TRIES - self.urgent_tries
             self.urgent_tries -= 1
-            return int(min(URGENT_FIRST * URGENT_GROWTH ** made, URGENT_MOST) * part)
+            return int(min(URGENT_FIRST * URGENT_GROWTH**made, URGENT_MOST) * part)
         if self.pushed:
             soon = max(LEAST, self.settings.grace / 2)
             crowd = min(RETRY_MOST, self.settings.proxies * FLEET_PACE) if turned_away else 0
@@ -111,7 +112,7 @@
 
     def __init__(self, following: Following, policy) -> None:
         self.following, self.policy = following, policy
-        self.call_due = False             # while a timer of ours is to ask; what is pushed comes unasked
+        self.call_due = False  # while a timer of ours is to ask; what is pushed comes unasked
 
     def begin(self) -> list:
         return [] if self.following.pushed else self.ask(self.following.first_delay())
@@ -122,7 +123,7 @@
 
     def handle(self, now: int, event, seen: int | None = None) -> list:
         kind = type(event)
-        if kind is i.ListFailed:        # it may also mean that the watch broke
+        if kind is i.ListFailed:  # it may also mean that the watch broke
             return [] if self.following.pushed else self.ask(self.following.retry_delay(turned_away=True))
         if kind is i.TimerDue and event.mark == MARK:
             call_due, self.call_due = self.call_due, False
--- a/basalthook/recovery/knowledge.py
+++ b/basalthook/recovery/knowledge.py
@@ -4,10 +4,11 @@
 the cold slice) goes on to its end; what is a judgement of the present (how crowded hosts are) fades by half
 for each `fade` that has passed since. A host that has started anew is known by its list line alone.
 """
+
 from ..policy.interface import HostsListed
 from ..policy.measure import Window
 
-WHOLE = ("quiet_mix", "usual_rate", "cores", "unread")      # as they were
+WHOLE = ("quiet_mix", "usual_rate", "cores", "unread")  # as they were
 OF_LATENCY = ("mean", "deviation", "quiet", "level")
 OF_SERVER = ("size", "proven", "throttles", "failures", "heard", "passed", "erring")
 WINDOWS = ("sent", "committed")
@@ -16,12 +17,20 @@
 def told(proxy, ids: dict[int, str], profiles: list[str]) -> dict:
     """`ids`: hosts' ids by number; `profiles`: names by index. Of hosts with no id nothing is told."""
     return {
-        "at": proxy.now, "born": proxy.born, "strain": proxy.strain, "sent": list(proxy.sent.times),
+        "at": proxy.now,
+        "born": proxy.born,
+        "strain": proxy.strain,
+        "sent": list(proxy.sent.times),
         **{name: getattr(proxy, name) for name in WHOLE},
-        "latency": {name: [getattr(known, field) for field in OF_LATENCY]
-                    for name, known in zip(profiles, proxy.latency, strict=True)},
-        "hosts": {ids[number]: server_told(server, profiles) for number, server in proxy.servers.items()
-                  if number in ids and server.line.ready},
+        "latency": {
+            name: [getattr(known, field) for field in OF_LATENCY]
+            for name, known in zip(profiles, proxy.latency, strict=True)
+        },
+        "hosts": {
+            ids[number]: server_told(server, profiles)
+            for number, server in proxy.servers.items()
+            if number in ids and server.line.ready
+        },
     }
 
 
@@ -29,10 +38,13 @@
     return {
         **{name: getattr(server, name) for name in OF_SERVER},
         **{name: list(getattr(server, name).times) for name in WINDOWS},
-        "started": server.line.started, "fresh_from": server.fresh_from, "strain": server.strain,
+        "started": server.line.started,
+        "fresh_from": server.fresh_from,
+        "strain": server.strain,
         "away": {reason: until for reason, until in server.away.items() if isinstance(reason, str)},
-        "away_for": {profiles[kind]: until for kind, until in server.away.items()
-                     if not isinstance(kind, str)},
+        "away_for": {
+            profiles[kind]: until for kind, until in server.away.items() if not isinstance(kind, str)
+        },
     }
 
 
@@ -56,7 +68,7 @@
         if server is not None and server.line.started == plain["started"]:
             server_taken_over(server, plain, profiles, now, left)
             fitted += 1
-    proxy.handle(now, HostsListed((), False, False))        # ranks by what it now knows
+    proxy.handle(now, HostsListed((), False, False))  # ranks by what it now knows
     return fitted
 
 
@@ -68,8 +80,10 @@
         window.times.extend(times(plain[name], now))
     server.fresh_from = None if plain["fresh_from"] is None else int(plain["fresh_from"])
     server.strain = 1.0 + (float(plain["strain"]) - 1.0) * left
-    away = {**plain["away"], **{profiles.index(name): until for name, until in plain["away_for"].items()
-                                if name in profiles}}
+    away = {
+        **plain["away"],
+        **{profiles.index(name): until for name, until in plain["away_for"].items() if name in profiles},
+    }
     server.away = {reason: int(until) for reason, until in away.items() if until > now}
 
 
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -1,4 +1,5 @@
 """The application's connections: a transaction read whole, handed to the owner, answered once."""
+
 import asyncio
 from collections import Counter
 
@@ -15,39 +16,54 @@
 from .owner import Answer, Arrived, Gone, Order, Overdue, Owner
 from .ratelog import RateLimitedLog
 
-STALLED = 2.5       # seconds that a message may take to come in: the first from connecting, others once begun
-STUCK = 0.8         # seconds without a byte after which a message has stopped, where places are short
-RESTED = 2.0        # seconds that a connection may idle where there are many
-PROGRESS = 16 * 1024    # bytes of a body that has to come meanwhile, at least: 64 kB/s is a good client
-NO_ROOM = 4.0       # seconds that a long body may wait for memory
-TAKE_IN = 10.0      # seconds that a peer may take to read its answer
-LINGER = 1.0        # seconds that a peer turned away gets to read why,
-LEFT_UNREAD = 1024 * 1024   # and bytes read from it meanwhile: a peer that sends on must not cost more
-LEAVE_IDLE = 0.4    # seconds from a drain on until idle connections go: new ones still come for 0.2;
-LEAVE_NEW = 1.0     # those without a word stay for so long;
-LOOK_AWAY = 0.2     # between two looks at who is there
-LOUD = 20           # lines on bad input, and on answers that are no commit, a second; more are counted
+STALLED = 2.5  # seconds that a message may take to come in: the first from connecting, others once begun
+STUCK = 0.8  # seconds without a byte after which a message has stopped, where places are short
+RESTED = 2.0  # seconds that a connection may idle where there are many
+PROGRESS = 16 * 1024  # bytes of a body that has to come meanwhile, at least: 64 kB/s is a good client
+NO_ROOM = 4.0  # seconds that a long body may wait for memory
+TAKE_IN = 10.0  # seconds that a peer may take to read its answer
+LINGER = 1.0  # seconds that a peer turned away gets to read why,
+LEFT_UNREAD = 1024 * 1024  # and bytes read from it meanwhile: a peer that sends on must not cost more
+LEAVE_IDLE = 0.4  # seconds from a drain on until idle connections go: new ones still come for 0.2;
+LEAVE_NEW = 1.0  # those without a word stay for so long;
+LOOK_AWAY = 0.2  # between two looks at who is there
+LOUD = 20  # lines on bad input, and on answers that are no commit, a second; more are counted
 # nothing has come yet; a part of a message has; turned away; between two messages; one in hand; the next here
 NEW, COMING, LEAVING, IDLE, BUSY, AHEAD = "new", "coming", "leaving", "idle", "busy", "ahead"
-NO_END = 2**63          # later than any moment of the clock
-OVERDUE = 200       # tenths of a millisecond past the hard limit: nothing should wait that long
+NO_END = 2**63  # later than any moment of the clock
+OVERDUE = 200  # tenths of a millisecond past the hard limit: nothing should wait that long
 
 
 class Client:
     """One connection; its state says what its bytes mean and who may close it."""
 
-    __slots__ = ("clients", "connection", "state", "parser", "since", "timer", "order", "keep", "unread",
-                 "continued", "mark", "held", "body", "relay", "chunked")
+    __slots__ = (
+        "clients",
+        "connection",
+        "state",
+        "parser",
+        "since",
+        "timer",
+        "order",
+        "keep",
+        "unread",
+        "continued",
+        "mark",
+        "held",
+        "body",
+        "relay",
+        "chunked",
+    )
 
     def __init__(self, clients: "Clients", connection: Connection) -> None:
         self.clients, self.connection, self.state = clients, connection, NEW
         self.parser = Parser(responses=False, wanted=application.WANTED, long=True)
-        self.mark = self.held = 0       # bytes of a body at the last look; of memory taken for it
-        self.body, self.relay, self.chunked = None, None, False     # a long body as far as it is here
+        self.mark = self.held = 0  # bytes of a body at the last look; of memory taken for it
+        self.body, self.relay, self.chunked = None, None, False  # a long body as far as it is here
         self.order: Order | None = None
-        self.since = clients.clock.now()        # it idles, or is there without a word
+        self.since = clients.clock.now()  # it idles, or is there without a word
         self.keep, self.continued, self.unread = True, False, 0
-        self.timer = self.within(STALLED, self.stalled)     # guards against silence too
+        self.timer = self.within(STALLED, self.stalled)  # guards against silence too
 
     def begin(self) -> None:
         self.connection.follow(self.took, self.ended)
@@ -57,14 +73,14 @@
 
     def took(self, part, late: int) -> None:
         try:
-            if self.state in (BUSY, AHEAD):     # its next request: read on once this one is answered
+            if self.state in (BUSY, AHEAD):  # its next request: read on once this one is answered
                 self.parser.rest += part
                 self.connection.pause()
             elif self.state == LEAVING:
                 self.skim(len(part))
             else:
                 self.parse(part, late)
-        except Exception as fault:      # exceptions stop at the connection
+        except Exception as fault:  # exceptions stop at the connection
             self.broke(fault)
 
     def parse(self, part, late: int) -> None:
@@ -78,10 +94,14 @@
             if self.state == AHEAD and not self.connection.closed:
                 self.state = IDLE
                 self.parse(b"", 0)
-            if self.connection.paused and not self.parser.found and self.state != LEAVING and (
-                    self not in self.clients.room.waiting):
+            if (
+                self.connection.paused
+                and not self.parser.found
+                and self.state != LEAVING
+                and (self not in self.clients.room.waiting)
+            ):
                 self.connection.follow(self.took, self.ended)
-        except Exception as fault:      # exceptions stop at the connection
+        except Exception as fault:  # exceptions stop at the connection
             self.broke(fault)
 
     def broke(self, fault: Exception) -> None:
@@ -136,7 +156,7 @@
         if room.take(more):
             self.held += more
             return True
-        self.state = BUSY       # with us: guards against going as one that has stopped
+        self.state = BUSY  # with us: guards against going as one that has stopped
         self.connection.pause()
         self.clients.timers.cancel(self.timer)
         self.timer = self.within(NO_ROOM, self.no_room)
@@ -152,7 +172,7 @@
             if self.parser.found is not None:
                 return self.look(0)
             self.connection.follow(self.took, self.ended)
-        except Exception as fault:      # exceptions stop at the connection, not at whoever made room
+        except Exception as fault:  # exceptions stop at the connection, not at whoever made room
             self.broke(fault)
 
     def no_room(self) -> None:
@@ -180,14 +200,18 @@
     def not_now(self) -> None:
         """This process can't keep up: rolled back before it costs more; nothing of it has run."""
         clients, come_back = self.clients, min(self.clients.come_back_most, self.clients.door.come_back())
-        clients.sparingly("door", share=round(clients.door.share(), 3), mean_ms=clients.door.mean / 10,
-                          turned_away=clients.door.turned_away)
+        clients.sparingly(
+            "door",
+            share=round(clients.door.share(), 3),
+            mean_ms=clients.door.mean / 10,
+            turned_away=clients.door.turned_away,
+        )
         self.keep = self.keep and clients.stay()
         self.write((application.rolled_back(come_back / TICKS, self.keep),))
 
     def carry(self, asked: Asked, late: int) -> None:
         clients = self.clients
-        if asked.id in clients.ids:     # guards against answering one client with what another asked
+        if asked.id in clients.ids:  # guards against answering one client with what another asked
             return self.turn_away(Malformed(409, "this Request-Id is open already"))
         clients.ids.add(asked.id)
         came = clients.clock.now() - -(-late // TICK)
@@ -206,20 +230,26 @@
         return order
 
     def answer(self, answer: Answer) -> None:
-        if self.order is None:      # it has left; the owner is about to be told
+        if self.order is None:  # it has left; the owner is about to be told
             return
         try:
             clients, order = self.clients, self.settled()
             self.keep = self.keep and clients.stay()
             clients.answers[answer.kind] += 1
             if answer.kind != "committed":
-                clients.sparingly("answer", tx=order.asked.id, kind=answer.kind, hops=len(order.hops),
-                                  left_ms=(order.hard_limit - clients.clock.now()) / 10,
-                                  come_back_ms=answer.come_back / 10, reason=answer.reason)
+                clients.sparingly(
+                    "answer",
+                    tx=order.asked.id,
+                    kind=answer.kind,
+                    hops=len(order.hops),
+                    left_ms=(order.hard_limit - clients.clock.now()) / 10,
+                    come_back_ms=answer.come_back / 10,
+                    reason=answer.reason,
+                )
             if answer.relay is not None:
                 return self.pass_on(answer, order)
             self.write(clients.worded(answer, order, self.keep))
-        except Exception as fault:      # exceptions stop at the connection
+        except Exception as fault:  # exceptions stop at the connection
             self.broke(fault)
 
     def pass_on(self, answer: Answer, order: Order) -> None:
@@ -249,7 +279,7 @@
         self.write((application.LAST_CHUNK,) if self.chunked else ())
 
     def overdue(self) -> None:
-        self.clients.owner.post(Overdue(self.order))    # in its turn: the answer may wait before it
+        self.clients.owner.post(Overdue(self.order))  # in its turn: the answer may wait before it
 
     def write(self, parts: tuple[bytes, ...]) -> None:
         """An answer; then the next message, or the end."""
@@ -259,22 +289,22 @@
             self.timer = self.within(TAKE_IN, self.ended_for)
 
     def ended_for(self) -> None:
-        self.ended(None)        # the peer does not read; there is nobody to tell
+        self.ended(None)  # the peer does not read; there is nobody to tell
 
     def written(self) -> None:
         self.clients.timers.cancel(self.timer)
         self.timer = None
-        if self.held:           # answered before it reached the owner
+        if self.held:  # answered before it reached the owner
             self.free_room()
         if not self.keep:
-            if self.connection.paused:      # guards against an answer lost to what its reader wrote meanwhile
+            if self.connection.paused:  # guards against an answer lost to what its reader wrote meanwhile
                 return self.leave()
             return self.clients.drop(self)
         self.parser.again()
         self.continued, self.state = False, AHEAD if self.parser.rest else IDLE
         self.clients.rest(self)
         if self.state == AHEAD or self.connection.paused:
-            self.clients.timers.set(0, self.read_on)    # not from here: a hundred in a row would nest
+            self.clients.timers.set(0, self.read_on)  # not from here: a hundred in a row would nest
 
     def turn_away(self, why: Malformed) -> None:
         """Bad input: say so, and give the peer time to read it before the connection ends."""
@@ -296,7 +326,7 @@
     def skim(self, count: int) -> None:
         self.unread -= count
         if self.unread <= 0 and not self.connection.paused:
-            self.connection.pause()     # it sends on: no more is read, and it has time to see why
+            self.connection.pause()  # it sends on: no more is read, and it has time to see why
             self.clients.timers.cancel(self.timer)
             self.timer = self.within(LINGER, self.ended_for)
 
@@ -316,8 +346,12 @@
         self.clients.drop(self)
         if order is not None:
             self.clients.answers["client gone"] += 1
-            self.clients.sparingly("client gone", tx=order.asked.id, hops=len(order.hops),
-                                   left_ms=(order.hard_limit - self.clients.clock.now()) / 10)
+            self.clients.sparingly(
+                "client gone",
+                tx=order.asked.id,
+                hops=len(order.hops),
+                left_ms=(order.hard_limit - self.clients.clock.now()) / 10,
+            )
             self.clients.owner.post(Gone(order))
 
     def left(self) -> bool:
@@ -332,20 +366,30 @@
 
 
 class Clients:
-    def __init__(self, owner: Owner, clock: Clock, timers: Timers, door: Door, profiles: dict[str, int],
-                 buffers: BufferPool, descriptors: Descriptors, room: Room, say) -> None:
+    def __init__(
+        self,
+        owner: Owner,
+        clock: Clock,
+        timers: Timers,
+        door: Door,
+        profiles: dict[str, int],
+        buffers: BufferPool,
+        descriptors: Descriptors,
+        room: Room,
+        say,
+    ) -> None:
         self.owner, self.clock, self.timers, self.door = owner, clock, timers, door
         self.profiles, self.room, self.say = profiles, room, say
         self.buffers, self.descriptors = buffers, descriptors
         descriptors.givers.append(lambda: self.close_idle(1))
-        self.last_answer = NO_END               # once this process ends: the moment of its last answer
+        self.last_answer = NO_END  # once this process ends: the moment of its last answer
         self.ready, self.come_back_most = False, owner.agreed.come_back_max
-        self.sending_away = None                # while drained by the staff: the next look at who is here
+        self.sending_away = None  # while drained by the staff: the next look at who is here
         self.sweeping = False
-        self.ids: set[str] = set()              # of transactions not yet answered
-        self.sparingly = RateLimitedLog(say, clock, LOUD)   # clients may ask again as soon as turned away
+        self.ids: set[str] = set()  # of transactions not yet answered
+        self.sparingly = RateLimitedLog(say, clock, LOUD)  # clients may ask again as soon as turned away
         self.answers: Counter[str] = Counter()  # by kind, and clients that went before theirs
-        self.open: dict[Client, None] = {}      # longest idle first; emptied as they end
+        self.open: dict[Client, None] = {}  # longest idle first; emptied as they end
         self.none_left: asyncio.Future | None = None
 
     def take(self, sock) -> bool:
@@ -355,7 +399,7 @@
         """
         try:
             connection = Connection(sock, self.buffers, self.descriptors)
-        except OSError:         # it ended before we could look at it
+        except OSError:  # it ended before we could look at it
             sock.close()
             return True
         fits = self.make_room()
@@ -368,8 +412,7 @@
         """Guards against peers that connect by hundreds and say nothing, or stop half-way: they go first, no
         host's does. Who writes slowly but goes on is a good client, and goes last."""
         crowd = len(self.open) + 1 - self.descriptors.most_for_clients
-        for state, rested in ((COMING, STUCK), (NEW, 0), (LEAVING, 0), (IDLE, STUCK),
-                              (COMING, 0), (IDLE, 0)):
+        for state, rested in ((COMING, STUCK), (NEW, 0), (LEAVING, 0), (IDLE, STUCK), (COMING, 0), (IDLE, 0)):
             if crowd > 0:
                 crowd -= self.close_idle(crowd, (state,), rested)
         return crowd <= 0
@@ -384,8 +427,11 @@
             if most is not None and len(idle) >= most:
                 break
             state = client.state
-            if state in states and client.since <= until and (
-                    state in (COMING, LEAVING) or client.connection.quiet()):
+            if (
+                state in states
+                and client.since <= until
+                and (state in (COMING, LEAVING) or client.connection.quiet())
+            ):
                 idle.append(client)
         for client in idle:
             client.stalled()
@@ -393,7 +439,7 @@
 
     def rest(self, client: Client) -> None:
         del self.open[client]
-        self.open[client] = None        # those that idle longest come first
+        self.open[client] = None  # those that idle longest come first
         client.since = self.clock.now()
         if not self.sweeping:
             self.sweeping = True
@@ -405,7 +451,7 @@
         until = self.clock.now() - int(RESTED * TICKS)
         if spare > 0:
             rested = [c for c in self.open if c.state == IDLE and c.since <= until and c.connection.quiet()]
-        for client in rested[:max(0, spare)]:
+        for client in rested[: max(0, spare)]:
             self.drop(client)
         self.sweeping = bool(self.open)
         if self.sweeping:
@@ -448,15 +494,16 @@
             await asyncio.wait({self.none_left}, timeout=seconds)
 
     def health(self, keep: bool) -> bytes:
-        status, text = (503, "not ready") if not self.ready else (503, "drained") if self.drained else (
-            200, "ready")
+        status, text = (
+            (503, "not ready") if not self.ready else (503, "drained") if self.drained else (200, "ready")
+        )
         return application.told(status, text, keep)
 
     def worded(self, answer: Answer, order: Order, keep: bool) -> tuple[bytes, ...]:
         if answer.kind == "committed":
             return application.committed(answer.message, keep)
         if answer.kind == "declined":
-            return application.told(answer.message.status, "declined by the host", keep),
+            return (application.told(answer.message.status, "declined by the host", keep),)
         if answer.kind == "rolled back":
-            return application.rolled_back(answer.come_back / TICKS, keep),
-        return application.abandoned(self.clock.now() >= order.hard_limit, keep),
+            return (application.rolled_back(answer.come_back / TICKS, keep),)
+        return (application.abandoned(self.clock.now() >= order.hard_limit, keep),)
--- a/basalthook/routing/clock.py
+++ b/basalthook/routing/clock.py
@@ -1,9 +1,10 @@
 """The one clock: whole tenths of a millisecond of Unix time, set once and never turned back."""
+
 import time
 
-TICKS = 10_000      # a second
-TICK = 100_000      # nanoseconds
-monotonic_ns, wall_ns = time.monotonic_ns, time.time_ns     # the lab puts others here
+TICKS = 10_000  # a second
+TICK = 100_000  # nanoseconds
+monotonic_ns, wall_ns = time.monotonic_ns, time.time_ns  # the lab puts others here
 
 
 class Clock:
--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -1,4 +1,5 @@
 """One hop: a message to a host and its answer, or how far it had come. From that alone follows what ran."""
+
 from collections import Counter
 
 from ..bodies.relay import Relay
@@ -15,20 +16,35 @@
 
 # bytes of an answer of no told length that are kept whole: a slow host's first ones may not wait for the rest
 OPEN_MOST = 4 * 1024
-SUCCEEDED_MOST = 50     # lines a second on attempts that succeeded
+SUCCEEDED_MOST = 50  # lines a second on attempts that succeeded
 
 
 class Hop:
     """Driven by its connection and its timer; over once, whatever ends it."""
 
-    __slots__ = ("hops", "order", "index", "host", "place", "begun", "limit", "connection", "stage",
-                 "stopped", "reused", "answer", "timer", "over")
-
-    def __init__(self, hops: "Hops", order: Order, index: int, host: int, place: Place, begun: int,
-                 limit: int) -> None:
+    __slots__ = (
+        "hops",
+        "order",
+        "index",
+        "host",
+        "place",
+        "begun",
+        "limit",
+        "connection",
+        "stage",
+        "stopped",
+        "reused",
+        "answer",
+        "timer",
+        "over",
+    )
+
+    def __init__(
+        self, hops: "Hops", order: Order, index: int, host: int, place: Place, begun: int, limit: int
+    ) -> None:
         self.hops, self.order, self.index, self.host, self.place = hops, order, index, host, place
-        self.begun, self.limit = begun, limit           # connecting counts
-        self.connection: Connection | None = None       # while it is this hop's alone
+        self.begun, self.limit = begun, limit  # connecting counts
+        self.connection: Connection | None = None  # while it is this hop's alone
         self.stage, self.stopped, self.reused, self.over = Stage.UNTRIED, None, False, False
         self.answer: Parser | None = None
         self.timer = None
@@ -65,7 +81,7 @@
 
     def send(self) -> None:
         hops, connection = self.hops, self.connection
-        if not hops.owner.may_begin(self.order, self.host):     # what was decided may have changed meanwhile
+        if not hops.owner.may_begin(self.order, self.host):  # what was decided may have changed meanwhile
             self.stopped, self.stage = i.UNSENT, Stage.UNTRIED
             self.keep()
             return self.finish(None)
@@ -73,8 +89,9 @@
         self.answer = Parser(responses=True, wanted=hosts.WANTED, long=True, open_most=OPEN_MOST)
         left = self.limit - (hops.clock.now() - self.begun)
         connection.follow(self.took, self.ended)
-        if not self.over and connection.write(hosts.hop(self.order.asked.message, max(1, left) / TICKS),
-                                              self.wrote):
+        if not self.over and connection.write(
+            hosts.hop(self.order.asked.message, max(1, left) / TICKS), self.wrote
+        ):
             self.wrote()
 
     def wrote(self) -> None:
@@ -87,13 +104,13 @@
             if self.stage == Stage.WRITTEN:
                 self.stage = Stage.ANSWERING
             found, begun = self.answer.found, self.answer.begun
-            if isinstance(found, Message) and begun is not None:    # a long one that came whole in one read
+            if isinstance(found, Message) and begun is not None:  # a long one that came whole in one read
                 found = found._replace(body=bytes(self.answer.take_body()))
             if found is not None:
                 self.finish(found, late // TICK)
             elif begun is not None:
                 self.pass_on(begun, late // TICK)
-        except Exception as fault:      # exceptions stop here; how far the hop had come still counts
+        except Exception as fault:  # exceptions stop here; how far the hop had come still counts
             self.hops.say("fault", where="hop", error=repr(fault))
             self.finish(Fault(self.stage, repr(fault)))
 
@@ -106,7 +123,7 @@
     def pass_on(self, begun: Message, late: int) -> None:
         """A long answer has begun. It is this transaction's last word, and goes on without this hop."""
         if begun.status != 200 or self.stage != Stage.ANSWERING:
-            return self.finish(begun._replace(keep=False), late)    # its status is all that counts
+            return self.finish(begun._replace(keep=False), late)  # its status is all that counts
         self.over, hops, pool = True, self.hops, self.hops.pool
         hops.timers.cancel(self.timer)
         connection, self.connection, door = self.connection, None, self.place.door
@@ -115,7 +132,7 @@
         elapsed = max(0, hops.clock.now() - late - self.begun)
         hops.outcomes[i.COMMITTED] += 1
         hops.owner.post(HopOver(self.order, self.index, self.host, i.COMMITTED, elapsed, late, begun, relay))
-        if relay.client is None:        # nobody waits for it
+        if relay.client is None:  # nobody waits for it
             relay.stop()
 
     def keep(self) -> None:
@@ -132,8 +149,12 @@
         hops.timers.cancel(self.timer)
         if connection is not None:
             late += connection.noticed_late // TICK if not self.reused else 0
-            if isinstance(found, Message) and found.keep and not self.answer.rest and (
-                    self.stage == Stage.ANSWERING):
+            if (
+                isinstance(found, Message)
+                and found.keep
+                and not self.answer.rest
+                and (self.stage == Stage.ANSWERING)
+            ):
                 self.keep()
             else:
                 connection.close()
@@ -142,24 +163,50 @@
         elapsed = max(0, hops.clock.now() - late - self.begun)
         hops.outcomes[outcome] += 1
         if outcome == i.COMMITTED:
-            hops.sparingly("attempt", tx=self.order.asked.id, number=self.index, endpoint=self.place.id,
-                           outcome="succeeded", reused=self.reused, ms=elapsed / 10)
+            hops.sparingly(
+                "attempt",
+                tx=self.order.asked.id,
+                number=self.index,
+                endpoint=self.place.id,
+                outcome="succeeded",
+                reused=self.reused,
+                ms=elapsed / 10,
+            )
         else:
             reason = "" if found is None or message else found.reason
-            hops.say("hop", tx=self.order.asked.id, hop=self.index, host=self.place.id, outcome=outcome,
-                     stage=self.stage.name.lower(), reused=self.reused, ms=elapsed / 10, reason=reason,
-                     status=message.status if message else None)
-        hops.owner.post(HopOver(self.order, self.index, self.host, outcome, elapsed, late,
-                                message if outcome in (i.COMMITTED, i.DECLINED) else None))
+            hops.say(
+                "hop",
+                tx=self.order.asked.id,
+                hop=self.index,
+                host=self.place.id,
+                outcome=outcome,
+                stage=self.stage.name.lower(),
+                reused=self.reused,
+                ms=elapsed / 10,
+                reason=reason,
+                status=message.status if message else None,
+            )
+        hops.owner.post(
+            HopOver(
+                self.order,
+                self.index,
+                self.host,
+                outcome,
+                elapsed,
+                late,
+                message if outcome in (i.COMMITTED, i.DECLINED) else None,
+            )
+        )
 
 
 class Hops:
-    def __init__(self, pool: HostPool, clock: Clock, timers: Timers, roster: Roster, owner: Owner,
-                 say) -> None:
+    def __init__(
+        self, pool: HostPool, clock: Clock, timers: Timers, roster: Roster, owner: Owner, say
+    ) -> None:
         self.pool, self.clock, self.timers, self.roster = pool, clock, timers, roster
         self.owner, self.say = owner, say
         self.sparingly = RateLimitedLog(say, clock, SUCCEEDED_MOST)
-        self.outcomes: Counter[str] = Counter()     # of attempts that are over
+        self.outcomes: Counter[str] = Counter()  # of attempts that are over
 
     def begin(self, order: Order, index: int, host: int, place: Place, limit: int, over: bool) -> Hop:
         """What ends at once is told to the owner after this has returned: the owner is at an event now."""
@@ -181,5 +228,5 @@
         if hop.stopped is not None or hop.stage == Stage.UNTRIED:
             return i.UNSENT
         if isinstance(found, Malformed) and written:
-            return i.ERROR      # guards against taking a host that answers, if badly, for one that is gone
+            return i.ERROR  # guards against taking a host that answers, if badly, for one that is gone
         return i.RESET if written else i.DROPPED if hop.stage == Stage.WRITING else i.UNREACHABLE
--- a/basalthook/routing/orders.py
+++ b/basalthook/routing/orders.py
@@ -3,16 +3,17 @@
 A word on a host, and the one on the drain, holds until a later one: two sets of orders (an old process and
 its successor, a record on disk) join to the same set in whatever order they meet.
 """
+
 from ..protocol.catalogue import Line
 
-WORDS_MOST = 4096       # hosts with a word on them; those put back longest ago go first
+WORDS_MOST = 4096  # hosts with a word on them; those put back longest ago go first
 
 
 class Orders:
     """Times are Unix nanoseconds."""
 
     def __init__(self) -> None:
-        self.words: dict[str, tuple[int, bool]] = {}    # host's id -> since when, whether it is out
+        self.words: dict[str, tuple[int, bool]] = {}  # host's id -> since when, whether it is out
         self.drain: tuple[int, bool] = (0, False)
 
     def out(self, host: str) -> bool:
@@ -28,7 +29,7 @@
             return False
         self.words[host] = max(now, self.words.get(host, (0, False))[0] + 1), out
         back = [name for name, (_, is_out) in self.words.items() if not is_out]
-        for name in sorted(back, key=self.words.__getitem__)[:max(0, len(self.words) - WORDS_MOST)]:
+        for name in sorted(back, key=self.words.__getitem__)[: max(0, len(self.words) - WORDS_MOST)]:
             del self.words[name]
         return True
 
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -1,4 +1,5 @@
 """The owner: the only holder of the decisions. Everything reaches it through one queue, in order."""
+
 from collections import deque
 from typing import NamedTuple
 
@@ -12,17 +13,18 @@
 from .clock import TICK, Clock
 from .roster import Roster
 
-NAMED = 16              # endpoints of each kind of change that a line of the log names
-OVERDUE = 50            # tenths of a millisecond: timers later than this are told between two events
+NAMED = 16  # endpoints of each kind of change that a line of the log names
+OVERDUE = 50  # tenths of a millisecond: timers later than this are told between two events
 
 
 class Answer(NamedTuple):
     """The final answer; `message` is the host's, where it is a host's."""
-    kind: str                       # "committed", "declined", "rolled back", "abandoned"
+
+    kind: str  # "committed", "declined", "rolled back", "abandoned"
     message: Message | None = None
     come_back: int = 0
-    relay: object = None            # of a host's long answer: what is still to come of it
-    reason: str = ""                # why it is none of a host's
+    relay: object = None  # of a host's long answer: what is still to come of it
+    reason: str = ""  # why it is none of a host's
 
 
 class Order:
@@ -37,7 +39,7 @@
         """
         self.asked, self.came, self.hard_limit, self.deliver = asked, came, hard_limit, deliver
         self.left = left
-        self.number, self.hops, self.closed = -1, [], False     # hops: one an effect, None once it is over
+        self.number, self.hops, self.closed = -1, [], False  # hops: one an effect, None once it is over
 
     def close(self, answer: Answer | None) -> None:
         if not self.closed:
@@ -56,6 +58,7 @@
 
 class Overdue(NamedTuple):
     """Past its hard limit, and no answer: there is a defect of ours somewhere."""
+
     order: Order
 
 
@@ -65,7 +68,7 @@
     host: int
     outcome: str
     elapsed: int
-    waited: int                     # that its answer lay here unread
+    waited: int  # that its answer lay here unread
     message: Message | None
     relay: object = None
 
@@ -77,11 +80,13 @@
 
 class Ordered(NamedTuple):
     """The staff's word on these hosts has changed."""
+
     hosts: set[str]
 
 
 class Shared(NamedTuple):
     """So many processes of this proxy live at present."""
+
     processes: int
 
 
@@ -92,15 +97,16 @@
     decisions are never entered twice; the queue is empty again when `post` returns.
     """
 
-    def __init__(self, agreed: i.Agreement, seed: int, clock: Clock, timers: Timers, roster: Roster,
-                 behind, say) -> None:
+    def __init__(
+        self, agreed: i.Agreement, seed: int, clock: Clock, timers: Timers, roster: Roster, behind, say
+    ) -> None:
         self.agreed, self.clock, self.timers, self.roster, self.say = agreed, clock, timers, roster, say
         self.behind = behind
-        self.proxy = self.mind = Proxy(agreed, seed, clock.now())   # mind: the same, or who stands beside it
+        self.proxy = self.mind = Proxy(agreed, seed, clock.now())  # mind: the same, or who stands beside it
         self.queue: deque = deque()
         self.running, self.next = False, 0
         self.orders: dict[int, Order] = {}
-        self.begin_hop = None           # set by whoever builds the program
+        self.begin_hop = None  # set by whoever builds the program
 
     def start(self, known: Listing) -> None:
         self.decide(self.roster.told(known, answered=False))
@@ -114,7 +120,7 @@
         self.running = True
         try:
             while self.queue:
-                self.timers.run(OVERDUE)    # guards against timers that wait behind a crowd of events
+                self.timers.run(OVERDUE)  # guards against timers that wait behind a crowd of events
                 self.safely(self.take, self.queue.popleft())
         finally:
             self.running = False
@@ -151,8 +157,9 @@
         order.number, self.orders[number] = number, order
         key, patience = order.asked.key, max(0, order.hard_limit - self.clock.now())
         waited = max(0, self.clock.now() - order.came)
-        self.decide(i.TxArrived(number, order.asked.profile, terms.number(key) if key else None, patience,
-                                waited))
+        self.decide(
+            i.TxArrived(number, order.asked.profile, terms.number(key) if key else None, patience, waited)
+        )
 
     def gone(self, item: Gone) -> None:
         self.end(item.order, None)
@@ -174,24 +181,39 @@
         self.roster.hop_over(item.host)
         if item.message is not None and not order.closed:
             order.close(Answer(item.outcome, item.message, 0, item.relay))
-        self.decide(i.HopEnded(order.number, item.hop, item.host, item.outcome, item.elapsed, order.closed,
-                               item.waited))
+        self.decide(
+            i.HopEnded(
+                order.number, item.hop, item.host, item.outcome, item.elapsed, order.closed, item.waited
+            )
+        )
         self.forget(order)
 
     def listed(self, item: Listed) -> None:
         self.decide(self.roster.told(item.listing, item.answered))
         self.roster.let_go(self.proxy.servers)
         if changes := self.roster.changes:
-            self.say("endpoints", version=item.listing.version,
-                     **{change: ids[:NAMED] for change, ids in changes.items()},
-                     count=sum(map(len, changes.values())))
+            self.say(
+                "endpoints",
+                version=item.listing.version,
+                **{change: ids[:NAMED] for change, ids in changes.items()},
+                count=sum(map(len, changes.values())),
+            )
 
     def ordered(self, item: Ordered) -> None:
         self.decide(self.roster.ordered(item.hosts))
 
-    TAKES = {Arrived: arrived, Gone: gone, Overdue: overdue, HopOver: hop_over, Listed: listed,
-             Ordered: ordered, Shared: lambda self, item: self.decide(i.Shared(item.processes)),
-             i.TimerDue: decide, i.Judged: decide, i.Allowed: decide}
+    TAKES = {
+        Arrived: arrived,
+        Gone: gone,
+        Overdue: overdue,
+        HopOver: hop_over,
+        Listed: listed,
+        Ordered: ordered,
+        Shared: lambda self, item: self.decide(i.Shared(item.processes)),
+        i.TimerDue: decide,
+        i.Judged: decide,
+        i.Allowed: decide,
+    }
 
     def forget(self, order: Order) -> None:
         if order.closed and not any(order.hops):
@@ -212,8 +234,12 @@
 
     def may_begin(self, order: Order, host: int) -> bool:
         """Whether an attempt decided earlier may still send its first byte now."""
-        return not order.closed and self.roster.ready(host) and (
-            self.proxy.may_begin(self.clock.now(), order.number, host)) and not order.left()
+        return (
+            not order.closed
+            and self.roster.ready(host)
+            and (self.proxy.may_begin(self.clock.now(), order.number, host))
+            and not order.left()
+        )
 
     def roll_back(self, effect: i.RollBack) -> None:
         self.answer(effect.tx, Answer("rolled back", None, effect.come_back, reason=effect.reason))
@@ -234,5 +260,10 @@
     def set_timer(self, effect: i.SetTimer) -> None:
         self.timers.set(effect.delay, self.due, effect.mark)
 
-    GIVES = {i.SendHop: send, i.RollBack: roll_back, i.Abandon: abandon, i.CancelHop: cancel,
-             i.SetTimer: set_timer}
+    GIVES = {
+        i.SendHop: send,
+        i.RollBack: roll_back,
+        i.Abandon: abandon,
+        i.CancelHop: cancel,
+        i.SetTimer: set_timer,
+    }
--- a/basalthook/routing/ratelog.py
+++ b/basalthook/routing/ratelog.py
@@ -1,4 +1,5 @@
 """Log events at a bounded rate, so that a crowd of the same event costs neither CPU nor log."""
+
 from .clock import TICKS, Clock
 
 
@@ -8,7 +9,7 @@
     def __init__(self, log, clock: Clock, most: int) -> None:
         """`log(event, **fields)` takes what is passed on; `most`: lines of one event in a second."""
         self.log, self.clock, self.most = log, clock, most
-        self.seconds: dict[str, list[int]] = {}     # by event: second, lines in it, left out since the last
+        self.seconds: dict[str, list[int]] = {}  # by event: second, lines in it, left out since the last
 
     def __call__(self, event: str, **fields) -> None:
         second, counts = self.clock.now() // TICKS, self.seconds.setdefault(event, [0, 0, 0])
--- a/basalthook/routing/roster.py
+++ b/basalthook/routing/roster.py
@@ -1,4 +1,5 @@
 """The hosts this proxy was told of: numbers for the decisions, addresses for the sockets."""
+
 from typing import NamedTuple
 
 from .. import terms
@@ -12,8 +13,8 @@
     id: str
     address: tuple[str, int]
     ready: bool
-    mark: int                       # the number that stands for its id at every proxy
-    line: Line                      # as discovery told it last, before the staff's orders
+    mark: int  # the number that stands for its id at every proxy
+    line: Line  # as discovery told it last, before the staff's orders
 
     @property
     def door(self) -> tuple:
@@ -26,13 +27,13 @@
         """`starts`: judges when endpoints started; None: as they are told."""
         self.starts = starts
         self.only_draining_binds = only_draining_binds  # a host gone without that stays until it is let go
-        self.places: dict[int, Place] = {}      # emptied of hosts that are gone with no hop out
+        self.places: dict[int, Place] = {}  # emptied of hosts that are gone with no hop out
         self.numbers: dict[str, int] = {}
-        self.out: dict[int, int] = {}           # hops out, by host; emptied as they end
+        self.out: dict[int, int] = {}  # hops out, by host; emptied as they end
         self.next = 0
-        self.orders = Orders()                  # the staff's; they stand over every list
-        self.changes: dict[str, list[str]] = {}     # by the newest list: kind of change -> ids of endpoints
-        self.left = lambda door: None           # told of the doors of hosts that have left
+        self.orders = Orders()  # the staff's; they stand over every list
+        self.changes: dict[str, list[str]] = {}  # by the newest list: kind of change -> ids of endpoints
+        self.left = lambda door: None  # told of the doors of hosts that have left
 
     def told(self, listing: Listing, answered: bool) -> i.HostsListed:
         """Take a list in and turn it into the decisions' event."""
@@ -53,7 +54,7 @@
         event = i.HostsListed(tuple(self._line(self.places[n].line) for n in numbers), False, False)
         for number in numbers:
             if self.orders.out(self.places[number].id):
-                self.left(self.places[number].door)     # it is about to be restarted
+                self.left(self.places[number].door)  # it is about to be restarted
         return event
 
     def known(self, host: str) -> bool:
@@ -91,14 +92,15 @@
         if number is None:
             number = self.numbers[line.id] = self.next
             self.next += 1
-        known = self.places.get(number)     # hashed once: lists may come often
+        known = self.places.get(number)  # hashed once: lists may come often
         mark = known.mark if known else terms.number(line.id)
         ready = line.ready or line.removed and self.only_draining_binds and bool(known and known.ready)
         self._note(known, line, ready)
         self.places[number] = Place(line.id, line.address, ready, mark, told)
         started_ns = self.starts.started(line.id, line.started_ns) if self.starts else line.started_ns
-        return terms.host(number, mark, line.zone, line.cell, line.ready, line.weight, started_ns,
-                          line.kind, line.draining)
+        return terms.host(
+            number, mark, line.zone, line.cell, line.ready, line.weight, started_ns, line.kind, line.draining
+        )
 
     def _note(self, known: Place | None, line: Line, ready: bool) -> None:
         """Write down what a line changes, for the log."""
--- a/basalthook/routing/staff.py
+++ b/basalthook/routing/staff.py
@@ -1,4 +1,5 @@
 """What the staff asks of this process, carried out: hosts out and back, clients away and back, what holds."""
+
 from ..console import calls
 from ..console.calls import Call, Reply
 from .clients import Clients
@@ -16,7 +17,7 @@
         self.clock = clock
         self.owner, self.roster, self.clients, self.say = owner, roster, clients, say
         self.keep = lambda orders: ""
-        self.fleet = None       # what is told of the fleet, where this process talks with others
+        self.fleet = None  # what is told of the fleet, where this process talks with others
 
     def carry_out(self, call: Call) -> Reply:
         return self.DOES[call.what](self, call)
@@ -28,11 +29,21 @@
 
     def hosts(self, _: Call) -> Reply:
         servers, orders = self.owner.proxy.servers, self.roster.orders
-        lines = [{"id": place.id, "address": ":".join(map(str, place.address)), "ready": place.ready,
-                  "out": orders.out(place.id), "hops": len(servers[n].out) if n in servers else 0}
-                 for n, place in self.roster.places.items()]
-        away = [{"id": host, "out": True, "listed": False} for host, (_, out) in orders.words.items()
-                if out and not self.roster.known(host)]
+        lines = [
+            {
+                "id": place.id,
+                "address": ":".join(map(str, place.address)),
+                "ready": place.ready,
+                "out": orders.out(place.id),
+                "hops": len(servers[n].out) if n in servers else 0,
+            }
+            for n, place in self.roster.places.items()
+        ]
+        away = [
+            {"id": host, "out": True, "listed": False}
+            for host, (_, out) in orders.words.items()
+            if out and not self.roster.known(host)
+        ]
         return calls.rows(sorted(lines + away, key=lambda line: line["id"]))
 
     def members(self, _: Call) -> Reply:
@@ -66,6 +77,14 @@
             self.say("orders not kept", reason=wrong)
         return Reply(200, text + (f"; lost with this process: {wrong}" if wrong else ""))
 
-    DOES = {calls.READY: ready, calls.HOSTS: hosts, calls.DISABLE: host, calls.ENABLE: host,
-            calls.DRAIN: drain, calls.RESUME: drain, calls.MEMBERS: members, calls.VERDICTS: verdicts,
-            calls.LIMITS: limits}
+    DOES = {
+        calls.READY: ready,
+        calls.HOSTS: hosts,
+        calls.DISABLE: host,
+        calls.ENABLE: host,
+        calls.DRAIN: drain,
+        calls.RESUME: drain,
+        calls.MEMBERS: members,
+        calls.VERDICTS: verdicts,
+        calls.LIMITS: limits,
+    }
--- a/basalthook/routing/starts.py
+++ b/basalthook/routing/starts.py
@@ -4,10 +4,11 @@
 written down, would make an endpoint that has just started a warm one, or keep a warm one cold for as long as
 the clock is off. What this process has seen bounds both.
 """
+
 from .clock import TICK, TICKS
 
-NOTICE = 5 * TICKS      # that a start may have gone untold while lists came
-KEPT = 8_192            # endpoints whose start is remembered; the oldest go first
+NOTICE = 5 * TICKS  # that a start may have gone untold while lists came
+KEPT = 8_192  # endpoints whose start is remembered; the oldest go first
 
 
 class Starts:
@@ -16,8 +17,8 @@
     def __init__(self, now) -> None:
         """`now()`: ticks of the program's clock."""
         self.now = now
-        self.judged: dict[str, tuple[int, int]] = {}    # id -> as told, as judged; bounded by KEPT
-        self.answered_at: int | None = None             # when discovery's last list was taken
+        self.judged: dict[str, tuple[int, int]] = {}  # id -> as told, as judged; bounded by KEPT
+        self.answered_at: int | None = None  # when discovery's last list was taken
 
     def answered(self) -> None:
         self.answered_at = self.now()
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -1,4 +1,5 @@
 """Discovery's watch: one call after the other on one connection, and others beside it while it is silent."""
+
 import asyncio
 from contextlib import contextmanager
 
@@ -11,26 +12,35 @@
 from ..transport.timers import Timers
 from .owner import Listed, Owner
 
-PAUSE = 0.1             # seconds after an answer with nothing newer in it: guards against a discovery that
-                        # answers at once; a watch goes on as long as the next call comes within 0.2 s
-GAP = 0.005             # after one with news: guards against versions without end
+PAUSE = 0.1  # seconds after an answer with nothing newer in it: guards against a discovery that
+# answers at once; a watch goes on as long as the next call comes within 0.2 s
+GAP = 0.005  # after one with news: guards against versions without end
 
 
 class Watch:
     """Follows the list until it is ended; every answer goes to the owner, in order."""
 
-    def __init__(self, address: tuple[str, int], version: int, following: Following, owner: Owner,
-                 buffers: BufferPool, descriptors: Descriptors, timers: Timers, log) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        version: int,
+        following: Following,
+        owner: Owner,
+        buffers: BufferPool,
+        descriptors: Descriptors,
+        timers: Timers,
+        log,
+    ) -> None:
         self.address, self.version, self.following = address, version, following
         self.owner, self.buffers, self.descriptors, self.log = owner, buffers, descriptors, log
         self.timers = timers
-        self.calls: list[asyncio.Task] = []     # the newest last; at most BESIDE_MOST, emptied as they fail
-        self.retry_timer = None                        # the timer of the next try, while there is no call
-        self.whole = False      # whether the whole list comes first: versions may be counted differently
-        self.reasons: list[str] = []            # of the calls that have failed since the last answer
-        self.calls_begun = 0                          # calls since the start: numbers them in the log
-        self.answered_at = timers.now()         # of the last sound answer, or of the start
-        self.on_contact = lambda: None               # told once, at the first answer or failure
+        self.calls: list[asyncio.Task] = []  # the newest last; at most BESIDE_MOST, emptied as they fail
+        self.retry_timer = None  # the timer of the next try, while there is no call
+        self.whole = False  # whether the whole list comes first: versions may be counted differently
+        self.reasons: list[str] = []  # of the calls that have failed since the last answer
+        self.calls_begun = 0  # calls since the start: numbers them in the log
+        self.answered_at = timers.now()  # of the last sound answer, or of the start
+        self.on_contact = lambda: None  # told once, at the first answer or failure
 
     def age(self) -> float:
         """Seconds since discovery last answered, or since the start."""
@@ -54,8 +64,13 @@
         if address == self.address and self.retry_timer is None:
             return
         if address != self.address:
-            self.log("list moved", old=list(self.address), new=list(address), cancelled=len(self.calls),
-                     waiting=self.retry_timer is not None)
+            self.log(
+                "list moved",
+                old=list(self.address),
+                new=list(address),
+                cancelled=len(self.calls),
+                waiting=self.retry_timer is not None,
+            )
             self.address, self.whole = address, True
         self.end()
         self.following.moved()
@@ -76,18 +91,23 @@
 
     async def run(self, at_once: bool) -> None:
         me, reason = asyncio.current_task(), ""
-        while not reason:       # a connection that ends between two calls is no failure
+        while not reason:  # a connection that ends between two calls is no failure
             reason = await self.run_connection(me, at_once)
             at_once = False
         self.calls.remove(me)
         self.reasons.append(reason)
-        if self.calls:          # one of the others may still be answered
+        if self.calls:  # one of the others may still be answered
             self.timers.set(self.following.silent_after(len(self.calls)), self.add_call, self.calls[-1])
             return self.log("list call failed", reason=reason, others=len(self.calls))
         wait = self.following.retry_delay(all(r.startswith("status") for r in self.reasons))
-        self.log("list lost", reason="; ".join(dict.fromkeys(self.reasons)),
-                 again_ms=wait * 1000 // self.timers.second, failures=self.following.failures,
-                 urgent=self.following.urgent, to=list(self.address))
+        self.log(
+            "list lost",
+            reason="; ".join(dict.fromkeys(self.reasons)),
+            again_ms=wait * 1000 // self.timers.second,
+            failures=self.following.failures,
+            urgent=self.following.urgent,
+            to=list(self.address),
+        )
         self.reasons = []
         self.retry_timer = self.timers.set(wait, self.start_call, False)
         self.contacted()
@@ -103,7 +123,7 @@
             return connection.reason
         try:
             return await self.follow(connection, me, at_once)
-        except Exception as fault:      # exceptions stop at the connection
+        except Exception as fault:  # exceptions stop at the connection
             return repr(fault)
         finally:
             connection.close()
@@ -125,8 +145,11 @@
                 return found.reason
             listing = catalogue.read(found.body) if found.status == 200 else None
             if listing is None:
-                return f"status {found.status}, no sound list" if found.status == 200 else (
-                    f"status {found.status}")
+                return (
+                    f"status {found.status}, no sound list"
+                    if found.status == 200
+                    else (f"status {found.status}")
+                )
             if whole and not listing.complete:
                 return "changes in place of the whole list"
             await self.take_answer(listing, me, at_once)
@@ -152,8 +175,13 @@
         newer, self.version, self.whole = listing.version != self.version, listing.version, False
         if newer or listing.lines or listing.complete:
             doubled = {"doubled": listing.doubled} if listing.doubled else {}
-            self.log("list", version=listing.version, complete=listing.complete, lines=len(listing.lines),
-                     **doubled)
+            self.log(
+                "list",
+                version=listing.version,
+                complete=listing.complete,
+                lines=len(listing.lines),
+                **doubled,
+            )
             self.owner.post(Listed(listing, answered=True))
         else:
             self.log("list unchanged", version=listing.version)
@@ -164,12 +192,19 @@
     async def call(self, connection: Connection, wait: int) -> Message | Fault:
         answer = Parser(responses=True, body_most=catalogue.BODY_MOST)
         version = None if self.whole else self.version
-        call = catalogue.call(f"{self.address[0]}:{self.address[1]}", version,
-                              wait * 1000 // self.timers.second)
+        call = catalogue.call(
+            f"{self.address[0]}:{self.address[1]}", version, wait * 1000 // self.timers.second
+        )
         over = asyncio.get_running_loop().create_future()
         self.calls_begun += 1
-        self.log("list call", number=self.calls_begun, to=list(self.address), version=version,
-                 wait_ms=wait * 1000 // self.timers.second, reused=bool(connection.took))
+        self.log(
+            "list call",
+            number=self.calls_begun,
+            to=list(self.address),
+            version=version,
+            wait_ms=wait * 1000 // self.timers.second,
+            reused=bool(connection.took),
+        )
         if connection.closed:
             return Fault(Stage.WRITING, "ended between two calls")
 
@@ -182,6 +217,7 @@
             answer.end()
             if not over.done():
                 over.set_result(None if answer.found is not None else fault)
+
         connection.follow(took, ended)
         if not over.done():
             connection.write((call,))
@@ -196,8 +232,10 @@
     def bounded(self, connection: Connection, wait: int, late: int, me: asyncio.Task):
         """What is waited for inside gets a call beside it if it is late, and ends with the connection."""
         why = f"not within {(wait + GIVE_UP) / self.timers.second:g} s"
-        due = (self.timers.set(wait + late, self.add_call, me),
-               self.timers.set(wait + GIVE_UP, connection.fail, why))
+        due = (
+            self.timers.set(wait + late, self.add_call, me),
+            self.timers.set(wait + GIVE_UP, connection.fail, why),
+        )
         try:
             yield
         finally:
--- a/basalthook/simwire/__main__.py
+++ b/basalthook/simwire/__main__.py
@@ -1,4 +1,5 @@
 """The process loop: a batch on a line of standard input, a reply on a line of standard output."""
+
 import sys
 
 import orjson
--- a/basalthook/simwire/codec.py
+++ b/basalthook/simwire/codec.py
@@ -1,4 +1,5 @@
 """Words, units and ids of the bench's wire, turned into the events and effects of the decisions."""
+
 from .. import terms
 from ..fleet.counting import Counting
 from ..policy import interface as i
@@ -7,8 +8,16 @@
 from ..recovery.following import Asking, Following
 from ..terms import TENTH
 
-OUTCOMES = {"success": i.COMMITTED, "failure": i.ERROR, "overloaded": i.REFUSED, "timed_out": i.TIMED_OUT,
-            "unreachable": i.UNREACHABLE, "broken": i.RESET, "withdrawn": i.CANCELLED, "void": i.UNSENT}
+OUTCOMES = {
+    "success": i.COMMITTED,
+    "failure": i.ERROR,
+    "overloaded": i.REFUSED,
+    "timed_out": i.TIMED_OUT,
+    "unreachable": i.UNREACHABLE,
+    "broken": i.RESET,
+    "withdrawn": i.CANCELLED,
+    "void": i.UNSENT,
+}
 
 
 class Seat:
@@ -18,12 +27,12 @@
         self.proxy = Proxy(terms.agreement(setup), seed, now)
         self.mind = Asking(Following(self.proxy.terms, self.proxy.chance), Counting(self.proxy))
         self.profiles = terms.profiles(setup)
-        self.hosts: dict[str, int] = {}      # grows with hosts ever listed, emptied at restart
+        self.hosts: dict[str, int] = {}  # grows with hosts ever listed, emptied at restart
         self.addresses: list[str] = []
-        self.marks: list[int] = []           # of the same: hashed once, as lists come often
-        self.marked: dict[int, int] = {}     # and back; news name hosts by them
-        self.numbers: dict[str, int] = {}    # open transactions; emptied when one is closed and no hop is out
-        self.words: dict[int, list] = {}     # number -> [word, hops out, closed]
+        self.marks: list[int] = []  # of the same: hashed once, as lists come often
+        self.marked: dict[int, int] = {}  # and back; news name hosts by them
+        self.numbers: dict[str, int] = {}  # open transactions; emptied when one is closed and no hop is out
+        self.words: dict[int, list] = {}  # number -> [word, hops out, closed]
         self.next = 0
 
     def host(self, address: str) -> int:
@@ -37,10 +46,20 @@
 
     def listed(self, records: list) -> tuple:
         return tuple(
-            terms.host(number, self.marks[number], r.get("area", ""), r.get("block", 0),
-                       r["status"] == "in_service", r.get("capacity_hint"), r.get("came_up_ns"),
-                       r.get("sku", ""), r["status"] == "terminating")
-            for r in records for number in (self.host(r["host"]),))
+            terms.host(
+                number,
+                self.marks[number],
+                r.get("area", ""),
+                r.get("block", 0),
+                r["status"] == "in_service",
+                r.get("capacity_hint"),
+                r.get("came_up_ns"),
+                r.get("sku", ""),
+                r["status"] == "terminating",
+            )
+            for r in records
+            for number in (self.host(r["host"]),)
+        )
 
     def close(self, tx: int, hops: int = 0, closed: bool = False) -> None:
         entry = self.words.get(tx)
@@ -59,15 +78,26 @@
             self.next += 1
             self.words[tx] = [f["corr"], 0, False]
             key, party = f.get("path_key"), f.get("party") or None
-            return i.TxArrived(tx, self.profiles[f["tier_class"]], terms.number(key) if key else None,
-                               f["patience_left_ns"] // TENTH, party=party and terms.number(party))
+            return i.TxArrived(
+                tx,
+                self.profiles[f["tier_class"]],
+                terms.number(key) if key else None,
+                f["patience_left_ns"] // TENTH,
+                party=party and terms.number(party),
+            )
         if name == "VERDICT":
             tx, closed = self.numbers.get(f["corr"]), bool(f.get("terminal"))
             if tx is None:
                 return None
             self.close(tx, -1, closed)
-            return i.HopEnded(tx, f.get("hop", 0), self.host(f["host"]), OUTCOMES[f["code"]],
-                              f.get("lag_ns", 0) // TENTH, closed)
+            return i.HopEnded(
+                tx,
+                f.get("hop", 0),
+                self.host(f["host"]),
+                OUTCOMES[f["code"]],
+                f.get("lag_ns", 0) // TENTH,
+                closed,
+            )
         if name == "DEADLINE_HIT":
             return i.TimerDue(f["mark"])
         if name == "GONE":
@@ -82,13 +112,16 @@
         if name == "VIEW":
             if f["scope"] == "unavailable":
                 return i.ListFailed()
-            return i.HostsListed(self.listed(lists[f["slot"]]), complete=f["scope"] != "update",
-                                 answered=f["scope"] != "restored")
+            return i.HostsListed(
+                self.listed(lists[f["slot"]]),
+                complete=f["scope"] != "update",
+                answered=f["scope"] != "restored",
+            )
         if name == "INBOX":
             what, mark = news.read(f.get("payload")) or (None, None)
             return i.NewsCame(f["src"], self.marked[mark], what) if mark in self.marked else None
         if name == "PONG":
-            return None                      # nothing is probed
+            return None  # nothing is probed
         raise ValueError(f"unknown event {name}")
 
     def action(self, effect: tuple) -> dict:
@@ -96,8 +129,13 @@
         if kind is i.SendHop:
             word = self.words[effect.tx]
             word[1] += 1
-            return {"FORWARD": {"corr": word[0], "host": self.addresses[effect.host],
-                                "allow_for_ns": effect.time_limit * TENTH}}
+            return {
+                "FORWARD": {
+                    "corr": word[0],
+                    "host": self.addresses[effect.host],
+                    "allow_for_ns": effect.time_limit * TENTH,
+                }
+            }
         if kind is i.SetTimer:
             return {"SLEEP": {"delay_ns": effect.delay * TENTH, "mark": effect.mark}}
         if kind is i.RollBack:
@@ -111,8 +149,12 @@
         if kind is i.CancelHop:
             return {"REVOKE": {"corr": self.words[effect.tx][0], "hop": effect.hop}}
         if kind is i.TellNews:
-            return {"SIGNAL": {"recipient": "all" if effect.peer is None else effect.peer,
-                               "payload": news.encode(effect.what, self.marks[effect.host]).hex()}}
+            return {
+                "SIGNAL": {
+                    "recipient": "all" if effect.peer is None else effect.peer,
+                    "payload": news.encode(effect.what, self.marks[effect.host]).hex(),
+                }
+            }
         return {"OBSERVE": {"on": True}}
 
 
@@ -121,14 +163,14 @@
 
     def __init__(self) -> None:
         self.seats: dict[str, Seat] = {}
-        self.lists: dict[int, list] = {}     # at most sixteen, each replaced by the next of its number
+        self.lists: dict[int, list] = {}  # at most sixteen, each replaced by the next of its number
 
     def serve(self, batch: dict) -> dict:
         now, parts = batch["ts_ns"] // TENTH, []
         for part in batch["parts"]:
             who, decisions = part["who"], []
             for event in part["events"]:
-                (name, fields), = event.items()
+                ((name, fields),) = event.items()
                 if name == "DIRECTORY":
                     self.lists[fields.get("slot", 0)] = fields["records"]
                 elif name == "SPAWN":
@@ -136,7 +178,7 @@
                     decisions += map(seat.action, seat.mind.begin())
                 elif name == "KILL":
                     self.seats.pop(who, None)
-                    decisions.clear()        # what was decided before in this batch died with it
+                    decisions.clear()  # what was decided before in this batch died with it
                 else:
                     seat = self.seats[who]
                     told = seat.event(name, fields, self.lists)
--- a/basalthook/terms.py
+++ b/basalthook/terms.py
@@ -1,4 +1,5 @@
 """Start-up settings, list lines and ids in the module's words, the same for every protocol that drives it."""
+
 from hashlib import blake2b
 
 from .policy import interface as i
@@ -55,24 +56,37 @@
 def agreement(setup: dict) -> i.Agreement:
     rules, allowed, prices = setup["rules"], setup["allowed"], setup.get("prices", {})
     profiles = tuple(
-        i.Profile(KINDS[p["effect"]], GROUPS[p.get("group") or "all"], p.get("repeat_window_ns", 0) // TENTH,
-                  p["service_goal_ns"] // TENTH, places(p, "stays_in", setup.get("areas")),
-                  places(p, "host_types_open", setup.get("host_types")))
-        for p in setup["profiles"])
+        i.Profile(
+            KINDS[p["effect"]],
+            GROUPS[p.get("group") or "all"],
+            p.get("repeat_window_ns", 0) // TENTH,
+            p["service_goal_ns"] // TENTH,
+            places(p, "stays_in", setup.get("areas")),
+            places(p, "host_types_open", setup.get("host_types")),
+        )
+        for p in setup["profiles"]
+    )
     return i.Agreement(
-        profiles=profiles, position=whole(setup, "position", 0),
-        proxies=whole(setup, "balancers", 1), zone=setup.get("zone", ""),
+        profiles=profiles,
+        position=whole(setup, "position", 0),
+        proxies=whole(setup, "balancers", 1),
+        zone=setup.get("zone", ""),
         warm_keys=bool((setup.get("family_info") or {}).get("warm_keys")),
         cross_price=prices.get("cross_zone", 0.0),
         list_on_request=word(setup, "discovery", ("on_request", "pushed")) == "on_request",
         ask_within=rules["ask_within_ns"] // TENTH,
-        cold_share=rules["cold_from"], cold_time=up(rules["cold_ns"]), fall_multiple=rules["overload_factor"],
-        fall_time=up(rules["fall_ns"]), max_hops=allowed["max_hops"],
+        cold_share=rules["cold_from"],
+        cold_time=up(rules["cold_ns"]),
+        fall_multiple=rules["overload_factor"],
+        fall_time=up(rules["fall_ns"]),
+        max_hops=allowed["max_hops"],
         cancelling=bool(allowed.get("cancelling")),
         come_back_max=allowed.get("max_retry_after_ns", 0) // TENTH if allowed.get("retry_after") else 0,
         live_weights=word(setup, "weights", ("nominal", "off", "rough", "live"), "nominal") == "live",
-        peers=yes(allowed, "peers"), only_draining_binds=yes(rules, "only_draining_binds", "rules"),
-        grace=rules.get("drain_grace_ns", 0) // TENTH)
+        peers=yes(allowed, "peers"),
+        only_draining_binds=yes(rules, "only_draining_binds", "rules"),
+        grace=rules.get("drain_grace_ns", 0) // TENTH,
+    )
 
 
 def profiles(setup: dict) -> dict[str, int]:
@@ -80,8 +94,17 @@
     return {p["name"]: n for n, p in enumerate(setup["profiles"])}
 
 
-def host(index: int, mark: int, zone: str, cell: int, ready: bool, weight: float | None, started_ns: int,
-         kind: str = "", draining: bool = False) -> i.Host:
+def host(
+    index: int,
+    mark: int,
+    zone: str,
+    cell: int,
+    ready: bool,
+    weight: float | None,
+    started_ns: int,
+    kind: str = "",
+    draining: bool = False,
+) -> i.Host:
     """A line of the host list. `mark` is the number of what every proxy calls the host."""
     started = up(started_ns) if started_ns else None
     # guards against a weight of nothing or less, which no share can be taken of
--- a/basalthook/transport/arrival.py
+++ b/basalthook/transport/arrival.py
@@ -3,6 +3,7 @@
 Linux stamps what a TCP socket receives (SO_TIMESTAMPNS, socket(7)); that of a read's last byte comes with it.
 Where the system gives no stamps, bytes count as come when they were read.
 """
+
 import socket
 import struct
 import sys
@@ -10,16 +11,16 @@
 from contextlib import suppress
 
 OPTION = getattr(socket, "SO_TIMESTAMPNS", 35) if sys.platform == "linux" else None
-SECONDS = struct.Struct("@ll")      # struct timespec
+SECONDS = struct.Struct("@ll")  # struct timespec
 SPACE = socket.CMSG_SPACE(SECONDS.size)
-SYN_SENT = 2        # tcpi_state of a connection that is still coming up (tcp_states.h)
-LATE_MOST = 10_000_000_000      # nanoseconds; more tells of a clock that was set, not of us
+SYN_SENT = 2  # tcpi_state of a connection that is still coming up (tcp_states.h)
+LATE_MOST = 10_000_000_000  # nanoseconds; more tells of a clock that was set, not of us
 
 
 def stamp(sock: socket.socket) -> None:
     """Ask for stamps. The system begins with them a moment after the first socket that asks."""
     if OPTION is not None:
-        with suppress(OSError):     # none here: bytes count as come when they are read
+        with suppress(OSError):  # none here: bytes count as come when they are read
             sock.setsockopt(socket.SOL_SOCKET, OPTION, 1)
 
 
@@ -37,7 +38,7 @@
     """Whether a socket that was told to connect is up, or has failed; its error is left to be read."""
     try:
         return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != SYN_SENT
-    except (OSError, AttributeError):       # not known here: the timer's word holds
+    except (OSError, AttributeError):  # not known here: the timer's word holds
         return False
 
 
--- a/basalthook/transport/buffers.py
+++ b/basalthook/transport/buffers.py
@@ -3,7 +3,7 @@
 
 class BufferPool:
     def __init__(self, size: int, kept: int) -> None:
-        self.size, self.kept = size, kept       # as many are out as connections read; so many are kept free
+        self.size, self.kept = size, kept  # as many are out as connections read; so many are kept free
         self.free: list[bytearray] = []
 
     def take(self) -> bytearray:
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -1,4 +1,5 @@
 """One TCP connection: reads handed on as they come, writes, and values that say how far it had come."""
+
 import select
 import socket
 import struct
@@ -13,15 +14,16 @@
 from .buffers import BufferPool
 from .descriptors import Descriptors
 
-ENDED = "ended by the peer"     # in order: what a peer sends till then is all it had to say
-RESET = struct.pack("ii", 1, 0)     # linger, for no time
-PEER_ENDED = getattr(select, "POLLRDHUP", 0)    # Linux; elsewhere only what poll(2) tells unasked
-READS_A_TURN = 4        # buffers that one connection may fill in a turn of the loop, before others come
+ENDED = "ended by the peer"  # in order: what a peer sends till then is all it had to say
+RESET = struct.pack("ii", 1, 0)  # linger, for no time
+PEER_ENDED = getattr(select, "POLLRDHUP", 0)  # Linux; elsewhere only what poll(2) tells unasked
+READS_A_TURN = 4  # buffers that one connection may fill in a turn of the loop, before others come
 
 
 class Stage(IntEnum):
     """How far an exchange had come; the peer can have begun on it only from WRITTEN on."""
-    UNTRIED = 0         # nothing has left this machine
+
+    UNTRIED = 0  # nothing has left this machine
     CONNECTING = 1
     WRITING = 2
     WRITTEN = 3
@@ -38,7 +40,7 @@
 
     def __init__(self, sock: socket.socket, connection: "Connection") -> None:
         self.connection = connection
-        super().__init__(sock, read_chunk_size=1)       # its own buffer stays empty
+        super().__init__(sock, read_chunk_size=1)  # its own buffer stays empty
 
     def read_from_fd(self, buf) -> None:
         if self.connection is not None:
@@ -52,8 +54,19 @@
     on, also while the connection idles, so that an end is seen.
     """
 
-    __slots__ = ("buffers", "descriptors", "closed", "took", "ended", "up", "stream", "standing", "paused",
-                 "begun", "noticed_late")
+    __slots__ = (
+        "buffers",
+        "descriptors",
+        "closed",
+        "took",
+        "ended",
+        "up",
+        "stream",
+        "standing",
+        "paused",
+        "begun",
+        "noticed_late",
+    )
 
     def __init__(self, sock: socket.socket, buffers: BufferPool, descriptors: Descriptors) -> None:
         self.buffers, self.descriptors = buffers, descriptors
@@ -168,15 +181,14 @@
                 left.append(memoryview(part)[sent:])
             sent = max(0, sent - len(part))
         for part in left:
-            if not self._broken():      # under the part before
+            if not self._broken():  # under the part before
                 written = self.stream.write(part)
         if self._broken():
             return False
         if left and self.paused:
-            self.pause()        # the stream looks for bytes again when it waits to write
+            self.pause()  # the stream looks for bytes again when it waits to write
         if left and wrote is not None:
-            written.add_done_callback(
-                lambda done: None if done.cancelled() or done.exception() else wrote())
+            written.add_done_callback(lambda done: None if done.cancelled() or done.exception() else wrote())
         return not left
 
     def pause(self) -> None:
@@ -230,7 +242,7 @@
         self.descriptors.outgoing.discard(self.stream.socket.fileno() if self.stream.socket else -1)
         self.stream.set_close_callback(None)
         self.stream.close()
-        self.stream.connection = None       # no circle is left for the collector
+        self.stream.connection = None  # no circle is left for the collector
 
     def _broken(self) -> bool:
         """Whether it is over; the stream may have found that out in a call of ours, before it says so."""
--- a/basalthook/transport/hostpool.py
+++ b/basalthook/transport/hostpool.py
@@ -1,4 +1,5 @@
 """Connections to hosts: kept ones are used again, given up before the host would, and never when in doubt."""
+
 import time
 from collections import OrderedDict
 
@@ -7,17 +8,18 @@
 from .descriptors import Descriptors
 from .timers import Timers
 
-SETTLE = 0.01   # seconds after an answer before the connection is used again
-MARGIN = 0.8    # of the time after which a host closes an idle connection: what is older is not used
+SETTLE = 0.01  # seconds after an answer before the connection is used again
+MARGIN = 0.8  # of the time after which a host closes an idle connection: what is older is not used
 
 
 class HostPool:
-    def __init__(self, buffers: BufferPool, descriptors: Descriptors, timers: Timers, idle: float,
-                 connect: float) -> None:
+    def __init__(
+        self, buffers: BufferPool, descriptors: Descriptors, timers: Timers, idle: float, connect: float
+    ) -> None:
         self.buffers, self.descriptors, self.timers = buffers, descriptors, timers
         self.idle = self.patience = 0.0
-        self.kept: OrderedDict[Connection, tuple] = OrderedDict()   # oldest first -> host, until
-        self.by_host: dict[tuple, list[Connection]] = {}            # emptied as they are used, end or expire
+        self.kept: OrderedDict[Connection, tuple] = OrderedDict()  # oldest first -> host, until
+        self.by_host: dict[tuple, list[Connection]] = {}  # emptied as they are used, end or expire
         self.sweeping = None
         self.times(idle, connect)
         descriptors.givers.append(self.give_up_oldest)
@@ -25,7 +27,7 @@
     def times(self, idle: float, connect: float) -> None:
         """How long a host leaves an idle connection open, and how long a new one may take to come up."""
         while self.idle > idle * MARGIN and self.give_up_oldest():
-            pass                # guards against kept ones that hosts now close earlier
+            pass  # guards against kept ones that hosts now close earlier
         self.idle, self.patience = idle * MARGIN, connect
 
     def kept_one(self, host: tuple) -> Connection | None:
@@ -34,7 +36,7 @@
         for connection in reversed(self.by_host.get(host, ())):
             _, until = self.kept[connection]
             if until - self.idle > now - SETTLE:
-                continue        # guards against taking what comes behind its answer for the next one
+                continue  # guards against taking what comes behind its answer for the next one
             self._drop(connection)
             if until > now and connection.quiet():
                 return connection
@@ -48,12 +50,14 @@
         connection = Connection.towards(address, self.buffers, self.descriptors)
         if isinstance(connection, Fault):
             return connection
-        late = self.timers.set(int(self.patience * self.timers.second), connection.give_up,
-                               f"not within {self.patience:g} s")
+        late = self.timers.set(
+            int(self.patience * self.timers.second), connection.give_up, f"not within {self.patience:g} s"
+        )
 
         def come(fault: Fault | None) -> None:
             self.timers.cancel(late)
             up(fault)
+
         connection.connect(address, come)
         return connection
 
