--- a/basalthook/transport/listener.py
+++ b/basalthook/transport/listener.py
@@ -1,4 +1,5 @@
 """The listening socket."""
+
 import asyncio
 import errno
 import socket
@@ -9,18 +10,29 @@
 from . import arrival
 
 BACKLOG = 1024
-ACCEPTS_A_TURN = 128    # connections taken in a turn of the loop, before others come
-FAILURES_A_TURN = 4     # in a row, before the backlog is left alone for a while
-LOOK_AGAIN = 0.01       # seconds until the next look at the backlog, where one could not be taken ...
-LOOK_AGAIN_MOST = 0.2   # ... doubled up to this while it goes on
-TRY_AGAIN = 0.05        # seconds between two tries to listen, or at the end of all
+ACCEPTS_A_TURN = 128  # connections taken in a turn of the loop, before others come
+FAILURES_A_TURN = 4  # in a row, before the backlog is left alone for a while
+LOOK_AGAIN = 0.01  # seconds until the next look at the backlog, where one could not be taken ...
+LOOK_AGAIN_MOST = 0.2  # ... doubled up to this while it goes on
+TRY_AGAIN = 0.05  # seconds between two tries to listen, or at the end of all
 LISTEN_TRIES = 40
-CLOSE_TRIES = 64        # failures in a row at the last look at the backlog
-CLOSE_WAIT = 0.001      # seconds after each
+CLOSE_TRIES = 64  # failures in a row at the last look at the backlog
+CLOSE_WAIT = 0.001  # seconds after each
 # accept(2): what is wrong with the connection that would have been taken; the next one may be sound
-OF_ONE = {errno.ECONNABORTED, errno.EPROTO, errno.ENOPROTOOPT, errno.EOPNOTSUPP, errno.ENETDOWN,
-          errno.ENETUNREACH, errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENONET, errno.EPERM, errno.ETIMEDOUT,
-          errno.ECONNRESET}
+OF_ONE = {
+    errno.ECONNABORTED,
+    errno.EPROTO,
+    errno.ENOPROTOOPT,
+    errno.EOPNOTSUPP,
+    errno.ENETDOWN,
+    errno.ENETUNREACH,
+    errno.EHOSTDOWN,
+    errno.EHOSTUNREACH,
+    errno.ENONET,
+    errno.EPERM,
+    errno.ETIMEDOUT,
+    errno.ECONNRESET,
+}
 # what may pass by itself: another process may still hold the address for a moment
 MOMENTARY = {errno.EADDRINUSE, errno.ENOBUFS, errno.ENOMEM, errno.ENFILE, errno.EMFILE, errno.EAGAIN}
 
@@ -33,7 +45,7 @@
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     for tries_left in reversed(range(LISTEN_TRIES)):
         try:
-            return bind_sockets(address[1], address[0], family, BACKLOG)[0]     # SO_REUSEADDR is set there
+            return bind_sockets(address[1], address[0], family, BACKLOG)[0]  # SO_REUSEADDR is set there
         except OSError as fault:
             if fault.errno not in MOMENTARY or not tries_left:
                 raise
@@ -44,8 +56,13 @@
 class Listener:
     """Hands every connection to `take(socket)`, which says whether there is room for another one."""
 
-    def __init__(self, address: tuple[str, int], take, inherited: socket.socket | None = None,
-                 log=lambda event, **fields: None) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        take,
+        inherited: socket.socket | None = None,
+        log=lambda event, **fields: None,
+    ) -> None:
         """`inherited`: a socket that listens there already, and goes on doing so when this process ends."""
         self.inherited, self.log = inherited is not None, log
         self.socket = inherited if self.inherited else listening(address)
@@ -53,7 +70,7 @@
         self.address, self.take = self.socket.getsockname()[:2], take
         self.opened = self.paused = False
         self.loop: asyncio.AbstractEventLoop | None = None
-        self.wait, self.failed = LOOK_AGAIN, 0      # until the next look; failures since one was taken
+        self.wait, self.failed = LOOK_AGAIN, 0  # until the next look; failures since one was taken
 
     def open(self) -> None:
         self.opened, self.loop = True, asyncio.get_running_loop()
@@ -72,7 +89,7 @@
                 return self.halt(str(fault))
             self.failed, self.wait = 0, LOOK_AGAIN
             if not self.take(sock):
-                return self.shut(LOOK_AGAIN)    # guards against a loop that spins on a backlog it can't empty
+                return self.shut(LOOK_AGAIN)  # guards against a loop that spins on a backlog it can't empty
             if not self.opened:
                 return
 
@@ -116,11 +133,11 @@
                 sock, _ = self.socket.accept()
             except BlockingIOError:
                 break
-            except OSError:         # of a moment, or of one connection: others may wait behind it
+            except OSError:  # of a moment, or of one connection: others may wait behind it
                 failed += 1
                 time.sleep(CLOSE_WAIT)
                 continue
             failed = 0
             sock.setblocking(False)
-            self.take(sock)         # the reserve is for this: nobody comes after them
+            self.take(sock)  # the reserve is for this: nobody comes after them
         self.socket.close()
--- a/basalthook/transport/timers.py
+++ b/basalthook/transport/timers.py
@@ -1,8 +1,9 @@
 """One structure for every timer of the program: a heap with one wake-up of the event loop."""
+
 import asyncio
 from heapq import heapify, heappop, heappush
 
-COMPACT_FROM = 256      # cancelled ones are swept out once there are so many, and more than half of all
+COMPACT_FROM = 256  # cancelled ones are swept out once there are so many, and more than half of all
 
 
 class Timers:
@@ -15,10 +16,10 @@
         """`call_later(seconds, call)` gives what can be cancelled; by default the running loop's."""
         self.now, self.second = now, second
         self.call_later = call_later or (lambda *given: asyncio.get_running_loop().call_later(*given))
-        self.heap: list[list] = []              # due, order set, call (None: cancelled), what it is given
+        self.heap: list[list] = []  # due, order set, call (None: cancelled), what it is given
         self.count = self.cancelled = 0
         self.alarm: asyncio.TimerHandle | None = None
-        self.armed = 0                          # for when, while there is an alarm
+        self.armed = 0  # for when, while there is an alarm
 
     def set(self, delay: int, call, *given) -> list:
         """Call it that many ticks from now; what comes back can be cancelled."""
--- a/basalthook/transport/turns.py
+++ b/basalthook/transport/turns.py
@@ -1,9 +1,10 @@
 """The event loop's turns: up to when everything that came in has been read."""
+
 import asyncio
 import selectors
 import time
 
-WAITED = 100_000    # nanoseconds: a poll that took longer had found nothing at first
+WAITED = 100_000  # nanoseconds: a poll that took longer had found nothing at first
 
 
 class Turns(selectors.DefaultSelector):
@@ -11,8 +12,8 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.first: set[int] = set()    # descriptors looked at before others: answers free what arrivals need
-        self.urgent: set[int] = set()   # and before these: the staff's, however busy this process is
+        self.first: set[int] = set()  # descriptors looked at before others: answers free what arrivals need
+        self.urgent: set[int] = set()  # and before these: the staff's, however busy this process is
         self.seen = self.polled = time.monotonic_ns()
 
     def select(self, timeout=None):
--- a/benchmarks/bodies.py
+++ b/benchmarks/bodies.py
@@ -5,6 +5,7 @@
 One proxy as a process, one stand-in host in this one, all on loopback. Prints JSON: MB/s and the proxy's peak
 memory.
 """
+
 import argparse
 import asyncio
 import json
@@ -61,19 +62,32 @@
         json.dump(start_up(where[:1], where[1], 512, 80), file)
         file.flush()
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "basalthook", "serve", "--file", file.name, stdout=asyncio.subprocess.PIPE,
-            env={**os.environ, "RELAY_CONSOLE": ""})
+            sys.executable,
+            "-m",
+            "basalthook",
+            "serve",
+            "--file",
+            file.name,
+            stdout=asyncio.subprocess.PIPE,
+            env={**os.environ, "RELAY_CONSOLE": ""},
+        )
         try:
             ready = json.loads(await asyncio.wait_for(process.stdout.readline(), WAIT))
             listen = tuple(ready["listen"])
-            found = {"past it, one": await timed(away, 1, size, 0),
-                     "through it, one": await timed(listen, 1, size, 100),
-                     "past it, all at once": await timed(away, answers, size, 200),
-                     "through it, all at once": await timed(listen, answers, size, 300)}
+            found = {
+                "past it, one": await timed(away, 1, size, 0),
+                "through it, one": await timed(listen, 1, size, 100),
+                "past it, all at once": await timed(away, answers, size, 200),
+                "through it, all at once": await timed(listen, answers, size, 300),
+            }
             with open(f"/proc/{process.pid}/status") as status:
                 peak = next(line.split()[1] for line in status if line.startswith("VmHWM"))
-            return {"answers": answers, "MB each": size / 1e6, "MB/s": found,
-                    "peak MB": round(int(peak) / 1024, 1)}
+            return {
+                "answers": answers,
+                "MB each": size / 1e6,
+                "MB/s": found,
+                "peak MB": round(int(peak) / 1024, 1),
+            }
         finally:
             process.kill()
             await process.communicate()
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -6,6 +6,7 @@
 any socket, and prints a table of microseconds a call: median of rounds, by event. Compare columns, and
 states, of one run.
 """
+
 import statistics
 import sys
 from heapq import heappop, heappush
@@ -21,17 +22,33 @@
     """Mean microseconds a call for one proxy before `count` hosts; `waiting` keeps its line filled."""
     from basalthook.policy import interface as i
     from basalthook.policy.decide import Proxy
+
     kinds = i.IDEMPOTENT, i.NON_IDEMPOTENT
     profiles = tuple(i.Profile(kind, i.EVERYWHERE, 0, 5_000) for kind in kinds)
     agreed = i.Agreement(
-        profiles=profiles, position=0, proxies=4, zone="north", cross_price=0.01, warm_keys=True,
-        list_on_request=True, ask_within=100_000, cold_share=0.2, cold_time=200_000, fall_multiple=2.5,
-        fall_time=30_000, max_hops=3, cancelling=True, come_back_max=20_000,
-        **({"second_copies": True} if "second_copies" in i.Agreement._fields else {}))     # of older states
+        profiles=profiles,
+        position=0,
+        proxies=4,
+        zone="north",
+        cross_price=0.01,
+        warm_keys=True,
+        list_on_request=True,
+        ask_within=100_000,
+        cold_share=0.2,
+        cold_time=200_000,
+        fall_multiple=2.5,
+        fall_time=30_000,
+        max_hops=3,
+        cancelling=True,
+        come_back_max=20_000,
+        **({"second_copies": True} if "second_copies" in i.Agreement._fields else {}),
+    )  # of older states
     now, spent, calls, due = 1_000_000, dict.fromkeys(EVENTS, 0), dict.fromkeys(EVENTS, 0), []
     proxy = Proxy(agreed, 1, now)
-    hosts = tuple(i.Host(n, 7919 * (n + 1) ** 3, "north" if n % 2 else "south", n, True, 1.0, None)
-                  for n in range(count))
+    hosts = tuple(
+        i.Host(n, 7919 * (n + 1) ** 3, "north" if n % 2 else "south", n, True, 1.0, None)
+        for n in range(count)
+    )
     proxy.handle(now, i.HostsListed(hosts, True, True))
     out, hops = [], {}
 
@@ -46,6 +63,7 @@
                 out.append((now + (1_500 if waiting else 200), effect.tx, hop, effect.host, now))
             elif isinstance(effect, i.SetTimer):
                 heappush(due, (now + effect.delay, effect.mark))
+
     for tx in range(transactions):
         now += 16 if waiting else 4
         if waiting:
--- a/benchmarks/floor.py
+++ b/benchmarks/floor.py
@@ -7,6 +7,7 @@
 messages     connections, and messages parsed and written anew on both ways
 program      the whole program, with a stand-in for the decisions that sends each transaction to the next host
 """
+
 import asyncio
 import os
 import socket
@@ -129,6 +130,7 @@
         def take(sock) -> bool:
             Relay(sock, next(hosts_at), buffers, descriptors, layer == "messages")
             return True
+
         listener = Listener(("127.0.0.1", 0), take)
         listener.open()
         ready(listener.address)
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -6,6 +6,7 @@
 when its transaction was due, also where no connection was free then, so that a proxy that stalls can't slow
 its own measurement down.
 """
+
 import asyncio
 import gc
 import json
@@ -15,7 +16,7 @@
 from time import perf_counter
 
 PROFILES = ("read", "write")
-PATIENCE = 2.0          # seconds, as the profiles of `start_up` have it
+PATIENCE = 2.0  # seconds, as the profiles of `start_up` have it
 
 
 class Caller(asyncio.Protocol):
@@ -35,7 +36,7 @@
         if end < 0:
             return
         at = self.rest.lower().find(b"content-length:", 0, end)
-        length = int(self.rest[at + 15:self.rest.find(b"\r\n", at)])
+        length = int(self.rest[at + 15 : self.rest.find(b"\r\n", at)])
         if len(self.rest) < end + 4 + length:
             return
         status, self.rest, due, self.due = int(self.rest[9:12]), b"", self.due, None
@@ -50,7 +51,7 @@
         self.told, self.chance, self.count = told, Random(told["seed"]), 0
         self.statuses, self.latencies, self.broken, self.unstarted = Counter(), [], 0, 0
         self.free: deque[Caller] = deque()
-        self.waiting: deque[float] = deque()        # due, with no connection free; dropped after PATIENCE
+        self.waiting: deque[float] = deque()  # due, with no connection free; dropped after PATIENCE
         self.body = b"b" * told["body"]
 
     def request(self) -> bytes:
@@ -61,9 +62,11 @@
         size = b"Content-Length: %d\r\n" % len(self.body) if method == b"POST" else b""
         name = profile.encode()
         words = (method, name, tx.encode(), name, key, PATIENCE, size, self.body)
-        return (b"%b /%b/it HTTP/1.1\r\nHost: bench\r\nRequest-Id: %b\r\nRequest-Class: %b\r\n"
-                b"Cookie: k=key-%d\r\nRequest-Timeout: %.3f\r\nUser-Agent: load/1\r\nAccept: */*\r\n"
-                b"%b\r\n%b") % words
+        return (
+            b"%b /%b/it HTTP/1.1\r\nHost: bench\r\nRequest-Id: %b\r\nRequest-Class: %b\r\n"
+            b"Cookie: k=key-%d\r\nRequest-Timeout: %.3f\r\nUser-Agent: load/1\r\nAccept: */*\r\n"
+            b"%b\r\n%b"
+        ) % words
 
     def answered(self, caller: Caller, status: int, due: float) -> None:
         now = perf_counter()
@@ -95,8 +98,10 @@
         host, port = told["address"]
         idle = [await loop.create_connection(lambda: Caller(self), host, port) for _ in range(told["idle"])]
         self.until, self.begin = float("inf"), 0.0
-        self.callers = callers = [(await loop.create_connection(lambda: Caller(self), host, port))[1]
-                                  for _ in range(told["connections"])]
+        self.callers = callers = [
+            (await loop.create_connection(lambda: Caller(self), host, port))[1]
+            for _ in range(told["connections"])
+        ]
         start = perf_counter()
         self.begin, self.until = start + told["warm"], start + told["warm"] + told["seconds"]
         if told["rate"]:
@@ -124,11 +129,19 @@
 
         def at(share: float) -> float | None:
             return round(good[min(len(good) - 1, int(share * len(good)))], 3) if good else None
+
         rate = round(len(good) / self.told["seconds"], 1)
-        return {"statuses": dict(self.statuses), "broken": self.broken,
-                "unstarted": self.unstarted + len(self.waiting), "asked": self.count,
-                "rate": rate, "p50": at(.5), "p99": at(.99), "p999": at(.999),
-                "turned_away_ms": round(-min(self.latencies, default=0), 1)}
+        return {
+            "statuses": dict(self.statuses),
+            "broken": self.broken,
+            "unstarted": self.unstarted + len(self.waiting),
+            "asked": self.count,
+            "rate": rate,
+            "p50": at(0.5),
+            "p99": at(0.99),
+            "p999": at(0.999),
+            "turned_away_ms": round(-min(self.latencies, default=0), 1),
+        }
 
 
 async def main() -> None:
--- a/benchmarks/stubs.py
+++ b/benchmarks/stubs.py
@@ -4,6 +4,7 @@
 until standard input ends. Hosts answer each message with BODY bytes after DELAY_MS (0: at once); discovery
 never tells anything new, so that the list handed over at start stays in force.
 """
+
 import asyncio
 import gc
 import json
@@ -35,7 +36,7 @@
 
 class Discovery(asyncio.Protocol):
     def connection_made(self, transport):
-        self.transport = transport      # a call is held for ever: nothing changes
+        self.transport = transport  # a call is held for ever: nothing changes
 
 
 async def main(hosts: int, body: int, delay_ms: float) -> None:
--- a/benchmarks/upgrades.py
+++ b/benchmarks/upgrades.py
@@ -5,6 +5,7 @@
 One proxy on an inherited socket, replaced again and again while callers ask. Then kills, of
 the old or the new process, at points spread over the hand-over; whoever is left has to serve. Prints JSON.
 """
+
 import argparse
 import asyncio
 import json
@@ -20,7 +21,7 @@
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 WAIT = 60.0
-SPREAD = 0.8        # seconds after the start of a successor over which kills are spread
+SPREAD = 0.8  # seconds after the start of a successor over which kills are spread
 LOST = (OSError, asyncio.IncompleteReadError)
 
 
@@ -47,8 +48,10 @@
                 if writer is None:
                     reader, writer = await asyncio.open_connection(*self.address)
                 self.number += 1
-                writer.write(b"GET /read/it HTTP/1.1\r\nHost: s\r\nRequest-Id: %d\r\nRequest-Timeout: 2\r\n"
-                             b"Cookie: k=%d\r\n\r\n" % (self.number, self.number % 50))
+                writer.write(
+                    b"GET /read/it HTTP/1.1\r\nHost: s\r\nRequest-Id: %d\r\nRequest-Timeout: 2\r\n"
+                    b"Cookie: k=%d\r\n\r\n" % (self.number, self.number % 50)
+                )
                 head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), WAIT)
                 length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
                 await reader.readexactly(length)
@@ -79,8 +82,14 @@
     async def start(self):
         number = self.socket.fileno()
         return await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "basalthook", "serve", pass_fds=[number], stdout=asyncio.subprocess.PIPE,
-            env={**os.environ, "RELAY_CONFIG": self.path, "TMPDIR": self.folder, "RELAY_FD": str(number)})
+            sys.executable,
+            "-m",
+            "basalthook",
+            "serve",
+            pass_fds=[number],
+            stdout=asyncio.subprocess.PIPE,
+            env={**os.environ, "RELAY_CONFIG": self.path, "TMPDIR": self.folder, "RELAY_FD": str(number)},
+        )
 
     @staticmethod
     async def until(process, event: str) -> float:
@@ -92,8 +101,12 @@
 
 
 def counts(callers: Callers) -> dict:
-    found = {"answered 200": callers.answered, "answered otherwise": callers.other,
-             "refused, reset or unread": callers.broken, "slowest ms": round(callers.slowest * 1000)}
+    found = {
+        "answered 200": callers.answered,
+        "answered otherwise": callers.other,
+        "refused, reset or unread": callers.broken,
+        "slowest ms": round(callers.slowest * 1000),
+    }
     callers.answered = callers.other = callers.broken = 0
     callers.slowest = 0.0
     return found
@@ -119,8 +132,11 @@
                 await platform.until(process, "ended")
                 await asyncio.wait_for(process.wait(), WAIT)
                 process = successor
-            found = {"upgrades": upgrades, **counts(callers),
-                     "ready after s, most": round(max(ready, default=0.0), 2)}
+            found = {
+                "upgrades": upgrades,
+                **counts(callers),
+                "ready after s, most": round(max(ready, default=0.0), 2),
+            }
             for n in range(kills):
                 successor = await platform.start()
                 left.append(successor)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,5 @@
 """Tests listed in KNOWN-RED.txt are passed over, and printed; all others run."""
+
 import pytest
 
 from tests import known_red
@@ -12,8 +13,11 @@
     entries = known_red.read()
     files = {item.nodeid.split("::")[0] for item in items}
     ids = {item.nodeid for item in items}
-    unknown = [entry.test for entry in entries if entry.test not in ids and "::" not in " ".join(config.args)
-               and entry.test.split("::")[0] in files]
+    unknown = [
+        entry.test
+        for entry in entries
+        if entry.test not in ids and "::" not in " ".join(config.args) and entry.test.split("::")[0] in files
+    ]
     if unknown:
         raise pytest.UsageError(f"KNOWN-RED.txt names no test: {', '.join(unknown)}")
     if not config.getoption("--known-red"):
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -1,4 +1,5 @@
 """One tiny fake host, and a stage that plays a story of a proxy against a few of them."""
+
 import asyncio
 import itertools
 import json
@@ -18,9 +19,23 @@
 )
 
 
-TERMS = dict(profiles=PROFILES, position=0, proxies=4, zone="a", cross_price=0.0, warm_keys=True,
-             list_on_request=True, ask_within=100_000, cold_share=0.2, cold_time=200_000, fall_multiple=2.5,
-             fall_time=30_000, max_hops=4, cancelling=False, come_back_max=20_000)
+TERMS = dict(
+    profiles=PROFILES,
+    position=0,
+    proxies=4,
+    zone="a",
+    cross_price=0.0,
+    warm_keys=True,
+    list_on_request=True,
+    ask_within=100_000,
+    cold_share=0.2,
+    cold_time=200_000,
+    fall_multiple=2.5,
+    fall_time=30_000,
+    max_hops=4,
+    cancelling=False,
+    come_back_max=20_000,
+)
 
 
 class FakeHost:
@@ -144,15 +159,24 @@
                     return writer.transport.abort()
                 if way is not SILENT:
                     writer.write(way[-1] if isinstance(way, tuple) else way)
-                if isinstance(way, tuple):      # its end comes with it
+                if isinstance(way, tuple):  # its end comes with it
                     return writer.close()
         except (OSError, asyncio.IncompleteReadError):
             self.ended.put_nowait(True)
             writer.close()
 
     def line(self, name, **changes):
-        return {"id": name, "addr": self.address, "zone": "a", "kind": "m", "cell": 0, "state": "up",
-                "weight": 1.0, "started_ms": 0, **changes}
+        return {
+            "id": name,
+            "addr": self.address,
+            "zone": "a",
+            "kind": "m",
+            "cell": 0,
+            "state": "up",
+            "weight": 1.0,
+            "started_ms": 0,
+            **changes,
+        }
 
 
 class SocketDiscovery(SocketHost):
@@ -176,24 +200,55 @@
 
 
 SETTINGS = {
-    "allowed": {"cancelling": True, "connect_timeout_ns": 250_000_000, "keepalive_ns": 30_000_000_000,
-                "max_hops": 4, "max_retry_after_ns": 2_000_000_000, "retry_after": True},
-    "balancers": 1, "discovery": "on_request", "position": 0, "zone": "a",
-    "profiles": [{"name": n, "effect": e, "hard_limit_ns": 2_000_000_000, "service_goal_ns": 600_000_000}
-                 for n, e in (("view", "repeatable"), ("submit", "once"))],
-    "rules": {"ask_within_ns": 10_000_000, "drain_grace_ns": 500_000_000, "cold_from": 0.2,
-              "cold_ns": 20_000_000_000, "fall_ns": 3_000_000_000, "overload_factor": 2.5},
+    "allowed": {
+        "cancelling": True,
+        "connect_timeout_ns": 250_000_000,
+        "keepalive_ns": 30_000_000_000,
+        "max_hops": 4,
+        "max_retry_after_ns": 2_000_000_000,
+        "retry_after": True,
+    },
+    "balancers": 1,
+    "discovery": "on_request",
+    "position": 0,
+    "zone": "a",
+    "profiles": [
+        {"name": n, "effect": e, "hard_limit_ns": 2_000_000_000, "service_goal_ns": 600_000_000}
+        for n, e in (("view", "repeatable"), ("submit", "once"))
+    ],
+    "rules": {
+        "ask_within_ns": 10_000_000,
+        "drain_grace_ns": 500_000_000,
+        "cold_from": 0.2,
+        "cold_ns": 20_000_000_000,
+        "fall_ns": 3_000_000_000,
+        "overload_factor": 2.5,
+    },
 }
 
 
-def start_up(hosts, discovery, listen="127.0.0.1:0", sockets=256, memory_mb=64, console=None,
-             mode="on_request", **changes):
+def start_up(
+    hosts,
+    discovery,
+    listen="127.0.0.1:0",
+    sockets=256,
+    memory_mb=64,
+    console=None,
+    mode="on_request",
+    **changes,
+):
     """The start-up file of a proxy that knows these hosts."""
     lines = [host.line(f"s-{n}") for n, host in enumerate(hosts)]
-    return {"name": "n1", "listen": listen, "discovery": discovery.address, "seed": "2a",
-            "limits": {"sockets": sockets, "memory_mb": memory_mb}, "console": console,
-            "known": {"version": 1, "full": True, "servers": lines},
-            "settings": {**SETTINGS, "discovery": mode, **changes}}
+    return {
+        "name": "n1",
+        "listen": listen,
+        "discovery": discovery.address,
+        "seed": "2a",
+        "limits": {"sockets": sockets, "memory_mb": memory_mb},
+        "console": console,
+        "known": {"version": 1, "full": True, "servers": lines},
+        "settings": {**SETTINGS, "discovery": mode, **changes},
+    }
 
 
 class Caller:
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,4 +1,5 @@
 """KNOWN-RED.txt: the tests that fail because of a real fault, and that a run passes over by name."""
+
 from pathlib import Path
 from typing import NamedTuple
 
@@ -8,8 +9,9 @@
 
 class Entry(NamedTuple):
     """One line of the file."""
-    test: str                       # pytest's id of it
-    command: str                    # and seed
+
+    test: str  # pytest's id of it
+    command: str  # and seed
     seen: str
     issue: str
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -1,4 +1,5 @@
 """A proxy on loopback sockets in this process, between hosts, discovery and callers of the test."""
+
 import asyncio
 import unittest
 import unittest.mock
@@ -30,7 +31,7 @@
         self.listener = self.service.begin()
         self.addAsyncCleanup(self.stop)
         late = asyncio.get_running_loop().call_later(20, asyncio.current_task().cancel)
-        self.addCleanup(late.cancel)            # a test that waits in vain fails
+        self.addCleanup(late.cancel)  # a test that waits in vain fails
         return await self.caller()
 
     async def caller(self):
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -1,4 +1,5 @@
 """The measurements themselves: they start from what operators write, and count what they say they count."""
+
 import asyncio
 import unittest
 from contextlib import suppress
@@ -11,22 +12,36 @@
 class Measurements(unittest.TestCase):
     def test_the_start_up_file_is_one_that_serve_takes(self):
         told = decode(path.start_up(["127.0.0.1:9001", "127.0.0.1:9002"], "127.0.0.1:8500", 256, 64), {})
-        self.assertEqual((len(told.known.lines), told.profiles, told.agreed.warm_keys),
-                         (2, {"read": 0, "write": 1}, True))
+        self.assertEqual(
+            (len(told.known.lines), told.profiles, told.agreed.warm_keys), (2, {"read": 0, "write": 1}, True)
+        )
 
     def test_every_kind_of_event_is_timed(self):
         for waiting in (False, True):
             found = decisions.play(10, 1_000, waiting)
-            due = decisions.EVENTS if waiting else decisions.EVENTS[:2]     # else nothing waits
+            due = decisions.EVENTS if waiting else decisions.EVENTS[:2]  # else nothing waits
             self.assertTrue(all(found[name] > 0 for name in due), found)
 
     def test_medians_are_of_the_rounds_and_counts_of_all(self):
-        rounds = [{"rate": rate, "cpu_us": 5.0, "p50": 1.0, "p99": None, "p999": 2.0, "memory": 20.0,
-                   "statuses": {"200": 8, "503": 2}, "turned_away_ms": rate, "broken": 1, "unstarted": 0}
-                  for rate in (10.0, 30.0, 20.0)]
+        rounds = [
+            {
+                "rate": rate,
+                "cpu_us": 5.0,
+                "p50": 1.0,
+                "p99": None,
+                "p999": 2.0,
+                "memory": 20.0,
+                "statuses": {"200": 8, "503": 2},
+                "turned_away_ms": rate,
+                "broken": 1,
+                "unstarted": 0,
+            }
+            for rate in (10.0, 30.0, 20.0)
+        ]
         row = path.medians(rounds)
-        self.assertEqual((row["rate"], row["not_200"], row["turned_away_ms"], row["broken"]),
-                         (20.0, "20.0%", 30.0, 3))
+        self.assertEqual(
+            (row["rate"], row["not_200"], row["turned_away_ms"], row["broken"]), (20.0, "20.0%", 30.0, 3)
+        )
         self.assertNotIn("p99", row)
 
     def test_the_stand_in_for_the_decisions_answers_what_fails(self):
@@ -41,19 +56,29 @@
 class Load(unittest.IsolatedAsyncioTestCase):
     async def test_an_open_load_counts_from_when_a_transaction_was_due(self):
         """100 are due in a second, a peer takes 20 ms for each: that they wait is not left out."""
+
         async def serve(reader, writer):
             with suppress(asyncio.IncompleteReadError):
                 while await reader.readuntil(b"\r\n\r\n"):
                     await asyncio.sleep(0.02)
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
             writer.close()
+
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        told = {"address": server.sockets[0].getsockname()[:2], "connections": 1, "idle": 0, "seconds": 1.0,
-                "warm": 0.0, "rate": 100, "body": 0, "seed": 1}
+        told = {
+            "address": server.sockets[0].getsockname()[:2],
+            "connections": 1,
+            "idle": 0,
+            "seconds": 1.0,
+            "warm": 0.0,
+            "rate": 100,
+            "body": 0,
+            "seed": 1,
+        }
         loading = load.Load(told)
         found = await loading.run()
         server.close()
         for caller in loading.callers:
             caller.transport.close()
         self.assertLess(found["asked"], 60)
-        self.assertGreater(found["p99"], 200)       # closed, it would say 20 ms
+        self.assertGreater(found["p99"], 200)  # closed, it would say 20 ms
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -1,4 +1,5 @@
 """Bodies of any size on loopback: collected within a bound, passed on in pieces, cut off so that it shows."""
+
 import asyncio
 import hashlib
 import random
@@ -16,7 +17,9 @@
 LONG = random.Random(5).randbytes(3_000_000)
 SIZED = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LONG) + LONG
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x;a=b\r\n%b\r\n0\r\nT: 1\r\n\r\n" % (
-    len(LONG), LONG)
+    len(LONG),
+    LONG,
+)
 TO_THE_END = b"HTTP/1.1 200 OK\r\n\r\n" + LONG
 HEAD = b"POST /submit HTTP/1.1\r\nHost: s\r\nRequest-Id: %b\r\nRequest-Timeout: 2\r\n"
 SENT = b"Content-Length: %d\r\n\r\n" % len(LONG) + LONG
@@ -55,8 +58,11 @@
     async def test_an_answer_of_any_size_that_comes_in_one_read_has_its_body(self):
         """Begun as a long one and over in the same read, it went on without a body (8 of 556, recorded)."""
         sizes = [n + more for n in (4_096, 8_192, 16_384, 65_536) for more in (-40, -1, 0, 1, 40)]
-        ways = [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n1\r\n!\r\n0\r\n\r\n" % (
-            size, LONG[:size]) for size in sizes]
+        ways = [
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n1\r\n!\r\n0\r\n\r\n"
+            % (size, LONG[:size])
+            for size in sizes
+        ]
         caller = await self.play(SocketHost(*ways))
         for size in sizes:
             caller.ask("submit")
@@ -76,10 +82,11 @@
     async def test_a_client_that_reads_nothing_halts_its_host_and_no_other_and_goes(self):
         first, second = await self.play(SocketHost(SILENT), SocketHost(SILENT)), await self.caller()
         first.ask("submit")
-        await asyncio.wait([asyncio.ensure_future(h.got.get()) for h in self.hosts],
-                           return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait(
+            [asyncio.ensure_future(h.got.get()) for h in self.hosts], return_when=asyncio.FIRST_COMPLETED
+        )
         with unittest.mock.patch("basalthook.bodies.relay.STALLED", 0.5):
-            writer, = (w for h in self.hosts for w in h.writers)
+            (writer,) = (w for h in self.hosts for w in h.writers)
             first.writer.transport.pause_reading()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n" + b"x" * 50_000_000)
             for host in self.hosts:
@@ -103,7 +110,7 @@
             caller.writer.write(HEAD % b"b%d" % n + (chunked if n % 2 else SENT))
             self.assertEqual((await caller.answer())[0], 200)
         got = [host.got.get_nowait()[1] for host in self.hosts for _ in range(host.got.qsize())]
-        self.assertEqual(len(got), 7)       # one was refused
+        self.assertEqual(len(got), 7)  # one was refused
         self.assertEqual({hashlib.sha256(body).digest() for body in got}, {hashlib.sha256(LONG).digest()})
         self.assertEqual(self.service.clients.room.held, 0)
 
@@ -113,6 +120,7 @@
 
         def begin(caller, n, count):
             caller.writer.write(HEAD % b"w%d" % n + SENT[:count])
+
         begin(first, 1, 100_000)
         await self.until(lambda: self.service.clients.room.held)
         begin(second, 2, len(SENT))
@@ -140,7 +148,7 @@
             caller = await self.play(SocketHost())
             caller.writer.write(HEAD % b"s1" + b"Content-Length: 375000\r\n\r\n")
             for at in range(0, 375_000, 37_500):
-                caller.writer.write(LONG[at:at + 37_500])
+                caller.writer.write(LONG[at : at + 37_500])
                 await asyncio.sleep(0.1)
             self.assertEqual((await caller.answer())[0], 200)
             caller.writer.write(HEAD % b"s2" + SENT[:200_000])
@@ -157,7 +165,7 @@
         whole = b"HTTP/1.1 200 OK\r\n" + head + (text + b"0\r\n\r\n" if chunked else body)
         parser, came, at = Parser(True, body_most=50, long=True), bytearray(), 0
         for cut in [*cuts, len(whole)]:
-            parser.feed(whole[at:at + cut])
+            parser.feed(whole[at : at + cut])
             at += cut
             if parser.begun is not None:
                 came += parser.take_body()
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -1,4 +1,5 @@
 """The second address on loopback: calls, hosts out and back, clients sent away; orders that join."""
+
 import asyncio
 import itertools
 import json
@@ -26,7 +27,7 @@
         self.addAsyncCleanup(caller.stop)
         caller.writer.write(data or f"{method} {path} HTTP/1.1\r\nHost: c\r\n\r\n".encode())
         status, body, head = await caller.answer()
-        self.assertEqual(await caller.reader.read(), b"")       # one call a connection
+        self.assertEqual(await caller.reader.read(), b"")  # one call a connection
         return status, body, head
 
     async def health(self):
@@ -38,17 +39,25 @@
         await self.play(SocketHost())
         long = b"GET /-/ready HTTP/1.1\r\nHost: c\r\nX: " + b"x" * 20_000
         for method, path, data, status in (
-                ("GET", "/-/ready", None, 200), ("PUT", "/-/ready", None, 405),
-                ("GET", "/-/drain", None, 405), ("GET", "/", None, 404),
-                ("GET", "/-/members", None, 404), ("GET", "/-/verdicts", None, 404),
-                ("GET", "/-/none", None, 404),
-                ("PUT", "/-/hosts//disable", None, 404), ("PUT", "/-/hosts/s-9/disable", None, 404),
-                ("PUT", "/-/hosts/s-9/enable", None, 404), ("PUT", "/-/hosts/s-0/enable", None, 200),
-                ("PUT", "/-/hosts/s%2D0/disable", None, 200), ("PUT", "/-/hosts/s-0/disable", None, 200),
-                ("PUT", "/-/hosts/s-0/enable", None, 200),
-                ("", "", b"\0\r\n\r\n", 400), ("", "", long, 431),
-                ("", "", b"PUT /-/drain HTTP/1.1\r\nHost: c\r\nContent-Length: 9000\r\n\r\n", 413),
-                ("", "", b"PUT /-/resume HTTP/1.0\r\nContent-Length: 2\r\n\r\nxx", 200)):
+            ("GET", "/-/ready", None, 200),
+            ("PUT", "/-/ready", None, 405),
+            ("GET", "/-/drain", None, 405),
+            ("GET", "/", None, 404),
+            ("GET", "/-/members", None, 404),
+            ("GET", "/-/verdicts", None, 404),
+            ("GET", "/-/none", None, 404),
+            ("PUT", "/-/hosts//disable", None, 404),
+            ("PUT", "/-/hosts/s-9/disable", None, 404),
+            ("PUT", "/-/hosts/s-9/enable", None, 404),
+            ("PUT", "/-/hosts/s-0/enable", None, 200),
+            ("PUT", "/-/hosts/s%2D0/disable", None, 200),
+            ("PUT", "/-/hosts/s-0/disable", None, 200),
+            ("PUT", "/-/hosts/s-0/enable", None, 200),
+            ("", "", b"\0\r\n\r\n", 400),
+            ("", "", long, 431),
+            ("", "", b"PUT /-/drain HTTP/1.1\r\nHost: c\r\nContent-Length: 9000\r\n\r\n", 413),
+            ("", "", b"PUT /-/resume HTTP/1.0\r\nContent-Length: 2\r\n\r\nxx", 200),
+        ):
             self.assertEqual((await self.call(method, path, data))[0], status, (method, path, data))
         self.assertIn("Allow: PUT", (await self.call("GET", "/-/drain"))[2])
         said = [line["path"] for line in self.log.lines if line["event"] == "call"]
@@ -70,8 +79,13 @@
         caller = await self.play(SocketHost(), SocketHost())
         first, second = self.hosts
         self.assertEqual((await self.call("PUT", "/-/hosts/s-0/disable"))[0], 200)
-        lists = ([first.line("s-0")], [first.line("s-0", state="removed")], [],
-                 [first.line("s-0", started_ms=5_000)], [first.line("s-0", state="draining")])
+        lists = (
+            [first.line("s-0")],
+            [first.line("s-0", state="removed")],
+            [],
+            [first.line("s-0", started_ms=5_000)],
+            [first.line("s-0", state="draining")],
+        )
         for version, lines in enumerate(lists, 2):
             self.discovery.tell(version, *lines, second.line("s-1"), full=not lines)
             await self.until(lambda v=version: self.service.watch.version == v)
@@ -83,12 +97,12 @@
 
     async def test_put_back_it_is_used_and_counts_as_cold_from_then_on(self):
         caller = await self.play(SocketHost(), SocketHost())
-        for _ in range(2):                      # out twice, back once
+        for _ in range(2):  # out twice, back once
             self.assertEqual((await self.call("PUT", "/-/hosts/s-0/disable"))[0], 200)
         self.assertEqual((await self.call("PUT", "/-/hosts/s-0/enable"))[0], 200)
         server = next(s for s in self.service.owner.proxy.servers.values() if s.line.started)
         self.assertAlmostEqual(server.fresh_from, self.service.owner.clock.now(), delta=20_000)
-        self.discovery.tell(2, self.hosts[0].line("s-0", started_ms=1))     # the list runs behind
+        self.discovery.tell(2, self.hosts[0].line("s-0", started_ms=1))  # the list runs behind
         await self.until(lambda: self.service.watch.version == 2)
         self.assertAlmostEqual(server.fresh_from, self.service.owner.clock.now(), delta=20_000)
         await asyncio.wait_for(self.reaches(caller, self.hosts[0]), 10)
@@ -107,7 +121,9 @@
             def come(fault):
                 self.service.staff.carry_out(Call("disable", "s-0"))
                 up(fault)
+
             return fresh(address, come)
+
         self.service.pool.fresh = out_meanwhile
         caller.ask("submit", timeout="0.3")
         self.assertEqual((await caller.answer())[0], 503)
@@ -122,20 +138,21 @@
 
     async def test_a_drain_sends_clients_away_and_cuts_no_request(self):
         idle, busy = await self.play(SocketHost(SILENT)), await self.caller()
-        self.assertEqual((await self.call("PUT", "/-/resume"))[0], 200)     # without a drain: nothing
+        self.assertEqual((await self.call("PUT", "/-/resume"))[0], 200)  # without a drain: nothing
         idle.writer.write(b"GET /_health HTTP/1.1\r\nHost: s\r\n\r\n")
         await idle.answer()
         busy.ask("submit")
         await self.hosts[0].got.get()
         silent = await self.caller()
-        with unittest.mock.patch.multiple("basalthook.routing.clients", LEAVE_IDLE=0.02, LEAVE_NEW=0.05,
-                                          LOOK_AWAY=0.02):
-            for _ in range(2):                  # drained twice is drained
+        with unittest.mock.patch.multiple(
+            "basalthook.routing.clients", LEAVE_IDLE=0.02, LEAVE_NEW=0.05, LOOK_AWAY=0.02
+        ):
+            for _ in range(2):  # drained twice is drained
                 self.assertEqual((await self.call("PUT", "/-/drain"))[0], 200)
             self.assertEqual(await self.health(), 503)
             self.assertEqual(await idle.reader.read(), b"")
             self.assertEqual(await silent.reader.read(), b"")
-        late = await self.caller()              # new ones still come for a moment
+        late = await self.caller()  # new ones still come for a moment
         late.ask("submit", key="k2")
         await self.hosts[0].got.get()
         for writer in self.hosts[0].writers:
@@ -164,6 +181,7 @@
             for host, now, out in words:
                 orders.tell_drain(now, out) if host is None else orders.tell(host, now, out)
             return orders
+
         one, other = told(mine), told(theirs)
         one.join(told(theirs))
         other.join(told(mine))
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -1,4 +1,5 @@
 """What holds when an attempt is decided has to hold still at its first byte."""
+
 import asyncio
 import unittest
 
@@ -7,9 +8,14 @@
 from tests.fake import RESET, SILENT, UPLOAD, FakeHost, SocketHost, Stage
 from tests.loopback import Loopback
 
-LATE = 0.5              # seconds that a connection takes to come up
-SCAN = {"name": "scan", "effect": "by_key", "group": "cell", "hard_limit_ns": 2 * 10**9,
-        "service_goal_ns": 6 * 10**8}
+LATE = 0.5  # seconds that a connection takes to come up
+SCAN = {
+    "name": "scan",
+    "effect": "by_key",
+    "group": "cell",
+    "hard_limit_ns": 2 * 10**9,
+    "service_goal_ns": 6 * 10**8,
+}
 
 
 class LateConnections(Loopback):
@@ -24,6 +30,7 @@
                 return fresh(address, up)
             connecting.set()
             return fresh(address, lambda fault: asyncio.get_running_loop().call_later(LATE, up, fault))
+
         self.service.pool.fresh = late
         caller.ask("scan")
         await connecting.wait()
@@ -43,8 +50,9 @@
 
     async def test_a_keyed_request_is_not_sent_to_an_endpoint_that_left_its_group(self):
         def leave():
-            second, = (n for n, host in enumerate(self.hosts) if not host.got.qsize())
+            (second,) = (n for n, host in enumerate(self.hosts) if not host.got.qsize())
             self.discovery.tell(2, self.hosts[second].line(f"s-{second}", cell=1))
+
         caller = await self.retried(leave, window=1.9)
         self.assertEqual(((await caller.answer())[0], self.attempts()), (502, 1))
 
@@ -67,8 +75,8 @@
         caller.ask("view")
         await self.hosts[0].got.get()
         owner, (client,) = self.service.owner, self.service.clients.open
-        order, = owner.orders.values()
-        owner.running = True                    # as within an event: what comes waits in the queue
+        (order,) = owner.orders.values()
+        owner.running = True  # as within an event: what comes waits in the queue
         client.ended(None)
         order.close(Answer("abandoned"))
         owner.pump()
@@ -83,13 +91,13 @@
         stage.many(40)
         first = len(cold.got)
         self.assertIn(first, range(3, 40))
-        stage.now += 10_000         # of a window of 30,000
+        stage.now += 10_000  # of a window of 30,000
         self.assertTrue(all(stage.proxy.may_begin(stage.now, tx, 0) for tx in cold.got))
         for tx in list(cold.got):
             stage.end(tx, 0, 0, i.COMMITTED)
         stage.now += 21_000
         stage.many(40)
-        self.assertLessEqual(len(cold.got), first + 1)      # its slice has grown a little meanwhile
+        self.assertLessEqual(len(cold.got), first + 1)  # its slice has grown a little meanwhile
 
 
 class Refusals(unittest.TestCase):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,5 @@
 """What is harmless at one proxy and harmful at forty: stories of a whole fleet in the lab's virtual time."""
+
 import subprocess
 import sys
 import unittest
@@ -21,17 +22,28 @@
 def fleet(count=HOSTS, rate=1_000, seconds=12, faults=(), proxies=40, keys=2_000, rules=RULES, seed=1, **k):
     """Hosts of one core that turn slower with eight held until they have rested."""
     kinds = [s.Kind(count, cores=1, choke=8, zones=["a", "b"])]
-    told = s.Scenario("story", seconds, kinds, s.Load(rate, PROFILES, keys, zipf=0), rules, list(faults),
-                      network=s.Network(same=0, cross=0, cross_price=0), proxies=proxies, key_saves=0,
-                      seed=seed, **k)
+    told = s.Scenario(
+        "story",
+        seconds,
+        kinds,
+        s.Load(rate, PROFILES, keys, zipf=0),
+        rules,
+        list(faults),
+        network=s.Network(same=0, cross=0, cross_price=0),
+        proxies=proxies,
+        key_saves=0,
+        seed=seed,
+        **k,
+    )
     run = decisions.Fleet(told, seed)
     run.run()
     return run, found(told, run.wire, decisions.BORN, "decisions", digest=run.digest.hexdigest())
 
 
 def hops(run, hosts, begin=0.0, end=99.0):
-    return sum(isinstance(e, Got) and e.host in hosts and begin <= e.at - decisions.BORN < end
-               for e in run.wire)
+    return sum(
+        isinstance(e, Got) and e.host in hosts and begin <= e.at - decisions.BORN < end for e in run.wire
+    )
 
 
 class Stories(unittest.TestCase):
@@ -46,8 +58,12 @@
 
     def test_six_in_ten_replaced_and_the_fresh_get_what_they_can_carry(self):
         replaced = list(range(36))
-        run, result = fleet(rate=900, seconds=18, faults=[s.Kill(at=6, hosts=replaced, lasts=0.2)],
-                            discovery=s.Discovery(notice=0.05))
+        run, result = fleet(
+            rate=900,
+            seconds=18,
+            faults=[s.Kill(at=6, hosts=replaced, lasts=0.2)],
+            discovery=s.Discovery(notice=0.05),
+        )
         self.assertTrue(result.verdict.kept, result.verdict.first)
         self.assertGreater(hops(run, replaced, 6.5, 18) / 11.5, 0.25 * hops(run, replaced, 0, 6) / 6)
 
@@ -56,14 +72,14 @@
         run, result = fleet(rate=600, faults=[s.Vanish(at=3, hosts=gone, lasts=99)])
         self.assertGreater(result.verdict.service, 0.8)
         self.assertGreater(len(run.unreached), 0)
-        self.assertLess(max(run.unreached.values()), 12)        # what was under way when the first one failed
+        self.assertLess(max(run.unreached.values()), 12)  # what was under way when the first one failed
         self.assertLess(sum(run.unreached.values()) / len(run.unreached), 3.0)
 
     def test_list_calls_are_spread_also_when_most_of_them_fail(self):
         run, _ = fleet(rate=100, seconds=20, discovery=s.Discovery(mode="on_request", fails=0.7, notice=0.1))
         calls = Counter(int(e.at) for e in run.wire if isinstance(e, Called))
-        self.assertGreaterEqual(sum(calls.values()), 40)        # every proxy has asked
-        self.assertLessEqual(max(calls.values()), 20)           # half of them in a second, at most
+        self.assertGreaterEqual(sum(calls.values()), 40)  # every proxy has asked
+        self.assertLessEqual(max(calls.values()), 20)  # half of them in a second, at most
 
     def test_a_wrong_number_of_proxies_is_borne(self):
         for told in (1, 4, 400):
@@ -80,15 +96,29 @@
     def test_a_cold_host_at_an_idle_fleet_is_not_rested_for_being_cold(self):
         """Its answers were three times as slow as a warm one's, so it rested, still when it was warm."""
         for seed in range(3):
-            run, _ = fleet(6, rate=40, seconds=30, proxies=1, seed=seed,
-                           faults=[s.Kill(at=4, hosts=[0], lasts=1)],
-                           rules=msgspec.structs.replace(RULES, cold_time=8.0, fall_time=2.0))
+            run, _ = fleet(
+                6,
+                rate=40,
+                seconds=30,
+                proxies=1,
+                seed=seed,
+                faults=[s.Kill(at=4, hosts=[0], lasts=1)],
+                rules=msgspec.structs.replace(RULES, cold_time=8.0, fall_time=2.0),
+            )
             self.assertGreater(hops(run, [0], 14, 30), 0.5 * hops(run, [1, 2, 3, 4, 5], 14, 30) / 5)
 
     def test_the_same_seed_gives_the_same_run_in_any_process(self):
         code = "from tests.test_fleet import fleet; print(fleet(8, rate=80, seconds=2, proxies=5)[1].digest)"
-        digests = {subprocess.run([sys.executable, "-c", code], env={"PYTHONHASHSEED": seed}, check=True,
-                                  capture_output=True, text=True).stdout for seed in ("1", "2")}
+        digests = {
+            subprocess.run(
+                [sys.executable, "-c", code],
+                env={"PYTHONHASHSEED": seed},
+                check=True,
+                capture_output=True,
+                text=True,
+            ).stdout
+            for seed in ("1", "2")
+        }
         self.assertEqual(digests, {fleet(8, rate=80, seconds=2, proxies=5)[1].digest + "\n"})
         self.assertNotEqual(fleet(8, rate=80, seconds=2, proxies=5, seed=2)[1].digest + "\n", digests.pop())
 
@@ -96,13 +126,20 @@
 class OwnGuards(unittest.TestCase):
     """Each rule holds by its own guard: cold hosts in a storm, with each other defence out in turn."""
 
-    DEFENCES = {"full": lambda self: False, "busy": lambda self: False, "has_room": lambda self, server: True,
-                "doubtful": lambda self, server, tx: False, "drags": lambda self, tx: False}
+    DEFENCES = {
+        "full": lambda self: False,
+        "busy": lambda self: False,
+        "has_room": lambda self, server: True,
+        "doubtful": lambda self, server, tx: False,
+        "drags": lambda self, tx: False,
+    }
 
     def storm(self):
         """A hundred proxies, five hops each a second; near half of the hosts fail, two are cold."""
-        faults = [s.Kill(at=4, hosts=[0, 1], lasts=0.5),
-                  s.Errors(at=5, hosts=[2, 3, 4, 5, 6], lasts=9, share=1)]
+        faults = [
+            s.Kill(at=4, hosts=[0, 1], lasts=0.5),
+            s.Errors(at=5, hosts=[2, 3, 4, 5, 6], lasts=9, share=1),
+        ]
         rules = msgspec.structs.replace(RULES, cold_share=0.1, fall_multiple=3.0)
         _, result = fleet(12, rate=500, seconds=10, proxies=100, keys=300, rules=rules, faults=faults)
         return result.verdict
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -1,4 +1,5 @@
 """Leaving hosts are left however the list comes: silent, reset, slow and lying discoveries."""
+
 import asyncio
 import unittest
 from random import Random
@@ -26,17 +27,23 @@
 
     @given(st.integers(1, 2_000), st.integers(0, 2**32))
     def test_a_fleet_whose_calls_were_all_answered_at_once_does_not_call_at_once_again(self, proxies, seed):
-        self.assertEqual(following(ask_within=900_000).watch_wait(), 600_000)     # discovery waits no longer
+        self.assertEqual(following(ask_within=900_000).watch_wait(), 600_000)  # discovery waits no longer
         waits = sorted(following(seed, proxies=proxies, position=n).watch_wait() for n in range(proxies))
         self.assertGreaterEqual(waits[0], 100_000)
         self.assertLess(waits[-1], 200_000)
-        for n, wait in enumerate(waits):        # each in its own part
+        for n, wait in enumerate(waits):  # each in its own part
             self.assertIn(wait - 100_000 - n * 100_000 // proxies, range(-1, 100_000 // proxies + 2))
 
-    @given(st.integers(0, 40), st.integers(1, 600_000), st.integers(0, 50_000), st.booleans(),
-           st.integers(0, 2**32))
+    @given(
+        st.integers(0, 40),
+        st.integers(1, 600_000),
+        st.integers(0, 50_000),
+        st.booleans(),
+        st.integers(0, 2**32),
+    )
     def test_however_often_calls_have_failed_the_next_is_made_before_the_news_counts(
-            self, failures, ask_within, drain_grace, pushed, seed):
+        self, failures, ask_within, drain_grace, pushed, seed
+    ):
         rule = following(seed, ask_within=ask_within, list_on_request=not pushed, grace=drain_grace)
         for _ in range(failures):
             self.assertLessEqual(rule.retry_delay(turned_away=True), 20_000)
@@ -48,8 +55,8 @@
             waits = [rule.retry_delay(turned_away=True) for _ in range(URGENT_TRIES)]
             self.assertLessEqual(waits[0], 2_000)
             self.assertLessEqual(max(waits), 10_000)
-            tries = sum(sum(waits[:n + 1]) < grace for n in range(URGENT_TRIES))
-            self.assertGreaterEqual(tries, 4)       # of which one at least has time to be answered
+            tries = sum(sum(waits[: n + 1]) < grace for n in range(URGENT_TRIES))
+            self.assertGreaterEqual(tries, 4)  # of which one at least has time to be answered
 
     def test_a_discovery_with_too_many_callers_is_called_less_often_each_time_while_urgent(self):
         rule = following()
@@ -70,7 +77,7 @@
         usual = rule.watch_wait()
         getattr(rule, event)(*([True] if event == "retry_delay" else []))
         seen_as_silent = rule.watch_wait() + rule.silent_after(1)
-        self.assertLessEqual(seen_as_silent, 60_000)        # before its news counts
+        self.assertLessEqual(seen_as_silent, 60_000)  # before its news counts
         for _ in range(6):
             rule.answered()
         self.assertGreaterEqual(rule.watch_wait(), min(usual, 300_000) // 2)
@@ -87,8 +94,10 @@
     def test_of_a_host_named_twice_the_line_by_which_it_leaves_counts(self, lines):
         servers = [{"id": name, "addr": "127.0.0.1:9", "state": state} for name, state in lines]
         found = catalogue.listing({"version": 3, "full": True, "servers": servers})
-        self.assertEqual({line.id: line.ready for line in found.lines}, {
-            name: all(state == "up" for other, state in lines if other == name) for name, _ in lines})
+        self.assertEqual(
+            {line.id: line.ready for line in found.lines},
+            {name: all(state == "up" for other, state in lines if other == name) for name, _ in lines},
+        )
 
 
 class Followed(Loopback):
@@ -99,7 +108,7 @@
         self.assertEqual([await self.discovery.got.get() for _ in range(2)][1].split("&")[0][-7:], "index=2")
         then()
         self.assertIn("index=2", await asyncio.wait_for(self.discovery.got.get(), seconds))
-        self.discovery.news.put_nowait(b"")     # taken by the one that said nothing
+        self.discovery.news.put_nowait(b"")  # taken by the one that said nothing
         self.discovery.tell(3, self.hosts[0].line("s-0", state="draining"))
         await self.until(lambda: not self.service.owner.roster.ready(0))
         self.assertEqual({await caller.outcome(key=f"k{n}") for n in range(10)}, {200})
@@ -122,7 +131,7 @@
         moved = await self.started(SocketDiscovery())
         self.service.watch.move(catalogue.address(moved.address))
         self.assertEqual(await moved.got.get(), "/catalog/members")
-        moved.tell(9, self.hosts[0].line("s-0"))                # full: false
+        moved.tell(9, self.hosts[0].line("s-0"))  # full: false
         self.assertEqual(await asyncio.wait_for(moved.got.get(), 2), "/catalog/members")
         moved.tell(9, self.hosts[0].line("s-0"), full=True)
         await self.until(lambda: not self.service.owner.roster.ready(1))
@@ -147,7 +156,7 @@
         self.assertEqual((asked[2], "index=2&" in asked[3]), ("/catalog/members", True))
 
     async def test_a_discovery_that_answers_at_once_for_ever_is_called_a_bounded_number_of_times(self):
-        for version, most in ((lambda n: 2, 8), (lambda n: n, 110)):     # the same list on and on; ever newer
+        for version, most in ((lambda n: 2, 8), (lambda n: n, 110)):  # the same list on and on; ever newer
             await self.play(SocketHost())
             for n in range(2, 1_000):
                 self.discovery.tell(version(n), self.hosts[0].line("s-0"), full=True)
@@ -172,7 +181,7 @@
         await self.until(lambda: self.service.clients.ready)
         self.assertFalse(self.service.owner.roster.ready(0))
         await self.discovery.stop()
-        await asyncio.sleep(0.6)        # asked on and on, within half of the grace
+        await asyncio.sleep(0.6)  # asked on and on, within half of the grace
         lost = [line for line in self.log.lines if line["event"] == "list lost"]
         self.assertIn(len(lost), range(2, 8))
         self.assertTrue(all(line["again_ms"] <= 250 for line in lost))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,4 +1,5 @@
 """Upgrades: records, the inherited socket, who serves; two processes of one proxy on loopback."""
+
 import asyncio
 import json
 import os
@@ -47,7 +48,7 @@
         whole = record.encode({"orders": ["s-1", "s-2"], "n": 12345})
         at %= len(whole)
         self.assertIsInstance(record.decode(whole[:at]), Bad)
-        changed = whole[:at] + bytes([byte]) + whole[at + 1:]
+        changed = whole[:at] + bytes([byte]) + whole[at + 1 :]
         if changed != whole:
             self.assertIsInstance(record.decode(changed), Bad)
 
@@ -65,7 +66,7 @@
         self.assertEqual((one.arrive(), other.arrive(), one.serves()), ("", "", ""))
         self.assertEqual((one.serve(), other.serves()), ("", one.me))
         self.assertTrue(other.alive(one.me))
-        os.close(one.lock)              # as a kill does
+        os.close(one.lock)  # as a kill does
         self.assertFalse(other.alive(one.me))
         killed = [Neighbours(self.folder.name, "n/1") for _ in range(3)]
         for each in killed:
@@ -79,13 +80,23 @@
 
 class Inherited(unittest.TestCase):
     def test_only_a_tcp_socket_that_listens_on_the_address_told_is_taken(self):
-        with socket.create_server(("127.0.0.1", 0)) as server, socket.socket() as idle, socket.socket(
-                socket.AF_INET, socket.SOCK_DGRAM) as packets, open(os.devnull) as file:
+        with (
+            socket.create_server(("127.0.0.1", 0)) as server,
+            socket.socket() as idle,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as packets,
+            open(os.devnull) as file,
+        ):
             address = server.getsockname()
-            for told, where in ((str(idle.fileno()), address), (str(packets.fileno()), address),
-                                (str(file.fileno()), address), ("-1", address), ("x", address),
-                                ("9999", address), (str(server.fileno()), ("127.0.0.1", 1)),
-                                (str(server.fileno()), ("127.0.0.9", address[1]))):
+            for told, where in (
+                (str(idle.fileno()), address),
+                (str(packets.fileno()), address),
+                (str(file.fileno()), address),
+                ("-1", address),
+                ("x", address),
+                ("9999", address),
+                (str(server.fileno()), ("127.0.0.1", 1)),
+                (str(server.fileno()), ("127.0.0.9", address[1])),
+            ):
                 with self.assertRaises(NotOurs, msg=(told, where)):
                     listening(told, where)
             ours = listening(str(server.fileno()), address)
@@ -102,8 +113,9 @@
         left = json.loads(json.dumps(knowledge.told(stage.proxy, ids, NAMES)))
         successor = Stage(hosts, seed=2)
         successor.now = stage.now + wait
-        fitted = knowledge.taken_over(successor.proxy, left, {name: n for n, name in ids.items()}, NAMES,
-                                      successor.now, 30_000)
+        fitted = knowledge.taken_over(
+            successor.proxy, left, {name: n for n, name in ids.items()}, NAMES, successor.now, 30_000
+        )
         return successor, fitted
 
     def test_bans_hold_and_end_when_they_would_have(self):
@@ -184,10 +196,21 @@
         """`before`: lines that it says before it is ready."""
         number = self.socket.fileno()
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "basalthook", "serve", pass_fds=[number],
-            env={**os.environ, "RELAY_CONFIG": self.path, "TMPDIR": self.folder, "RELAY_FD": str(number),
-                 **more},
-            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "basalthook",
+            "serve",
+            pass_fds=[number],
+            env={
+                **os.environ,
+                "RELAY_CONFIG": self.path,
+                "TMPDIR": self.folder,
+                "RELAY_FD": str(number),
+                **more,
+            },
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
         self.addAsyncCleanup(self.kill, process)
         for event in before:
             await self.line(process, event)
@@ -318,9 +341,14 @@
 
     async def test_a_descriptor_that_is_none_is_one_line_and_not_zero(self):
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "basalthook", "serve", env={
-                **os.environ, "RELAY_CONFIG": self.path, "RELAY_FD": "77"},
-            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "basalthook",
+            "serve",
+            env={**os.environ, "RELAY_CONFIG": self.path, "RELAY_FD": "77"},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
         _, said = await process.communicate()
         self.assertEqual((process.returncode, said.count(b"\n")), (2, 1))
         self.assertIn(b"RELAY_FD", said)
--- a/tests/test_incidents.py
+++ b/tests/test_incidents.py
@@ -1,4 +1,5 @@
 """Failures that operators have seen, each played again on real processes over loopback."""
+
 import unittest
 from importlib.resources import files
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,4 +1,5 @@
 """The lab: its judge finds what is planted and nothing else, its model and scenarios hold what they say."""
+
 import json
 import subprocess
 import sys
@@ -34,10 +35,17 @@
         return judge(sorted(wire, key=lambda e: e.at), RULES, {"p": 0.6})
 
     def test_a_sound_run_is_clean_and_a_retry_belongs_to_its_first_try(self):
-        verdict = self.found(asked(), got(0.1, ran=False), got(0.2, 1), Answered(0.4, "t", 200, True),
-                             asked(1, "u"), Answered(1.1, "u", 503, False),
-                             asked(1.2, "v", first="u")._replace(due=1.0), got(1.3, 0, "v"),
-                             Answered(1.5, "v", 200, True))
+        verdict = self.found(
+            asked(),
+            got(0.1, ran=False),
+            got(0.2, 1),
+            Answered(0.4, "t", 200, True),
+            asked(1, "u"),
+            Answered(1.1, "u", 503, False),
+            asked(1.2, "v", first="u")._replace(due=1.0),
+            got(1.3, 0, "v"),
+            Answered(1.5, "v", 200, True),
+        )
         self.assertTrue(verdict.kept, verdict.first)
         self.assertEqual((verdict.service, verdict.wasted), (1.0, 0))
         self.assertEqual(verdict.answers, {"committed": 2, "rolled_back": 1, "abandoned": 0})
@@ -45,6 +53,7 @@
     def test_the_staffs_word_stands_over_the_lists_until_it_is_called_back(self):
         def hop(at, tx):
             return asked(at - 0.1, tx), got(at, 0, tx), Answered(at + 0.1, tx, 200, True)
+
         before = Ordered(1.0, 0, True), Told(1.1, 0, "up")
         verdict = self.found(*before, *hop(1.4, "a"), *hop(1.8, "b"), Ordered(2.5, 0, False), *hop(3.5, "c"))
         self.assertEqual((verdict.rules["drains"], verdict.first.tx), (1, "b"))
@@ -52,28 +61,50 @@
     def test_each_broken_rule_is_found_with_its_time_host_and_transaction(self):
         over = Answered(0.2, "t", 502, False)
         for rule, at, host, wire in (
-                ("lost", 2.0, None, [asked()]),
-                ("lost", 2.0, None, [asked(), Answered(2.2, "t", 503, False)]),
-                ("lost", 0.2, None, [asked(), Answered(0.2, "t", 0, False)]),
-                ("lost", 0.2, None, [asked(), got(0.1), Answered(0.2, "t", 200, False)]),
-                ("lost", 0.3, None, [asked(), over, over._replace(at=0.3)]),
-                ("lost", 0.5, 3, [asked(), over, got(0.5, 3)]),
-                ("lost", 0.1, 3, [got(0.1, 3, "nobody's")]),
-                ("doubled", 0.2, 1, [asked(), got(0.1), got(0.2, 1), Answered(0.3, "t", 200, True)]),
-                ("doubled", 0.3, 0, [asked(), got(0.1), Answered(0.3, "t", 503, False)]),
-                ("drains", 1.6, 0, [Told(1.0, 0, "draining"), asked(1.5), got(1.6),
-                                    Answered(1.7, "t", 200, True)]),
-                ("pushed_over", 0.4, 0, [e for n in range(5) for e in (
-                    asked(n / 10, n), got(n / 10, 0, n, cost=0.5, capacity=1.0, cold=-1.0),
-                    Answered(n / 10 + 0.05, n, 200, True))])):
+            ("lost", 2.0, None, [asked()]),
+            ("lost", 2.0, None, [asked(), Answered(2.2, "t", 503, False)]),
+            ("lost", 0.2, None, [asked(), Answered(0.2, "t", 0, False)]),
+            ("lost", 0.2, None, [asked(), got(0.1), Answered(0.2, "t", 200, False)]),
+            ("lost", 0.3, None, [asked(), over, over._replace(at=0.3)]),
+            ("lost", 0.5, 3, [asked(), over, got(0.5, 3)]),
+            ("lost", 0.1, 3, [got(0.1, 3, "nobody's")]),
+            ("doubled", 0.2, 1, [asked(), got(0.1), got(0.2, 1), Answered(0.3, "t", 200, True)]),
+            ("doubled", 0.3, 0, [asked(), got(0.1), Answered(0.3, "t", 503, False)]),
+            (
+                "drains",
+                1.6,
+                0,
+                [Told(1.0, 0, "draining"), asked(1.5), got(1.6), Answered(1.7, "t", 200, True)],
+            ),
+            (
+                "pushed_over",
+                0.4,
+                0,
+                [
+                    e
+                    for n in range(5)
+                    for e in (
+                        asked(n / 10, n),
+                        got(n / 10, 0, n, cost=0.5, capacity=1.0, cold=-1.0),
+                        Answered(n / 10 + 0.05, n, 200, True),
+                    )
+                ],
+            ),
+        ):
             verdict = self.found(*wire)
             self.assertEqual({r for r, count in verdict.rules.items() if count}, {rule}, verdict)
             self.assertEqual(verdict.first[:3], (rule, at, host))
 
     def test_within_the_grace_and_listed_again_is_no_offence(self):
-        verdict = self.found(Told(1.0, 0, "draining"), Told(1.6, 0, "up"), *(
-            e for n, at in enumerate((1.4, 2.0))
-            for e in (asked(at, n), got(at, 0, n), Answered(at + 0.1, n, 200, True))))
+        verdict = self.found(
+            Told(1.0, 0, "draining"),
+            Told(1.6, 0, "up"),
+            *(
+                e
+                for n, at in enumerate((1.4, 2.0))
+                for e in (asked(at, n), got(at, 0, n), Answered(at + 0.1, n, 200, True))
+            ),
+        )
         self.assertTrue(verdict.kept, verdict.first)
 
 
@@ -104,27 +135,27 @@
 class Scenarios(unittest.TestCase):
     def test_what_is_wrong_is_told_with_file_path_and_what_was_expected(self):
         for old, new, words in (
-                ("rate = 150", "rate = 0", ("> 0", "$.load.rate")),
-                ("rate = 150", "rte = 150", ("rte", "$.load")),
-                ('effect = "once"', 'effect = "twice"', ("$.load.profiles[1].effect",)),
-                ("hosts = [4]", "hosts = [6]", ("from 0 to 5", "$.faults[1].hosts[0]")),
-                ('what = "slow"', 'what = "sly"', ("sly", "$.faults[1].what")),
-                ("hard_limit = 2", "hard_limit = 0.1", ("$.load.profiles[1].hard_limit",)),
-                ('name = "order"', 'name = "read"', ("$.load.profiles[1].name",)),
-                ("seconds = 20", "seconds = ", ("no TOML", "line"))):
+            ("rate = 150", "rate = 0", ("> 0", "$.load.rate")),
+            ("rate = 150", "rte = 150", ("rte", "$.load")),
+            ('effect = "once"', 'effect = "twice"', ("$.load.profiles[1].effect",)),
+            ("hosts = [4]", "hosts = [6]", ("from 0 to 5", "$.faults[1].hosts[0]")),
+            ('what = "slow"', 'what = "sly"', ("sly", "$.faults[1].what")),
+            ("hard_limit = 2", "hard_limit = 0.1", ("$.load.profiles[1].hard_limit",)),
+            ('name = "order"', 'name = "read"', ("$.load.profiles[1].name",)),
+            ("seconds = 20", "seconds = ", ("no TOML", "line")),
+        ):
             with self.assertRaises(scenario.BadScenario) as caught:
                 scenario.parse(TRY.replace(old, new), "day.toml")
             for word in ("day.toml", *words):
                 self.assertIn(word, str(caught.exception))
 
-
     def test_the_days_on_record_keep_all_rules_and_are_found_whole(self):
         found = sorted(each.name for each in files("basalthook.lab").joinpath("scenarios").iterdir())
         self.assertGreater(len(found), 6)
         for name in found:
             told = scenario.load(str(files("basalthook.lab").joinpath("scenarios", name)))
             if any(isinstance(fault, scenario.ON_PROCESSES) for fault in told.faults):
-                continue        # tests.test_processes and tests.test_incidents play it whole
+                continue  # tests.test_processes and tests.test_incidents play it whole
             on_sockets = any(isinstance(fault, scenario.Maintain) for fault in told.faults)
             told = scenario.msgspec.structs.replace(told, seconds=6.0 if on_sockets else 9.0)
             verdict = (trial if on_sockets else decisions).play(told).verdict
@@ -135,13 +166,15 @@
 class Deadlines(unittest.TestCase):
     def test_news_counts_when_the_operators_say(self):
         for view, pushed, at in (
-                (ProxyView(watched=True), True, None), (ProxyView(watched=False), True, 20.0),
-                (ProxyView(watched=False, last_call=18.0), False, 30.0),
-                (ProxyView(watched=False, last_call=25.0, failed=True), False, 26.0),
-                (ProxyView(watched=False, silent_counts=(31.0,)), True, 31.0),
-                (ProxyView(watched=False, silent_counts=(31.0,), failed=True), False, 26.0),
-                (ProxyView(watched=False, moved=18.0, failed=True), False, 22.0),
-                (ProxyView(watched=False, moved=10.0), True, 20.0)):
+            (ProxyView(watched=True), True, None),
+            (ProxyView(watched=False), True, 20.0),
+            (ProxyView(watched=False, last_call=18.0), False, 30.0),
+            (ProxyView(watched=False, last_call=25.0, failed=True), False, 26.0),
+            (ProxyView(watched=False, silent_counts=(31.0,)), True, 31.0),
+            (ProxyView(watched=False, silent_counts=(31.0,), failed=True), False, 26.0),
+            (ProxyView(watched=False, moved=18.0, failed=True), False, 22.0),
+            (ProxyView(watched=False, moved=10.0), True, 20.0),
+        ):
             self.assertEqual(counts_at(15.0, 20.0, view, pushed, ask_within=10.0), at, view)
 
 
@@ -175,13 +208,16 @@
 
     @staticmethod
     def command(*words):
-        return subprocess.run([sys.executable, "-m", "basalthook", "try", *words], capture_output=True,
-                              text=True, timeout=30)
+        return subprocess.run(
+            [sys.executable, "-m", "basalthook", "try", *words], capture_output=True, text=True, timeout=30
+        )
 
     def test_a_plain_serve_imports_nothing_of_it(self):
-        code = ("import sys, basalthook.program.commands, basalthook.program.service; "
-                "print([m for m in sys.modules if m.split('.')[0] in ('rich', 'msgspec', 'hdrh') "
-                "or m.startswith('basalthook.lab')])")
+        code = (
+            "import sys, basalthook.program.commands, basalthook.program.service; "
+            "print([m for m in sys.modules if m.split('.')[0] in ('rich', 'msgspec', 'hdrh') "
+            "or m.startswith('basalthook.lab')])"
+        )
         done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
         self.assertEqual(done.stdout.strip(), "[]")
 
@@ -197,7 +233,7 @@
             for _ in range(1_000):
                 key = chance.getrandbits(70)
                 first, whole = hosts.first(key), hosts.order(key)
-                self.assertEqual(first, whole[:len(first)])
+                self.assertEqual(first, whole[: len(first)])
                 self.assertEqual(sorted(whole), list(range(count)))
                 if count:
                     lead[whole[0]] += 1
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -1,4 +1,5 @@
 """A late process: its own lateness is nobody else's, and it takes no more than it can serve."""
+
 import asyncio
 import socket
 import time
@@ -28,7 +29,7 @@
 class TheDoor(unittest.TestCase):
     def test_short_stalls_and_light_waits_turn_nobody_away(self):
         door = Door(GOAL, Random(1))
-        waits = [20] * 400 + [400] * 10 + [20] * 400         # a stall of 40 ms in between
+        waits = [20] * 400 + [400] * 10 + [20] * 400  # a stall of 40 ms in between
         self.assertTrue(all(door.admit(n, wait) for n, wait in enumerate(waits)))
 
     def test_with_twice_the_work_it_settles_where_the_rest_is_in_time(self):
@@ -44,7 +45,7 @@
                 taken += admitted
                 waits.append(free - now if admitted else 0)
         self.assertLess(sorted(waits)[len(waits) * 99 // 100], GOAL)
-        self.assertGreater(taken / 20_000, 0.4)         # of the 45 in 100 that the worker could do
+        self.assertGreater(taken / 20_000, 0.4)  # of the 45 in 100 that the worker could do
 
     def test_what_is_too_late_already_is_turned_away_and_quiet_times_open_the_door(self):
         door = Door(GOAL, Random(1))
@@ -52,7 +53,7 @@
         for n in range(1_000):
             door.admit(n, GOAL - 1)
         self.assertEqual(door.share(), 1.0)
-        self.assertTrue(door.admit(60_000, 0))          # five seconds later
+        self.assertTrue(door.admit(60_000, 0))  # five seconds later
         self.assertLess(door.share(), 0.01)
 
     @given(st.lists(st.tuples(st.integers(0, 5_000), st.integers(0, 100_000)), max_size=200))
@@ -133,7 +134,7 @@
             ours, _ = server.accept()
         connection, told = Connection(ours, BufferPool(64, 8), Descriptors(64)), []
         connection.follow(lambda part, late: told.append(late), None)
-        await asyncio.sleep(0.05)           # the system begins with its stamps a moment after it is asked
+        await asyncio.sleep(0.05)  # the system begins with its stamps a moment after it is asked
         for pause in (0, 0.05):
             theirs.send(b"x")
             time.sleep(pause)
@@ -156,7 +157,6 @@
             self.assertEqual(up, [None])
             connection.close()
 
-
     async def test_a_connection_that_was_refused_is_no_sound_one_to_a_late_timer(self):
         with socket.create_server(("127.0.0.1", 0)) as server:
             address = server.getsockname()
@@ -198,6 +198,7 @@
                 service.timers.close()
                 for peer in (*started, discovery):
                     await peer.stop()
+
         run(main(), turns)
         self.assertEqual([line for line in log if line["event"] == "fault"], [])
         return log
@@ -213,10 +214,11 @@
             host.writers[0].write(OK)
             time.sleep(0.3)
             self.assertEqual((await caller.answer())[0], 200)
-            server, = service.owner.proxy.servers.values()
+            (server,) = service.owner.proxy.servers.values()
             self.assertLess(server.strain, 2.0)
             self.assertLess(service.owner.proxy.latency[1].mean, 1_000)
             await caller.stop()
+
         self.assertEqual([line for line in self.play(story, host) if line["event"] == "hop"], [])
 
     def test_what_lay_unread_for_longer_than_its_goal_is_rolled_back_and_reaches_no_host(self):
@@ -227,7 +229,7 @@
             self.assertEqual(await callers[0].outcome(), 200)
             for caller in callers:
                 caller.ask("submit")
-            time.sleep(0.7)                 # the service goal is 0.6 s
+            time.sleep(0.7)  # the service goal is 0.6 s
             answers = [await caller.answer() for caller in callers]
             self.assertEqual({status for status, _, _ in answers}, {503})
             self.assertTrue(all("Retry-After" in head for _, _, head in answers))
@@ -235,4 +237,5 @@
             self.assertEqual(await callers[0].outcome(), 200)
             for caller in callers:
                 await caller.stop()
+
         self.assertEqual(sum(line["event"] == "door" for line in self.play(story, host)), 8)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,5 +1,6 @@
 """Limits of the whole fleet: what ships under random schedules and in every small world, judged from outside;
 each promise with the bug planted that would break it."""
+
 import tempfile
 import unittest
 import unittest.mock
@@ -28,6 +29,7 @@
 
 class Hasty(Member):
     """A keeper that does not wait for what another has lent."""
+
     def __init__(self, run, n):
         super().__init__(run, n)
         if self.limits.keeper:
@@ -36,6 +38,7 @@
 
 class AddsTwice(Member):
     """Takes a later version of an answer for more of the same."""
+
     def __init__(self, run, n):
         super().__init__(run, n)
         holder, answered = self.limits.holder, self.limits.holder.answered
@@ -43,11 +46,13 @@
         def again(now, *given):
             holder.taken = {}
             return answered(now, *given)
+
         holder.answered = again
 
 
 class SaysFirst(Member):
     """Says that it gives up, and does so a little later."""
+
     def __init__(self, run, n):
         super().__init__(run, n)
         give = self.limits.give
@@ -56,6 +61,7 @@
 
 class Bold(Seat):
     """A voter that has forgotten what it voted, and votes."""
+
     def __init__(self, *told):
         super().__init__(*told)
         self.silent_until = 0
@@ -63,7 +69,7 @@
 
 class Schedules(unittest.TestCase):
     def test_no_host_and_no_window_is_over_and_nothing_stays_idle(self):
-        for seed in (*range(10), 36, 59, 154, 432):    # the last of them broke on the way
+        for seed in (*range(10), 36, 59, 154, 432):  # the last of them broke on the way
             self.assertEqual(Run(seed).play(), [], seed)
 
     def test_what_would_break_it_is_found(self):
@@ -78,6 +84,7 @@
 
         def own():
             return sum(member.proxy.allowed.left((i.AT_HOST, 0), run.clock(member.n)) for member in members)
+
         self.assertEqual(own(), 0)
         run.now += HARD_LIMIT // 2
         for member in members:
@@ -102,13 +109,14 @@
         with unittest.mock.patch("basalthook.fleet.seat.shorter", lambda ticks, loss: ticks):
             self.assertIsNotNone(Explorer(steps=3, claims=1, restarts=0).run()[1])
 
-    @given(st.integers(1, 10 ** 6), st.floats(0, 0.3))
+    @given(st.integers(1, 10**6), st.floats(0, 0.3))
     def test_what_a_slow_holder_counts_is_over_before_a_fast_keeper_has_counted(self, ticks, loss):
         self.assertLessEqual(shorter(ticks, loss) / (1 - loss), ticks / (1 + loss) * (1 + 1e-12))
 
 
 class Many(unittest.TestCase):
     """A proxy before hundreds of hosts, and one that has left the list."""
+
     def setUp(self):
         self.run, self.asked = Run(1), []
         self.run.hosts, self.run.send = 200, lambda n, name, message: self.asked.append(message)
@@ -126,12 +134,12 @@
         for host in range(100, 130):
             self.out(host)
         self.limits.tick(now + 100)
-        need, = [message for message in self.asked if message[0] == NEED]
+        (need,) = [message for message in self.asked if message[0] == NEED]
         marks = {row[1] for row in need[5] if row[1]}
         self.assertEqual(len(marks), UNITS)
         self.assertLessEqual({1000 + host for host in range(100, 130)}, marks)
         rows = need[5]
-        part = [PART, "p0", 1, 2 ** 40, 9, [[*row[:2], 4] for row in rows], [row[:2] for row in rows]]
+        part = [PART, "p0", 1, 2**40, 9, [[*row[:2], 4] for row in rows], [row[:2] for row in rows]]
         self.assertLess(max(len(wire.sealed(b"k" * 16, message)) for message in (need, part)), wire.MOST)
 
     def test_a_place_in_use_at_a_host_that_left_the_list_is_not_given_up(self):
@@ -169,7 +177,7 @@
 
     def test_fewer_granted_counts_as_more_until_the_holder_has_said_so(self):
         self.ask("a", 1, (UNIT, 0, 3))
-        self.assertEqual(self.ask("a", 2, (UNIT, 3, 1)), {"a": {UNIT: 1}})      # its answer may be lost
+        self.assertEqual(self.ask("a", 2, (UNIT, 3, 1)), {"a": {UNIT: 1}})  # its answer may be lost
         self.assertEqual(self.ask("b", 1, (UNIT, 0, 1)), {"b": {UNIT: 0}})
 
     def test_tokens_of_a_lost_answer_come_back_and_taken_ones_do_not(self):
@@ -211,7 +219,7 @@
 class Decisions(unittest.TestCase):
     def test_hops_go_where_a_place_is_allowed_and_wait_for_one(self):
         stage = Stage([FakeHost(n, outcome=None) for n in range(2)])
-        stage.tell(i.Allowed((((i.AT_HOST, None), 0, 0, 0), ((i.AT_HOST, 1), 0, 1, 10 ** 9))))
+        stage.tell(i.Allowed((((i.AT_HOST, None), 0, 0, 0), ((i.AT_HOST, 1), 0, 1, 10**9))))
         stage.many(2)
         self.assertEqual(stage.sends(), [1])
         stage.tell(i.Allowed((((i.AT_HOST, 0), 1, 0, 0),)))
@@ -229,7 +237,7 @@
         stage = Stage([FakeHost(n, outcome=None) for n in range(2)])
         stage.tell(i.Allowed((((i.FIRST, None), 0, 0, 0),), (), 7_000))
         stage.many(1)
-        back, = [e for e in stage.record if isinstance(e, i.RollBack)]
+        (back,) = [e for e in stage.record if isinstance(e, i.RollBack)]
         self.assertTrue(5_000 < back.come_back < 9_000)
 
 
@@ -237,6 +245,7 @@
     def test_one_hop_more_than_the_places_is_seen(self):
         def got(at, tx):
             return Got(at, 0, tx, 0.01, 1.0, None, True)
+
         kept = [got(1, "a"), got(2, "b"), Done(3, 0, "a"), got(4, "c")]
         self.assertEqual(overrun.held(kept, 2, set())[0], 2)
         self.assertEqual(overrun.held([*kept, got(5, "d")], 2, set())[0], 3)
@@ -249,22 +258,29 @@
     def test_bounds_are_formulas_of_the_settings(self):
         self.assertEqual(Limit("r", RATE, 40, 60, floor=0.25).over_bound(), 0.0)
         self.assertEqual(Limit("r", RATE, 40, 60, over=BOUNDED, floor=0.25).over_bound(), 0.25)
-        self.assertEqual(Limit("r", RATE, 0, 0, over=BOUNDED, floor=0.25).over_bound(), 0.25)   # was 0 / 0
+        self.assertEqual(Limit("r", RATE, 0, 0, over=BOUNDED, floor=0.25).over_bound(), 0.25)  # was 0 / 0
         limit = Limit("p", HOST, 8, floor=0.5)
         own = sum(limit.own_places(99, position, 5) for position in range(5))
         self.assertEqual((own, limit.lent()), (4, 4))
 
     def test_what_no_limit_can_mean_is_said(self):
-        for limit in (Limit("p", HOST, 1.5), Limit("p", HOST, 2, over=BOUNDED), Limit("r", RATE, 40, 30),
-                      Limit("r", RATE, -1, over=NEVER)):
+        for limit in (
+            Limit("p", HOST, 1.5),
+            Limit("p", HOST, 2, over=BOUNDED),
+            Limit("r", RATE, 40, 30),
+            Limit("r", RATE, -1, over=NEVER),
+        ):
             self.assertIn("Expected", wrong(limit))
 
     def test_a_fleet_file_is_refused_with_the_place(self):
         head = 'listen = "127.0.0.1:1"\nseeds = []\nkey_file = "k"\nshares = ["limits"]\n'
         place = '[[limits]]\nname = "p"\nkind = "host"\namount = 8\n'
-        for text, where in ((head + place, "$.keepers"), (head + 'keepers = ["a"]\n', "$.shares"),
-                            (head + 'keepers = ["a"]\n' + place + place, "$.limits[1].name"),
-                            (head + 'keepers = ["a"]\n' + place.replace("8", "1.5"), "$.limits[0]")):
+        for text, where in (
+            (head + place, "$.keepers"),
+            (head + 'keepers = ["a"]\n', "$.shares"),
+            (head + 'keepers = ["a"]\n' + place + place, "$.limits[1].name"),
+            (head + 'keepers = ["a"]\n' + place.replace("8", "1.5"), "$.limits[0]"),
+        ):
             with tempfile.TemporaryDirectory() as folder:
                 path = Path(folder, "fleet.toml")
                 path.write_text(text)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,4 +1,5 @@
 """Members and shared facts: the cores alone, from one datagram up to random schedules of faults."""
+
 import unittest
 from random import Random
 
@@ -13,8 +14,15 @@
 from basalthook.membership.member import ALIVE, DEAD, PING, SUSPECT, Member, Update
 
 WORDS = st.builds(
-    Fact, st.sampled_from("abc"), st.integers(1, 3), st.sampled_from(["host", "trial"]),
-    st.sampled_from("xy"), st.integers(1, 9), st.tuples(st.integers(0, 3)), st.integers(0, 40_000))
+    Fact,
+    st.sampled_from("abc"),
+    st.integers(1, 3),
+    st.sampled_from(["host", "trial"]),
+    st.sampled_from("xy"),
+    st.integers(1, 9),
+    st.tuples(st.integers(0, 3)),
+    st.integers(0, 40_000),
+)
 
 
 def same_word(words):
@@ -31,8 +39,17 @@
     def test_who_joins_eleven_hundred_members_knows_them_all_from_datagrams_that_fit(self):
         told, now, addresses = [], 0, (("10.0.0.1", 1), ("10.0.0.2", 2))
         others = [Update(f"m-{n:04}", f"10.1.{n // 250}.{n % 250}", 7_000, 1, 0, ALIVE) for n in range(1_099)]
-        ends = {me: Member(f"n{me[1]}", me, 1, [addresses[0]], Random(me[1]),
-                           lambda *given, me=me: told.append((me, *given))) for me in addresses}
+        ends = {
+            me: Member(
+                f"n{me[1]}",
+                me,
+                1,
+                [addresses[0]],
+                Random(me[1]),
+                lambda *given, me=me: told.append((me, *given)),
+            )
+            for me in addresses
+        }
         for me, known in zip(addresses, (others, []), strict=True):
             ends[me].begin(now, known)
         while len(ends[addresses[1]].known) < 1_100:
@@ -42,7 +59,7 @@
                 end.tick(now)
             while told:
                 source, target, message = told.pop(0)
-                message = wire.opened(KEY, wire.sealed(KEY, message))   # too long: no message
+                message = wire.opened(KEY, wire.sealed(KEY, message))  # too long: no message
                 if target in ends:
                     ends[target].received(now, message, source)
 
@@ -55,7 +72,7 @@
         one, other = Table("me", 1, LIVES), Table("you", 1, LIVES)
         for word in words:
             one.take(100_000, word)
-        shuffled = words + words[::2]       # in another order, some of them twice
+        shuffled = words + words[::2]  # in another order, some of them twice
         chance.shuffle(shuffled)
         for word in shuffled:
             other.take(100_000, word)
@@ -67,7 +84,7 @@
     def test_a_word_is_gone_with_its_life_and_ages_only_grow(self):
         table, word = Table("me", 1, LIVES), Fact("a", 1, "host", "x", 1, (), 10_000)
         self.assertTrue(table.take(50_000, word))
-        self.assertFalse(table.take(51_000, word._replace(age=0)))      # told younger: the greater age stands
+        self.assertFalse(table.take(51_000, word._replace(age=0)))  # told younger: the greater age stands
         self.assertEqual([f.age for f in table.about(55_000, "host", "x")], [15_000])
         self.assertFalse(table.about(70_001, "host", "x") or table.given(70_001, [word.mark]))
         self.assertFalse(table.take(80_000, word._replace(sequence=2, age=30_001)))
@@ -83,8 +100,13 @@
         self.assertFalse(table.take(0, Fact("a", 1, "host", "y", 999, (), 0)))
 
     @settings(deadline=None, max_examples=200)
-    @given(st.recursive(st.none() | st.booleans() | st.integers() | st.text(max_size=4),
-                        lambda inner: st.lists(inner, max_size=8), max_leaves=20))
+    @given(
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.text(max_size=4),
+            lambda inner: st.lists(inner, max_size=8),
+            max_leaves=20,
+        )
+    )
     def test_whatever_comes_is_a_fact_or_nothing(self, plain):
         fact = facts.read(plain)
         if fact is not None:
@@ -96,7 +118,9 @@
         sound = wire.sealed(KEY, [PING, "a", 7, "b", []])
         self.assertEqual(wire.opened(KEY, sound), [PING, "a", 7, "b", []])
         for n in range(1, len(sound)):
-            self.assertEqual(wire.opened(KEY, sound[:n] + bytes([sound[n] ^ 1]) + sound[n + 1:]), wire.SPOILT)
+            self.assertEqual(
+                wire.opened(KEY, sound[:n] + bytes([sound[n] ^ 1]) + sound[n + 1 :]), wire.SPOILT
+            )
         self.assertEqual(wire.opened(b"another key of some length", sound), wire.SPOILT)
         self.assertEqual(wire.opened(KEY, b"\2" + sound[1:]), wire.OTHER_VERSION)
         self.assertEqual(wire.opened(KEY, sound + bytes(wire.MOST)), wire.TOO_LONG)
@@ -104,9 +128,17 @@
             self.assertEqual(wire.opened(KEY, wire.sealed(KEY, message)), wire.SPOILT, message)
 
     @settings(deadline=None, max_examples=300)
-    @given(st.integers(0, 25), st.lists(st.recursive(
-        st.none() | st.integers(-1, 2**40) | st.text(max_size=5), lambda inner: st.lists(inner, max_size=7),
-        max_leaves=15), max_size=6))
+    @given(
+        st.integers(0, 25),
+        st.lists(
+            st.recursive(
+                st.none() | st.integers(-1, 2**40) | st.text(max_size=5),
+                lambda inner: st.lists(inner, max_size=7),
+                max_leaves=15,
+            ),
+            max_size=6,
+        ),
+    )
     def test_no_content_under_the_right_key_harms_a_member(self, kind, rest):
         """A member of another make may hold the key."""
         talk = talker()
@@ -117,10 +149,10 @@
         talk = talker()
         for n in range(10_000):
             talk.received(1_000 + n, b"x" * 50, ("a", 1))
-        self.assertLess(talk.taken, 4_100)      # 2,000 at once and 2,000 a second
+        self.assertLess(talk.taken, 4_100)  # 2,000 at once and 2,000 a second
         self.assertEqual(sum(talk.unsound.values()), 10_000)
         talk.received(30_000, wire.sealed(KEY, [PING, "b", 7, "me", []]), ("b", 1))
-        self.assertEqual(len(talk.sends), 2)    # answered, and asked who it is
+        self.assertEqual(len(talk.sends), 2)  # answered, and asked who it is
 
     def test_nobody_takes_a_fact_that_was_not_asked_for_and_what_was_held_up_is_older(self):
         talk = talker()
@@ -132,7 +164,7 @@
         talk.received(21_000, answer, ("a", 1))
         self.assertEqual([f.age for f in talk.table.all(21_000)], [20_000])
         talk.table.drop(next(iter(talk.table.held.values())))
-        talk.received(21_500, answer, ("a", 1))     # played again
+        talk.received(21_500, answer, ("a", 1))  # played again
         self.assertEqual(len(talk.table), 0)
 
 
@@ -147,8 +179,14 @@
 class Members(unittest.TestCase):
     def member(self, *others, life=5):
         self.sent = []
-        member = Member("me", ("me", 1), life, [], Random(3), lambda address, message: self.sent.append(
-            (address[0], message)))
+        member = Member(
+            "me",
+            ("me", 1),
+            life,
+            [],
+            Random(3),
+            lambda address, message: self.sent.append((address[0], message)),
+        )
         member.begin(0, [Update(name, name, 1, 1, 0, ALIVE) for name in others])
         return member
 
@@ -182,11 +220,14 @@
         host = "ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff"
         members, lengths = {}, []
         for name in names:
+
             def send(address, message, name=name):
                 lengths.append(len(wire.sealed(KEY, message)))
                 later.append((members[address], message, members[name].me.address))
+
             members[name] = members[host, names.index(name) + 1] = Member(
-                name, (host, names.index(name) + 1), 2**60, [(host, 1)], Random(name), send)
+                name, (host, names.index(name) + 1), 2**60, [(host, 1)], Random(name), send
+            )
         later = []
         for member in members.values():
             member.begin(0)
@@ -216,6 +257,7 @@
     def answered(self, now, message, source):
         self.asked[message[2]] = now
         Talk.answered(self, now, message, source)
+
     HANDLES = {**Talk.HANDLES, ANSWER: answered}
 
 
--- a/tests/test_migrate.py
+++ b/tests/test_migrate.py
@@ -1,4 +1,5 @@
 """An operator's old start-up file, and what becomes of it."""
+
 import asyncio
 import json
 import os
@@ -42,8 +43,13 @@
         self.assertEqual((agreed.live_weights, agreed.peers, agreed.list_on_request), (False, False, True))
         allowed = self.example["settings"]["allowed"]
         wrong_peers = [{**allowed, "peers": peers} for peers in (1, "yes")]
-        for name, wrongs in {"weights": ("lively", 1, ["live"]), "discovery": ("asked",),
-                             "balancers": (0, "3"), "position": (-1, True), "allowed": wrong_peers}.items():
+        for name, wrongs in {
+            "weights": ("lively", 1, ["live"]),
+            "discovery": ("asked",),
+            "balancers": (0, "3"),
+            "position": (-1, True),
+            "allowed": wrong_peers,
+        }.items():
             for wrong in wrongs:
                 path = "settings[.]" + name + ("[.]peers" if name == "allowed" else "")
                 with self.assertRaisesRegex(startup.BadStart, f"^here: {path}: "):
@@ -57,6 +63,7 @@
             both = [{**first, **bound}, *others]
             told = self.change(areas=["a", "b"], host_types=["m"], rules=rules, profiles=both)
             return startup.decode(told, {}, "here").agreed
+
         found = agreed(stays_in=["b"], host_types_open=["m"])
         self.assertEqual((*found.profiles[0][-2:], found.only_draining_binds), ({"b"}, {"m"}, True))
         for name, wrong in (("stays_in", "b"), ("stays_in", []), ("stays_in", ["c"]), ("host_types_open", 1)):
@@ -77,11 +84,14 @@
     def test_what_can_not_be_used_leaves_all_files_as_they_were(self):
         unknown = self.change(load_report={"how": "inline"})
         for told, words, code, says in (
-                ("{", (), 2, "no JSON"), ("[]", (), 2, "no start-up file"),
-                ({"settings": 1}, (), 2, "settings"), (self.change(rules={}), (), 2, "ask_within_ns"),
-                (unknown, (), 1, "unknown  settings.load_report"),
-                (self.example, ("--output", self.old), 2, "--replace"),
-                (self.change(weights="live", discovery="pushed"), (), 0, "new shape already")):
+            ("{", (), 2, "no JSON"),
+            ("[]", (), 2, "no start-up file"),
+            ({"settings": 1}, (), 2, "settings"),
+            (self.change(rules={}), (), 2, "ask_within_ns"),
+            (unknown, (), 1, "unknown  settings.load_report"),
+            (self.example, ("--output", self.old), 2, "--replace"),
+            (self.change(weights="live", discovery="pushed"), (), 0, "new shape already"),
+        ):
             self.put(told)
             before = self.files()
             found, _, err = self.run_it(*(words or ("--output", self.new)))
@@ -99,14 +109,15 @@
         self.assertEqual(self.run_it("--output", self.new, *DECIDED)[0], 0)
         process = await start("serve", RELAY_CONFIG=self.new)
         try:
-            await discovery.got.get()       # the watch began unasked
+            await discovery.got.get()  # the watch began unasked
             discovery.tell(2, host.line("s-0", weight=0.2))
             await discovery.got.get()
             lines = []
             while not lines or lines[-1]["event"] != "ready":
                 lines.append(json.loads(await asyncio.wait_for(process.stdout.readline(), 30)))
-            self.assertEqual([line["event"] for line in lines if line["event"] != "list call"],
-                             ["list", "ready"])
+            self.assertEqual(
+                [line["event"] for line in lines if line["event"] != "list call"], ["list", "ready"]
+            )
             caller = await Caller().to(lines[-1]["listen"])
             self.assertEqual(await caller.outcome(profile="submit"), 200)
             await caller.stop()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,4 +1,5 @@
 """The files under `policy` in deploy/balancer.toml name all that decides, in short modules."""
+
 import ast
 import tomllib
 import unittest
@@ -54,8 +55,12 @@
             self.assertTrue(list(decides((ROOT / path).read_text())), path)
 
     def test_a_constant_or_a_rule_elsewhere_is_found(self):
-        for source in ("LIMIT = 3", "A, B = 1, 2.5", "def f(p):\n return p.terms.fall_time",
-                       "def f(s):\n s.effects.append(i.SetTimer(1, 1))"):
+        for source in (
+            "LIMIT = 3",
+            "A, B = 1, 2.5",
+            "def f(p):\n return p.terms.fall_time",
+            "def f(s):\n s.effects.append(i.SetTimer(1, 1))",
+        ):
             self.assertTrue(list(decides(source)), source)
         self.assertFalse(list(decides('KIND = "zone"\ndef count(self, now): return len(self.times)')))
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,4 +1,5 @@
 """Twelve real processes, every way between them through the rig, and faults on it: verdicts, not timings."""
+
 import json
 import socket
 import subprocess
@@ -50,7 +51,7 @@
 class Together(unittest.TestCase):
     def play(self, *faults, seconds=13):
         """The rig after its run, and the result; in each the four rules hold and nothing old is acted on."""
-        head, shares, rig = BASE[:BASE.index("[[faults]]")], BASE[BASE.index("[fleet]"):], []
+        head, shares, rig = BASE[: BASE.index("[[faults]]")], BASE[BASE.index("[fleet]") :], []
         head = head.replace("proxies = 60", "proxies = 12").replace("seconds = 50", f"seconds = {seconds}")
         told = scenario.parse("\n".join((head, SILENT, *faults, shares)), "day.toml")
         result = processes.play(told, rig)
@@ -60,12 +61,15 @@
         return rig[0], result
 
     def test_no_host_is_over_its_places_whoever_of_the_voters_dies_or_stands_still(self):
-        head = BASE[:BASE.index("[[faults]]")].replace("proxies = 60", "proxies = 12")
-        faults = ("[[faults]]\nwhat = 'kill_proxy'\nat = 5\nlasts = 1\nproxies = [0]\n",
-                  "[[faults]]\nwhat = 'stop_proxy'\nat = 8\nlasts = 3\nproxies = [1, 5]\n",
-                  "[[faults]]\nwhat = 'cut'\nat = 3\nlasts = 7\nbetween = [['p6-8'], ['p0-5']]\n",
-                  LOSSY, "[fleet]\nshares = ['limits', 'verdicts']\n[[fleet.limits]]\nname = 'places'\n"
-                  "kind = 'host'\namount = 3\nfloor = 0.34\n")
+        head = BASE[: BASE.index("[[faults]]")].replace("proxies = 60", "proxies = 12")
+        faults = (
+            "[[faults]]\nwhat = 'kill_proxy'\nat = 5\nlasts = 1\nproxies = [0]\n",
+            "[[faults]]\nwhat = 'stop_proxy'\nat = 8\nlasts = 3\nproxies = [1, 5]\n",
+            "[[faults]]\nwhat = 'cut'\nat = 3\nlasts = 7\nbetween = [['p6-8'], ['p0-5']]\n",
+            LOSSY,
+            "[fleet]\nshares = ['limits', 'verdicts']\n[[fleet.limits]]\nname = 'places'\n"
+            "kind = 'host'\namount = 3\nfloor = 0.34\n",
+        )
         told = scenario.parse("\n".join((head.replace("seconds = 50", "seconds = 13"), *faults)), "day.toml")
         result = processes.play(told)
         self.assertEqual((result.faults, result.talk["limits"]["places"]["over_most"]), ([], 0.0))
@@ -73,8 +77,11 @@
         self.assertGreater(result.verdict.service, 0.5)
 
     def out(self, rig):
-        return {(fields["id"], n) for _, n, event, fields in rig.said
-                if event == "verdict" and fields["state"] == OUT}
+        return {
+            (fields["id"], n)
+            for _, n, event, fields in rig.said
+            if event == "verdict" and fields["state"] == OUT
+        }
 
     def test_silent_hosts_are_out_for_all_while_datagrams_are_lost_doubled_late_and_spoilt(self):
         rig, result = self.play(LOSSY)
@@ -86,7 +93,8 @@
     def test_halves_cut_apart_and_clocks_an_hour_ahead_agree_again(self):
         rig, result = self.play(
             "[[faults]]\nwhat = 'cut'\nat = 1\nlasts = 5\nbetween = [['p0-5'], ['p6-11']]\n",
-            "[[faults]]\nwhat = 'clock'\nat = 0\nlasts = 6\nahead = 3600\nrate = 1.02\nproxies = [1, 2, 8]\n")
+            "[[faults]]\nwhat = 'clock'\nat = 0\nlasts = 6\nahead = 3600\nrate = 1.02\nproxies = [1, 2, 8]\n",
+        )
         self.assertEqual({host for host, _ in self.out(rig)}, {"host-0", "host-1", "host-2"})
         last = {}
         for _, n, event, fields in rig.said:
@@ -98,7 +106,8 @@
     def test_some_killed_some_stopped_for_longer_than_a_life_and_the_rest_serve(self):
         rig, result = self.play(
             "[[faults]]\nwhat = 'kill_proxy'\nat = 2.4\nlasts = 2\nproxies = [0, 1, 2]\n",
-            "[[faults]]\nwhat = 'stop_proxy'\nat = 2.6\nlasts = 4\nproxies = [5, 6]\n")
+            "[[faults]]\nwhat = 'stop_proxy'\nat = 2.6\nlasts = 4\nproxies = [5, 6]\n",
+        )
         self.assertEqual({host for host, _ in self.out(rig)}, {"host-0", "host-1", "host-2"})
         self.assertGreater(result.verdict.service, 0.95)
         ready = sum(event == "ready" for _, _, event, _ in rig.said)
@@ -127,8 +136,13 @@
         path.chmod(mode)
 
     def write(self, **changes):
-        told = {"listen": "127.0.0.1:7946", "seeds": ["127.0.0.1:7946"], "key_file": "key",
-                "shares": ["verdicts"], **changes}
+        told = {
+            "listen": "127.0.0.1:7946",
+            "seeds": ["127.0.0.1:7946"],
+            "key_file": "key",
+            "shares": ["verdicts"],
+            **changes,
+        }
         lives = told.pop("lives", "")
         text = "".join(f"{name} = {json.dumps(value)}\n" for name, value in told.items())
         (self.folder / "fleet.toml").write_text(text + lives)
@@ -138,11 +152,15 @@
         told = fleet_file.read(self.write(lives="[lives]\nhost = 2.5\n"))
         self.assertEqual((told.lives, told.seeds), ({"host": 2.5, "trial": 10.0}, (("127.0.0.1", 7946),)))
         for changes, place in (
-                ({"listen": "nowhere"}, "$.listen"), ({"seeds": ["127.0.0.1:99999"]}, "$.seeds[0]"),
-                ({"shares": ["secrets"]}, "$.shares[0]"), ({"colour": "red"}, "colour"),
-                ({"listen": "0.0.0.0:7946"}, "$.address"), ({"key_file": "none"}, "$.key_file"),
-                ({"lives": "[lives]\nhost = 20.0\n"}, "$.lives.trial"),
-                ({"lives": "[lives]\nhost = 0\n"}, "$.lives.host")):
+            ({"listen": "nowhere"}, "$.listen"),
+            ({"seeds": ["127.0.0.1:99999"]}, "$.seeds[0]"),
+            ({"shares": ["secrets"]}, "$.shares[0]"),
+            ({"colour": "red"}, "colour"),
+            ({"listen": "0.0.0.0:7946"}, "$.address"),
+            ({"key_file": "none"}, "$.key_file"),
+            ({"lives": "[lives]\nhost = 20.0\n"}, "$.lives.trial"),
+            ({"lives": "[lives]\nhost = 0\n"}, "$.lives.host"),
+        ):
             with self.assertRaisesRegex(fleet_file.BadFleet, "fleet.toml") as caught:
                 fleet_file.read(self.write(**changes))
             self.assertIn(place, str(caught.exception))
@@ -152,9 +170,11 @@
                 fleet_file.read(self.write())
 
     def test_a_plain_serve_loads_nothing_of_it_and_a_deployment_that_forbids_talk_refuses(self):
-        code = ("import sys; from basalthook.program import commands, service; "
-                "print([n for n in sys.modules if n.split('.')[-1] in ('talk', 'member', 'msgspec', "
-                "'msgpack', 'xxhash', 'together', 'driver')])")
+        code = (
+            "import sys; from basalthook.program import commands, service; "
+            "print([n for n in sys.modules if n.split('.')[-1] in ('talk', 'member', 'msgspec', "
+            "'msgpack', 'xxhash', 'together', 'driver')])"
+        )
         self.assertEqual(subprocess.check_output([sys.executable, "-c", code], text=True).strip(), "[]")
         start = Path(__file__).parent.parent / "deploy/start-up.example.json"
         done = self.run_it("check", "--file", str(start), "--fleet", self.write())
@@ -180,9 +200,22 @@
                 ports.append(f"127.0.0.1:{free.getsockname()[1]}")
             (self.folder / "start.json").write_text(json.dumps({**start, "name": name}))
             told = self.write(listen=ports[-1], seeds=ports[:1])
-            running.append(subprocess.Popen(
-                [sys.executable, "-m", "basalthook", "serve", "--file", str(self.folder / "start.json"),
-                 "--fleet", told], stdout=subprocess.PIPE, text=True))
+            running.append(
+                subprocess.Popen(
+                    [
+                        sys.executable,
+                        "-m",
+                        "basalthook",
+                        "serve",
+                        "--file",
+                        str(self.folder / "start.json"),
+                        "--fleet",
+                        told,
+                    ],
+                    stdout=subprocess.PIPE,
+                    text=True,
+                )
+            )
             self.addCleanup(running[-1].stdout.close)
             self.addCleanup(running[-1].wait)
             self.addCleanup(running[-1].kill)
@@ -196,6 +229,7 @@
                 if found == want:
                     break
             return found
+
         self.assertEqual(states({"one": "alive", "two": "alive"}), {"one": "alive", "two": "alive"})
         self.assertIn("two", self.run_it("members", consoles[0]).stdout)
         self.assertEqual(self.run_it("verdicts", consoles[0], "--json").stdout, "")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,4 +1,5 @@
 """The program as a process of its own: started, spoken to over loopback, ended."""
+
 import asyncio
 import json
 import os
@@ -16,8 +17,14 @@
 
 async def start(*words, **more):
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "basalthook", *words, env={**os.environ, **more},
-        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        sys.executable,
+        "-m",
+        "basalthook",
+        *words,
+        env={**os.environ, **more},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
 
 
 class Program(unittest.IsolatedAsyncioTestCase):
@@ -65,7 +72,7 @@
         await self.host.got.get()
         process.terminate()
         await self.line(process, "ending")
-        process.send_signal(signal.SIGTERM)         # a second one changes nothing
+        process.send_signal(signal.SIGTERM)  # a second one changes nothing
         self.host.writers[0].write(OK)
         self.assertEqual((await caller.answer())[0], 200)
         self.assertEqual((await self.line(process, "ended"))["unanswered"], 0)
@@ -78,17 +85,19 @@
         self.assertIn("index=1", await self.discovery.got.get())
         with open(self.path) as file:
             whole = json.load(file)
-        for text, event in (("{", "file refused"), ('{"name": "n1"}', "file refused"),
-                            (json.dumps({**whole, "discovery": moved.address, "listen": "127.0.0.1:9"}),
-                             "file taken"),
-                            (json.dumps({**whole, "discovery": moved.address}), "file taken")):
+        for text, event in (
+            ("{", "file refused"),
+            ('{"name": "n1"}', "file refused"),
+            (json.dumps({**whole, "discovery": moved.address, "listen": "127.0.0.1:9"}), "file taken"),
+            (json.dumps({**whole, "discovery": moved.address}), "file taken"),
+        ):
             with open(self.path, "w") as file:
                 file.write(text)
             process.send_signal(signal.SIGHUP)
             line = await self.line(process, event)
             self.assertEqual(line.get("needs_restart", []), ["listen"] if '"127.0.0.1:9"' in text else [])
             self.assertEqual(await caller.outcome(profile="submit"), 200)
-        self.assertEqual(await moved.got.get(), "/catalog/members")    # the whole list, then a watch
+        self.assertEqual(await moved.got.get(), "/catalog/members")  # the whole list, then a watch
         moved.tell(1, self.host.line("s-new"), full=True)
         self.assertIn("index=1&", await moved.got.get())
         self.assertEqual(await caller.outcome(), 200)
@@ -97,7 +106,7 @@
         process, _ = await self.serve()
         with open(self.path) as file:
             whole = file.read()
-        for half in ("", whole[:len(whole) // 2]):
+        for half in ("", whole[: len(whole) // 2]):
             with open(self.path, "w") as file:
                 file.write(half)
             process.send_signal(signal.SIGHUP)
@@ -116,10 +125,16 @@
             with open(self.path, "w") as file:
                 json.dump(whole, file)
             process = await asyncio.create_subprocess_exec(
-                "/bin/sh", "-c", run, cwd=ROOT, env={**os.environ, "RELAY_CONFIG": self.path},
-                stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+                "/bin/sh",
+                "-c",
+                run,
+                cwd=ROOT,
+                env={**os.environ, "RELAY_CONFIG": self.path},
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.PIPE,
+            )
             self.addAsyncCleanup(self.kill, process)
-            await asyncio.sleep(0.05)           # the shell has begun
+            await asyncio.sleep(0.05)  # the shell has begun
             for n in range(8):
                 await asyncio.sleep(hundredths / 100)
                 if n == 4:
@@ -139,7 +154,7 @@
             try:
                 caller.ask("submit")
                 status, _, head = await caller.answer()
-            except (OSError, asyncio.IncompleteReadError):      # closed between two: once more on a new one
+            except (OSError, asyncio.IncompleteReadError):  # closed between two: once more on a new one
                 status, head = None, "Connection: close"
             answers.append(status)
             if self.told is None and len(answers) > 20:
@@ -158,7 +173,7 @@
         await asyncio.gather(*(self.asks_on(process, each) for each in answers))
         for each in answers:
             self.assertEqual({status for status in each if status is not None}, {200})
-            self.assertTrue(all(a or b for a, b in zip(each, each[1:], strict=False)))    # never twice
+            self.assertTrue(all(a or b for a, b in zip(each, each[1:], strict=False)))  # never twice
             self.assertEqual(each[-1], 200)
         self.assertEqual((await self.line(process, "ended"))["unanswered"], 0)
         self.assertEqual(await process.wait(), 0)
@@ -173,7 +188,7 @@
         await asyncio.sleep(1.5)
         caller.writer.write(b"Content-Length: 0\r\n\r\n")
         self.assertIn((await caller.answer())[0], (502, 503, 504))
-        self.assertLess(clock() - told, 2.0 + 0.7)      # the longest deadline and 0.7 s
+        self.assertLess(clock() - told, 2.0 + 0.7)  # the longest deadline and 0.7 s
         self.assertEqual(await process.wait(), 0)
 
     async def test_bodies_held_for_a_silent_host_stay_within_memory(self):
@@ -206,9 +221,15 @@
 
     async def test_a_bad_start_is_one_line_and_not_zero(self):
         whole = start_up([self.host], self.discovery)
-        for text in ("{", "[]", "{}", json.dumps({**whole, "listen": "here"}),
-                     json.dumps({**whole, "listen": self.host.address}),        # somebody listens there
-                     json.dumps({**whole, "settings": {}}), json.dumps({**whole, "known": {"servers": 1}})):
+        for text in (
+            "{",
+            "[]",
+            "{}",
+            json.dumps({**whole, "listen": "here"}),
+            json.dumps({**whole, "listen": self.host.address}),  # somebody listens there
+            json.dumps({**whole, "settings": {}}),
+            json.dumps({**whole, "known": {"servers": 1}}),
+        ):
             with open(self.path, "w") as file:
                 file.write(text)
             process = await start("serve", "--file", self.path)
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -1,4 +1,5 @@
 """Messages: alike wherever they are split, refused where two readers could differ."""
+
 import random
 import unittest
 
@@ -8,10 +9,13 @@
 from basalthook.protocol import application, catalogue, hosts, news
 from basalthook.protocol.http1 import HEAD_MOST, Malformed, Message, Parser
 
-POST = (b"POST /survey-submit/a?b=1 HTTP/1.1\r\nHost: svc\r\nRequest-Id: 7\r\nCookie: j=1; k=ab\r\n"
-        b"Request-Timeout: 0.480\r\nConnection: X-Own\r\nX-Own: 1\r\nContent-Length: 5\r\n\r\nhello")
-CHUNKED = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-           b"4;x=1\r\nhost\r\n1\r\n!\r\n0\r\nTrailer: 1\r\n\r\n")
+POST = (
+    b"POST /survey-submit/a?b=1 HTTP/1.1\r\nHost: svc\r\nRequest-Id: 7\r\nCookie: j=1; k=ab\r\n"
+    b"Request-Timeout: 0.480\r\nConnection: X-Own\r\nX-Own: 1\r\nContent-Length: 5\r\n\r\nhello"
+)
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=1\r\nhost\r\n1\r\n!\r\n0\r\nTrailer: 1\r\n\r\n"
+)
 
 
 def parse(data, responses=False, end=False):
@@ -41,7 +45,7 @@
                 self.assertEqual(parser.found, whole)
             parser = Parser(responses)
             for at in range(len(data)):
-                parser.feed(data[at:at + 1])
+                parser.feed(data[at : at + 1])
             self.assertEqual(parser.found, whole)
 
     def test_a_short_head_behind_a_long_interim_one_is_seen(self):
@@ -49,26 +53,37 @@
         parser.feed(b"HTTP/1.1 103 Early\r\nLink: " + b"x" * 300)
         parser.feed(b"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         self.assertEqual(parser.found.status, 200)
-        self.assertEqual(parse(b"HTTP/1.1 100 X\r\n\r\n" * 100, True).status, 400)     # without end
+        self.assertEqual(parse(b"HTTP/1.1 100 X\r\n\r\n" * 100, True).status, 400)  # without end
 
     def test_what_two_readers_could_read_differently_is_refused(self):
         def head(*fields, line="POST / HTTP/1.1"):
             return "\r\n".join([line, "Host: s", *fields, "", ""]).encode()
+
         for data, status in (
-                (head("Content-Length: 1", "Content-Length: 2"), 400), (head("Content-Length: -1"), 400),
-                (head("Content-Length: 1, 2"), 400), (head("Content-Length: 0x1"), 400),
-                (head("Content-Length:"), 400),
-                (head("Content-Length: 3", "Transfer-Encoding: chunked"), 400),
-                (head("Transfer-Encoding: gzip, chunked"), 501), (head("Transfer-Encoding: chunked, x"), 501),
-                (head("A : 1"), 400), (head("A: 1", " folded"), 400), (head("A: \x00"), 400),
-                (head(line="POST /a b HTTP/1.1"), 400), (head(line="POST / HTTP/2.0"), 505),
-                (head("Host: t"), 400), (b"GET / HTTP/1.1\r\n\r\n", 400), (b"\x16\x03\x01\r\n\r\n", 400),
-                (head("Content-Length: 65537"), 413), (head("A: " + "a" * HEAD_MOST), 431),
-                (b"A" * (HEAD_MOST + 1), 431),
-                (head("Transfer-Encoding: chunked") + b"1\r\nab\r\n", 400),
-                (head("Transfer-Encoding: chunked") + b"-1\r\n", 400),
-                (head("Transfer-Encoding: chunked") + b"10001\r\n", 413),
-                (head("Transfer-Encoding: chunked") + b"1" * 300, 400)):
+            (head("Content-Length: 1", "Content-Length: 2"), 400),
+            (head("Content-Length: -1"), 400),
+            (head("Content-Length: 1, 2"), 400),
+            (head("Content-Length: 0x1"), 400),
+            (head("Content-Length:"), 400),
+            (head("Content-Length: 3", "Transfer-Encoding: chunked"), 400),
+            (head("Transfer-Encoding: gzip, chunked"), 501),
+            (head("Transfer-Encoding: chunked, x"), 501),
+            (head("A : 1"), 400),
+            (head("A: 1", " folded"), 400),
+            (head("A: \x00"), 400),
+            (head(line="POST /a b HTTP/1.1"), 400),
+            (head(line="POST / HTTP/2.0"), 505),
+            (head("Host: t"), 400),
+            (b"GET / HTTP/1.1\r\n\r\n", 400),
+            (b"\x16\x03\x01\r\n\r\n", 400),
+            (head("Content-Length: 65537"), 413),
+            (head("A: " + "a" * HEAD_MOST), 431),
+            (b"A" * (HEAD_MOST + 1), 431),
+            (head("Transfer-Encoding: chunked") + b"1\r\nab\r\n", 400),
+            (head("Transfer-Encoding: chunked") + b"-1\r\n", 400),
+            (head("Transfer-Encoding: chunked") + b"10001\r\n", 413),
+            (head("Transfer-Encoding: chunked") + b"1" * 300, 400),
+        ):
             found = parse(data)
             self.assertIsInstance(found, Malformed, data[:60])
             self.assertEqual(found.status, status, data[:60])
@@ -90,7 +105,7 @@
                 parser = Parser(bool(n % 2), body_most=1_000)
                 for cut in range(0, len(data), 37):
                     if parser.found is None:
-                        parser.feed(data[cut:cut + 37])
+                        parser.feed(data[cut : cut + 37])
                 parser.end()
                 self.assertLess(len(parser.rest) + len(parser.body), HEAD_MOST + 2_000)
 
@@ -100,8 +115,12 @@
         self.assertEqual((parser.found.body, bytes(parser.rest)), (b"hello", b"GET"))
 
     def test_kept_open_only_as_both_versions_mean_it(self):
-        for line, field, keep in (("1.1", "X: y", True), ("1.1", "Connection: Close", False),
-                                  ("1.0", "X: y", False), ("1.0", "Connection: keep-alive", True)):
+        for line, field, keep in (
+            ("1.1", "X: y", True),
+            ("1.1", "Connection: Close", False),
+            ("1.0", "X: y", False),
+            ("1.0", "Connection: keep-alive", True),
+        ):
             self.assertEqual(parse(f"GET / HTTP/{line}\r\nHost: s\r\n{field}\r\n\r\n".encode()).keep, keep)
 
     def test_an_answer_without_a_length_ends_with_its_connection_and_is_marked(self):
@@ -122,13 +141,21 @@
             self.assertEqual(found.timeout, float(text))
 
     def test_what_cannot_be_carried_is_turned_away(self):
-        for old, new, status in ((b"survey-submit", b"unknown", 404), (b"Request-Id: 7", b"X: 7", 400),
-                                 (b"0.480", b"nan", 400), (b"0.480", b"-1", 400), (b"0.480", b"1e9", 400),
-                                 (b"0.480", b"999999", 400), (b"0.480", b"0", 400), (b"0.480", b"", 400),
-                                 (b"Request-Timeout", b"X-Timeout", 400), (b"POST", b"PUT", 405),
-                                 (b"Request-Id", b"Request-Id: 8\r\nRequest-Id", 400),
-                                 (b"Cookie", b"Request-Class: parcel-view\r\nCookie", 404),
-                                 (b" /survey", b" http://s/survey", 400)):
+        for old, new, status in (
+            (b"survey-submit", b"unknown", 404),
+            (b"Request-Id: 7", b"X: 7", 400),
+            (b"0.480", b"nan", 400),
+            (b"0.480", b"-1", 400),
+            (b"0.480", b"1e9", 400),
+            (b"0.480", b"999999", 400),
+            (b"0.480", b"0", 400),
+            (b"0.480", b"", 400),
+            (b"Request-Timeout", b"X-Timeout", 400),
+            (b"POST", b"PUT", 405),
+            (b"Request-Id", b"Request-Id: 8\r\nRequest-Id", 400),
+            (b"Cookie", b"Request-Class: parcel-view\r\nCookie", 404),
+            (b" /survey", b" http://s/survey", 400),
+        ):
             found = application.asked(parse(POST.replace(old, new)), self.PROFILES)
             self.assertEqual(getattr(found, "status", None), status, new)
 
@@ -151,12 +178,19 @@
 
 class Outcomes(unittest.TestCase):
     def test_only_a_marked_answer_proves_that_nothing_ran(self):
-        for found, outcome in ((answered(503, "Not-Started: 1"), i.REFUSED),
-                               (answered(504, "Not-Started: 1"), i.REFUSED), (answered(503), i.ERROR),
-                               (answered(500, "Not-Started: 1"), i.ERROR), (answered(200), i.COMMITTED),
-                               (answered(204), i.ERROR), (answered(404), i.DECLINED),
-                               (answered(400), i.DECLINED), (answered(429), i.ERROR),
-                               (answered(302), i.ERROR), (answered(999), i.ERROR)):
+        for found, outcome in (
+            (answered(503, "Not-Started: 1"), i.REFUSED),
+            (answered(504, "Not-Started: 1"), i.REFUSED),
+            (answered(503), i.ERROR),
+            (answered(500, "Not-Started: 1"), i.ERROR),
+            (answered(200), i.COMMITTED),
+            (answered(204), i.ERROR),
+            (answered(404), i.DECLINED),
+            (answered(400), i.DECLINED),
+            (answered(429), i.ERROR),
+            (answered(302), i.ERROR),
+            (answered(999), i.ERROR),
+        ):
             self.assertEqual(hosts.outcome(found, True), outcome, found)
 
     def test_what_came_too_early_is_no_commit_and_an_end_in_order_ends_a_body(self):
@@ -166,28 +200,54 @@
 
 
 class Catalogue(unittest.TestCase):
-    LINE = {"id": "s-1", "addr": "127.0.0.9:8443", "zone": "a", "kind": "m", "cell": 3, "state": "up",
-            "weight": 1.5, "started_ms": 12}
+    LINE = {
+        "id": "s-1",
+        "addr": "127.0.0.9:8443",
+        "zone": "a",
+        "kind": "m",
+        "cell": 3,
+        "state": "up",
+        "weight": 1.5,
+        "started_ms": 12,
+    }
 
     def read(self, **changes):
         entry = {k: v for k, v in {**self.LINE, **changes}.items() if v != "left out"}
         return catalogue.read(orjson.dumps({"version": 4, "full": False, "servers": [entry]}))
 
     def test_a_line(self):
-        line, = self.read().lines
+        (line,) = self.read().lines
         self.assertEqual(line, ("s-1", ("127.0.0.9", 8443), "a", 3, True, False, 1.5, 12_000_000, "m", False))
-        line, = self.read(cell=None, weight=None, started_ms=None).lines
+        (line,) = self.read(cell=None, weight=None, started_ms=None).lines
         self.assertEqual(line[3:], (0, True, False, 1.0, 0, "m", False))
-        self.assertEqual([self.read(state=s).lines[0][4:6] for s in ("draining", "removed")],
-                         [(False, False), (False, True)])
+        self.assertEqual(
+            [self.read(state=s).lines[0][4:6] for s in ("draining", "removed")],
+            [(False, False), (False, True)],
+        )
 
     def test_a_list_that_is_not_sound_is_no_list(self):
-        for changes in ({"state": "resting"}, {"id": "left out"}, {"addr": "left out"}, {"state": "left out"},
-                        {"addr": "nowhere"}, {"addr": "127.0.0.1:0"}, {"weight": "heavy"}, {"weight": -1},
-                        {"started_ms": []}, {"id": ""}):
+        for changes in (
+            {"state": "resting"},
+            {"id": "left out"},
+            {"addr": "left out"},
+            {"state": "left out"},
+            {"addr": "nowhere"},
+            {"addr": "127.0.0.1:0"},
+            {"weight": "heavy"},
+            {"weight": -1},
+            {"started_ms": []},
+            {"id": ""},
+        ):
             self.assertIsNone(self.read(**changes), changes)
-        for body in (b"", b"{", b"[]", b"7", b'{"version":1,"full":true}', b'{"full":true,"servers":[]}',
-                     b'{"version":1,"full":true,"servers":[3]}'):
+        for body in (
+            b"",
+            b"{",
+            b"[]",
+            b"7",
+            b'{"version":1,"full":true}',
+            b'{"full":true,"servers":[]}',
+            b'{"version":1,"full":true,"servers":[3]}',
+        ):
             self.assertIsNone(catalogue.read(body), body)
 
 
--- a/tests/test_simwire.py
+++ b/tests/test_simwire.py
@@ -1,16 +1,35 @@
 """The adapter: a batch in, a reply out, and what must not be swallowed."""
+
 import unittest
 
 from basalthook.simwire.codec import Desk
 
 SETUP = {
     "allowed": {"cancelling": True, "max_hops": 4, "max_retry_after_ns": 2_000_000_000, "retry_after": True},
-    "balancers": 2, "discovery": "pushed", "position": 0, "zone": "north", "unheard_of": 1,
+    "balancers": 2,
+    "discovery": "pushed",
+    "position": 0,
+    "zone": "north",
+    "unheard_of": 1,
     "load_report": {"fields": ["cpu", "x0"], "how": "inline"},
-    "profiles": [{"name": "scan", "effect": "by_key", "group": "cell", "hard_limit_ns": 10**9,
-                  "repeat_window_ns": 600_000_000, "revenue": 2.0, "service_goal_ns": 200_000_050}],
-    "rules": {"ask_within_ns": 10**10, "cold_from": 0.3, "cold_ns": 8_300_000_001, "fall_ns": 2 * 10**9,
-              "overload_factor": 4},
+    "profiles": [
+        {
+            "name": "scan",
+            "effect": "by_key",
+            "group": "cell",
+            "hard_limit_ns": 10**9,
+            "repeat_window_ns": 600_000_000,
+            "revenue": 2.0,
+            "service_goal_ns": 200_000_050,
+        }
+    ],
+    "rules": {
+        "ask_within_ns": 10**10,
+        "cold_from": 0.3,
+        "cold_ns": 8_300_000_001,
+        "fall_ns": 2 * 10**9,
+        "overload_factor": 4,
+    },
 }
 
 
@@ -22,10 +41,15 @@
     def setUp(self):
         self.desk = Desk()
         records = [{"host": "10.0.0.1:1", "area": "north", "block": 0, "status": "in_service"}]
-        self.desk.serve(batch(10**9, {"SPAWN": {"nonce64": 5, "setup": SETUP}},
-                              {"DIRECTORY": {"slot": 3, "records": records}},
-                              {"VIEW": {"scope": "restored", "revision": 1, "slot": 3}},
-                              {"DIRECTORY": {"slot": 3, "records": []}}))
+        self.desk.serve(
+            batch(
+                10**9,
+                {"SPAWN": {"nonce64": 5, "setup": SETUP}},
+                {"DIRECTORY": {"slot": 3, "records": records}},
+                {"VIEW": {"scope": "restored", "revision": 1, "slot": 3}},
+                {"DIRECTORY": {"slot": 3, "records": []}},
+            )
+        )
 
     def ask(self, *events, now=2 * 10**9):
         reply = self.desk.serve(batch(now, *events))
@@ -38,8 +62,17 @@
         sent = self.ask(self.query())
         hop = {"corr": "rq_a", "host": "10.0.0.1:1", "allow_for_ns": 300_000_000}
         self.assertEqual(sent[0], {"FORWARD": hop})
-        verdict = {"VERDICT": {"corr": "rq_a", "hop": 0, "host": "10.0.0.1:1", "code": "success",
-                               "lag_ns": 7, "terminal": True, "gauge": [0.5, 9]}}
+        verdict = {
+            "VERDICT": {
+                "corr": "rq_a",
+                "hop": 0,
+                "host": "10.0.0.1:1",
+                "code": "success",
+                "lag_ns": 7,
+                "terminal": True,
+                "gauge": [0.5, 9],
+            }
+        }
         self.assertEqual(self.ask(verdict), [])
         seat = self.desk.seats["proxy_0"]
         self.assertEqual((seat.words, seat.numbers, seat.proxy.txs), ({}, {}, {}))
@@ -57,8 +90,10 @@
             self.assertEqual(self.ask({"INBOX": {"src": 1, **payload}}), [])
 
     def test_lists_with_odd_weights_are_taken_and_shares_stay_whole(self):
-        odd = [{"host": f"10.0.0.{n}:1", "area": "north", "status": "in_service", "capacity_hint": weight}
-               for n, weight in enumerate((0, None, -3.0, 1e-9, 10.0))]
+        odd = [
+            {"host": f"10.0.0.{n}:1", "area": "north", "status": "in_service", "capacity_hint": weight}
+            for n, weight in enumerate((0, None, -3.0, 1e-9, 10.0))
+        ]
         self.ask({"DIRECTORY": {"slot": 1, "records": odd}}, {"VIEW": {"scope": "update", "slot": 1}})
         self.assertGreater(min(s.size for s in self.desk.seats["proxy_0"].proxy.servers.values()), 0)
         self.assertIn("FORWARD", self.ask(self.query())[0])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,5 @@
 """Drawn days of many faults at once on real processes; by hand `basalthook lab soak` plays many more."""
+
 import unittest
 
 from basalthook.lab import processes, soak
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,4 +1,5 @@
 """The client proxy on loopback sockets, in this process: hops by stage, clients, discovery, limits."""
+
 import asyncio
 import socket
 import struct
@@ -43,7 +44,7 @@
         await self.until(lambda: len(self.service.owner.roster.places) == 2)
         for n in range(12):
             self.assertEqual(await caller.outcome(profile="submit", key=f"k{n}"), 200)
-        self.assertEqual(self.log.hops(), [("connecting", i.UNREACHABLE)])      # then it is banned
+        self.assertEqual(self.log.hops(), [("connecting", i.UNREACHABLE)])  # then it is banned
 
     async def test_what_must_not_run_twice_is_abandoned_after_a_reset(self):
         caller = await self.play(SocketHost(RESET), SocketHost(RESET))
@@ -53,17 +54,24 @@
 
     async def test_answers_that_are_not_whole_are_never_passed_on(self):
         """A short body, garbage, a switch, one of a length that none has."""
-        ways = [(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",),
-                (b"\0\r\n\r\n",), (b"HTTP/1.1 101 X\r\n\r\n",),
-                (b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n",), OK]
+        ways = [
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",),
+            (b"\0\r\n\r\n",),
+            (b"HTTP/1.1 101 X\r\n\r\n",),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n",),
+            OK,
+        ]
         caller = await self.play(SocketHost(*ways))
         for way in ways:
             expected = 200 if way == OK else 502
             self.assertEqual(await caller.outcome(profile="submit"), expected, way)
 
     async def test_hosts_that_answer_badly_now_and_then_stay_in_use(self):
-        spoilt = [b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", b"\0\xff\r\n\r\n",
-                  b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 5000]
+        spoilt = [
+            b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+            b"\0\xff\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 5000,
+        ]
         caller = await self.play(*(SocketHost(way, OK) for way in spoilt))
         statuses = [await caller.outcome(profile="submit", key=f"k{n}") for n in range(30)]
         self.assertEqual((statuses.count(502), statuses.count(200)), (3, 27))
@@ -82,7 +90,7 @@
         caller.ask("submit", timeout="0.300")
         status, _, head = await caller.answer()
         self.assertEqual(status, 503)
-        self.assertEqual(len(self.hosts[0].writers), 1)     # its connection is good for the next hop
+        self.assertEqual(len(self.hosts[0].writers), 1)  # its connection is good for the next hop
 
     async def test_a_connection_that_ended_while_kept_is_not_written_to(self):
         caller = await self.play(SocketHost())
@@ -138,10 +146,12 @@
 
         def gone_meanwhile(address, up):
             def come(fault):
-                order, = self.service.owner.orders.values()
+                (order,) = self.service.owner.orders.values()
                 order.closed = True
                 up(fault)
+
             return fresh(address, come)
+
         self.service.pool.fresh = gone_meanwhile
         caller.ask("submit")
         await self.until(self.log.hops)
@@ -150,11 +160,16 @@
 
     async def test_from_the_stage_alone_follows_what_may_have_run(self):
         for stage, stopped, outcome in (
-                (Stage.UNTRIED, None, i.UNSENT), (Stage.CONNECTING, None, i.UNREACHABLE),
-                (Stage.WRITING, None, i.DROPPED), (Stage.WRITTEN, None, i.RESET),
-                (Stage.ANSWERING, None, i.RESET), (Stage.CONNECTING, i.TIMED_OUT, i.UNSENT),
-                (Stage.WRITING, i.CANCELLED, i.UNSENT), (Stage.WRITTEN, i.TIMED_OUT, i.TIMED_OUT),
-                (Stage.ANSWERING, i.CANCELLED, i.CANCELLED)):
+            (Stage.UNTRIED, None, i.UNSENT),
+            (Stage.CONNECTING, None, i.UNREACHABLE),
+            (Stage.WRITING, None, i.DROPPED),
+            (Stage.WRITTEN, None, i.RESET),
+            (Stage.ANSWERING, None, i.RESET),
+            (Stage.CONNECTING, i.TIMED_OUT, i.UNSENT),
+            (Stage.WRITING, i.CANCELLED, i.UNSENT),
+            (Stage.WRITTEN, i.TIMED_OUT, i.TIMED_OUT),
+            (Stage.ANSWERING, i.CANCELLED, i.CANCELLED),
+        ):
             hop = Hop(None, None, 0, 0, None, 0, 1)
             hop.stage, hop.stopped = stage, stopped
             self.assertEqual(Hops.outcome(hop, None), outcome, (stage, stopped))
@@ -166,12 +181,13 @@
         full.bind(("127.0.0.1", 0))
         full.listen(0)
         address = full.getsockname()
-        blockers = [socket.socket() for _ in range(4)]          # its backlog takes no more
+        blockers = [socket.socket() for _ in range(4)]  # its backlog takes no more
         for blocker in blockers:
             blocker.setblocking(False)
             blocker.connect_ex(address)
-        self.discovery.tell(2, host.line("s-full", addr=f"127.0.0.1:{address[1]}"),
-                            host.line("s-0", state="removed"))
+        self.discovery.tell(
+            2, host.line("s-full", addr=f"127.0.0.1:{address[1]}"), host.line("s-0", state="removed")
+        )
         await self.until(lambda: not self.service.owner.roster.ready(0))
         self.assertEqual(await caller.outcome(profile="submit", timeout="1.5"), 503)
         self.assertEqual(self.log.hops(), [("connecting", i.UNREACHABLE)])
@@ -194,7 +210,7 @@
         caller = await self.play(SocketHost(SILENT))
         caller.ask("submit")
         await self.hosts[0].got.get()
-        order, = self.service.owner.orders.values()
+        (order,) = self.service.owner.orders.values()
         order.closed = True
         owner = self.service.owner
         effects = [[i.SendHop(order.number, 0, 5_000)], []]
@@ -218,8 +234,11 @@
             silent = await self.play(SocketHost())
             self.assertEqual(await silent.reader.read(), b"")
         slow = await self.caller()
-        for part in (b"GET /view HTTP/1.1\r\nHo", b"st: s\r\nRequest-Id: 1\r",
-                     b"\nRequest-Timeout: 1\r\n\r\n"):
+        for part in (
+            b"GET /view HTTP/1.1\r\nHo",
+            b"st: s\r\nRequest-Id: 1\r",
+            b"\nRequest-Timeout: 1\r\n\r\n",
+        ):
             slow.writer.write(part)
             await slow.writer.drain()
             await asyncio.sleep(0.01)
@@ -230,8 +249,8 @@
         self.assertEqual(await caller.outcome(), 200)
         silent = [await self.caller() for _ in range(60)]
         await self.until(lambda: len(self.service.clients.open) == 16)
-        self.assertEqual(await silent[0].reader.read(), b"")            # the oldest of them went
-        self.assertEqual(await caller.outcome(profile="submit"), 200)   # and the one that had asked did not
+        self.assertEqual(await silent[0].reader.read(), b"")  # the oldest of them went
+        self.assertEqual(await caller.outcome(profile="submit"), 200)  # and the one that had asked did not
         self.assertEqual(len(self.service.pool.kept), 1)
 
     async def test_hundreds_that_send_half_a_head_take_no_place_from_callers(self):
@@ -252,13 +271,13 @@
         head = b"GET /view HTTP/1.1\r\nHost: s\r\nRequest-Id: slow\r\nRequest-Timeout: 1\r\n\r\n"
         slow.writer.write(head[:30])
         await self.until(lambda: [c.state for c in self.service.clients.open] == ["coming"])
-        good, = self.service.clients.open
+        (good,) = self.service.clients.open
         for _ in range(15):
             (await self.caller()).writer.write(b"GET /view HT")
         await self.until(lambda: [c.state for c in self.service.clients.open] == ["coming"] * 16)
         for client in self.service.clients.open:
             if client is not good:
-                client.since -= 20_000      # two seconds without a byte
+                client.since -= 20_000  # two seconds without a byte
         for _ in range(10):
             await self.caller()
         await self.until(lambda: sum(c.state == "new" for c in self.service.clients.open) == 10)
@@ -298,7 +317,7 @@
         caller.writer.write(b"x" * 60_000_000)
         self.assertEqual((await caller.answer())[0], 413)
         await self.until(lambda: not self.service.clients.open)
-        with self.assertRaises(ConnectionError):        # closed with most of it unread
+        with self.assertRaises(ConnectionError):  # closed with most of it unread
             await caller.writer.drain()
 
     async def test_requests_sent_ahead_are_answered_in_order_one_at_a_time(self):
@@ -316,12 +335,12 @@
         caller.ask("submit")
         await self.hosts[0].got.get()
         caller.writer.write(b"x" * 3_000_000)
-        client, = self.service.clients.open
+        (client,) = self.service.clients.open
         await self.until(lambda: client.connection.paused)
         self.hosts[0].writers[0].write(OK)
         status, body, head = await caller.answer()
         self.assertEqual((status, body, "Connection: close" in head), (200, b"done", False))
-        self.assertEqual((await caller.answer())[0], 431)       # it was no request
+        self.assertEqual((await caller.answer())[0], 431)  # it was no request
         await self.until(lambda: not self.service.clients.open)
         self.assertEqual(self.hosts[0].got.qsize(), 0)
 
@@ -341,17 +360,20 @@
         caller.ask("submit")
         await self.hosts[0].got.get()
         caller.writer.close()
-        self.assertTrue(await self.hosts[0].ended.get())        # called back, as this deployment allows it
+        self.assertTrue(await self.hosts[0].ended.get())  # called back, as this deployment allows it
         await self.until(lambda: not self.service.owner.orders)
         self.assertEqual(self.service.owner.proxy.txs, {})
 
     async def test_bad_input_gets_its_status_and_reaches_no_host(self):
         first = await self.play(SocketHost())
         first.writer.close()
-        for data, status in ((b"\0\r\n\r\n", 400), (b"GET /other HTTP/1.1\r\nHost: s\r\n\r\n", 404),
-                             (b"GET /view HTTP/1.1\r\nHost: s\r\nRequest-Id: 1\r\n\r\n", 400),
-                             (b"POST /submit HTTP/1.1\r\nHost: s\r\nContent-Length: 70000000\r\n\r\n", 413),
-                             (b"GET /_health HTTP/1.1\r\nHost: s\r\n\r\n\0\r\n\r\n", 200)):
+        for data, status in (
+            (b"\0\r\n\r\n", 400),
+            (b"GET /other HTTP/1.1\r\nHost: s\r\n\r\n", 404),
+            (b"GET /view HTTP/1.1\r\nHost: s\r\nRequest-Id: 1\r\n\r\n", 400),
+            (b"POST /submit HTTP/1.1\r\nHost: s\r\nContent-Length: 70000000\r\n\r\n", 413),
+            (b"GET /_health HTTP/1.1\r\nHost: s\r\n\r\n\0\r\n\r\n", 200),
+        ):
             caller = await self.caller()
             caller.writer.write(data)
             self.assertEqual((await caller.answer())[0], status, data)
@@ -363,8 +385,10 @@
 
     async def test_a_client_that_asks_first_is_told_to_send_its_body(self):
         caller = await self.play(SocketHost())
-        caller.writer.write(b"POST /submit HTTP/1.1\r\nHost: s\r\nRequest-Id: 1\r\nRequest-Timeout: 1\r\n"
-                            b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        caller.writer.write(
+            b"POST /submit HTTP/1.1\r\nHost: s\r\nRequest-Id: 1\r\nRequest-Timeout: 1\r\n"
+            b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+        )
         self.assertIn(b" 100 ", await caller.reader.readuntil(b"\r\n\r\n"))
         caller.writer.write(b"hi")
         self.assertEqual((await caller.answer())[0], 200)
@@ -378,19 +402,19 @@
         for n in range(10):
             self.assertEqual(await caller.outcome(key=f"k{n}"), 200)
         self.assertEqual((self.hosts[0].got.qsize(), self.hosts[1].got.qsize()), (0, 10))
-        for version in (1, 2):      # its own part of once to twice the time within which it has to ask
+        for version in (1, 2):  # its own part of once to twice the time within which it has to ask
             self.assertRegex(await self.discovery.got.get(), rf"members\?index={version}&wait=1\d$")
 
     async def test_a_list_that_is_not_sound_leaves_the_old_one_and_is_asked_for_again(self):
         caller = await self.play(SocketHost())
         self.discovery.news.put_nowait(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
         self.discovery.news.put_nowait(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
-        lines = [self.hosts[0].line(f"s-{n}", state="draining") for n in range(500)]     # many buffers long
+        lines = [self.hosts[0].line(f"s-{n}", state="draining") for n in range(500)]  # many buffers long
         self.discovery.tell(7, *lines, full=True)
         for _ in range(4):
             self.assertIn("index=", await self.discovery.got.get())
         self.assertEqual(sum(line["event"] == "list lost" for line in self.log.lines), 2)
-        self.assertEqual(await caller.outcome(timeout="0.05"), 503)     # nobody is ready any more
+        self.assertEqual(await caller.outcome(timeout="0.05"), 503)  # nobody is ready any more
 
     async def test_a_host_that_moved_is_found_at_its_new_address(self):
         caller, moved = await self.play(SocketHost()), await self.started(SocketHost())
@@ -423,8 +447,11 @@
         first = decode(start_up([host], host), {}).known
         number = roster.told(first, False).hosts[0].host
         gone = first.lines[0]._replace(ready=False)
-        for lines, stays in (((), True), ((gone._replace(removed=True),), True),
-                             ((gone._replace(draining=True),), False)):
+        for lines, stays in (
+            ((), True),
+            ((gone._replace(removed=True),), True),
+            ((gone._replace(draining=True),), False),
+        ):
             roster.told(first._replace(lines=lines), True)
             roster.let_go({number})
             self.assertEqual(roster.ready(number), stays)
@@ -438,7 +465,7 @@
         caller = await self.play(SocketHost(), sockets=16 + 8)
         self.assertEqual(await caller.outcome(), 200)
         for n in range(12):
-            other = await self.caller()         # those before stay open, until they must go
+            other = await self.caller()  # those before stay open, until they must go
             self.assertEqual(await other.outcome(profile="submit", key=f"k{n}"), 200)
         self.assertLessEqual(self.service.clients.descriptors.held, 9)
 
@@ -459,7 +486,7 @@
         caller.ask("submit")
         await self.hosts[0].got.get()
         end = asyncio.create_task(self.service.end(self.listener))
-        self.assertEqual(await idle.reader.read(), b"")         # closed at once
+        self.assertEqual(await idle.reader.read(), b"")  # closed at once
         new = await self.caller()
         for client in (late, new):
             client.ask("submit", key="k2")
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1,4 +1,5 @@
 """Short stories, one for each failure met or foreseen."""
+
 import unittest
 from random import Random
 
@@ -17,10 +18,10 @@
         stage.arrive(key=5)
         sent = len(stage.sends())
         stage.arrive(key=5)
-        self.assertEqual(len(stage.sends()), sent)          # all backed off: it waits
+        self.assertEqual(len(stage.sends()), sent)  # all backed off: it waits
         stage.turn(i.COMMITTED)
         stage.wait(5_000)
-        self.assertEqual(stage.answers[1], i.COMMITTED)     # a ban would have lasted longer
+        self.assertEqual(stage.answers[1], i.COMMITTED)  # a ban would have lasted longer
 
     def test_uniform_failure_of_a_key_goes_back_to_the_caller(self):
         hosts = fleet(4, outcome=i.ERROR)
@@ -31,7 +32,7 @@
         stage.turn(i.COMMITTED)
         for n in range(20):
             stage.arrive(key=100 + n)
-        self.assertEqual(len(set(stage.sends()[2:])), 4)    # and no host was banned for it
+        self.assertEqual(len(set(stage.sends()[2:])), 4)  # and no host was banned for it
 
     def test_transport_fault_bans_and_the_ban_ends(self):
         bad, *others = hosts = fleet(3)
@@ -64,6 +65,7 @@
             for n in range(50):
                 stage.arrive(key=n % 7 or None)
             return stage.record
+
         self.assertEqual(play(3), play(3))
         self.assertNotEqual(play(3), play(4))
 
@@ -100,7 +102,7 @@
                 stage.end(0, 0, stage.sends()[0], i.RESET)
                 first, second = (getattr(stage.hosts[h].line, ways) for h in stage.sends())
                 self.assertEqual(first, second)
-                stage.now += 6_000                      # the window runs from the earliest that may have run
+                stage.now += 6_000  # the window runs from the earliest that may have run
                 stage.end(0, 1, stage.sends()[1], i.RESET)
                 self.assertEqual(len(stage.sends()), 2)
                 self.assertEqual(stage.answers, {0: i.Abandon})
@@ -130,12 +132,15 @@
         stage.tell(i.HostsListed((cold.line,), False, True))
         stage.turn(i.UNREACHABLE)
         stage.many(200)
-        self.assertLessEqual(len(cold.got), 50 * 0.2 * 2.5)     # a warm host's traffic, share, multiple
+        self.assertLessEqual(len(cold.got), 50 * 0.2 * 2.5)  # a warm host's traffic, share, multiple
 
     def test_a_bound_profile_keeps_to_its_places_at_every_hop_and_is_answered_at_once_without_any(self):
         """tile-read of notch-main went to other buildings at its first hop already."""
-        for bound, home in (({"zones": frozenset("b")}, {1, 3}), ({"host_kinds": frozenset("x")}, {2, 3}),
-                            ({"zones": frozenset("b"), "host_kinds": frozenset("x")}, {3})):
+        for bound, home in (
+            ({"zones": frozenset("b")}, {1, 3}),
+            ({"host_kinds": frozenset("x")}, {2, 3}),
+            ({"zones": frozenset("b"), "host_kinds": frozenset("x")}, {3}),
+        ):
             hosts = [FakeHost(n, "ab"[n % 2], outcome=i.UNREACHABLE, kind="yx"[n // 2]) for n in range(4)]
             stage = Stage(hosts, profiles=(PROFILES[IDEMPOTENT]._replace(**bound), PROFILES[NON_IDEMPOTENT]))
             stage.many(20)
@@ -158,7 +163,7 @@
         self.assertTrue({1, 3, 5} & set(stage.sends()[-10:]))
         stage.turn(i.COMMITTED)
         stage.wait(30_000)
-        stage.many(6)                   # bound ones look whether home is up again
+        stage.many(6)  # bound ones look whether home is up again
         stage.many(20, 1)
         self.assertLessEqual(set(stage.sends()[-20:]), {0, 2, 4})
 
@@ -177,9 +182,13 @@
             stage = Stage(hosts, only_draining_binds=True)
             stage.many(20)
             for line in (host.line._replace(ready=False, draining=draining), host.line._replace(ready=False)):
-                stage.tell(i.HostsListed((other.line, line)[:2 - complete], complete, True))
-            for outcome, got in ((i.COMMITTED, True), (i.CANCELLED, True), (i.UNREACHABLE, True),
-                                 (i.COMMITTED, False)):     # cancelled by us proves nothing, a fault does
+                stage.tell(i.HostsListed((other.line, line)[: 2 - complete], complete, True))
+            for outcome, got in (
+                (i.COMMITTED, True),
+                (i.CANCELLED, True),
+                (i.UNREACHABLE, True),
+                (i.COMMITTED, False),
+            ):  # cancelled by us proves nothing, a fault does
                 host.outcome, before = outcome, len(host.got)
                 stage.many(20)
                 self.assertEqual(len(host.got) > before, got and not draining)
@@ -210,6 +219,7 @@
             took += len(cold.got)
         self.assertLess(took, 30)
 
+
 class Departures(unittest.TestCase):
     def test_what_drags_at_all_hosts_rests_none_and_goes_one_at_a_time(self):
         """One firm's transactions waited at every map server: 93 in 100 of all firms' were rolled back."""
@@ -221,7 +231,7 @@
             self.assertFalse([s for s in stage.proxy.servers.values() if stage.proxy.away(s, "rest")])
             stage.turn(None)
             txs = [stage.arrive(**whose) for whose in (dragging, dragging, {"party": 2})]
-            self.assertEqual([stage.answers.get(tx) for tx in txs], [None, i.RollBack, None])   # at once
+            self.assertEqual([stage.answers.get(tx) for tx in txs], [None, i.RollBack, None])  # at once
             self.assertGreater([e for e in stage.record if isinstance(e, i.RollBack)][-1].come_back, 0)
 
     def test_a_silent_host_is_passed_by(self):
@@ -256,8 +266,14 @@
         stage = Stage(fleet(2))
         stage.arrive()
         stage.record.clear()
-        for event in (i.TxGone(0), i.TxGone(77), i.StreamBegan(77, 0), i.TimerDue(2), i.TimerDue(900),
-                      i.HopEnded(77, 0, 5, i.COMMITTED, 10, True)):
+        for event in (
+            i.TxGone(0),
+            i.TxGone(77),
+            i.StreamBegan(77, 0),
+            i.TimerDue(2),
+            i.TimerDue(900),
+            i.HopEnded(77, 0, 5, i.COMMITTED, 10, True),
+        ):
             stage.tell(event)
         self.assertEqual(stage.record, [])
         self.assertEqual(stage.arrive(IDEMPOTENT), 1)
@@ -318,7 +334,7 @@
                 lost += 1
                 stage.end(tx, 0, 0, i.TIMED_OUT, 1_000)
         self.assertEqual(lost, 3)
-        self.assertGreater(len(odd.got), 10)        # the others still go there
+        self.assertGreater(len(odd.got), 10)  # the others still go there
 
     def test_a_host_whose_hops_are_all_called_back_rests(self):
         """Overtaken by its copies, a slow host never answers, and was never found slow."""
@@ -339,7 +355,7 @@
         stage.crowd(1.3)
         stage.many(2, NON_IDEMPOTENT)
         stage.wait(3_500)
-        for strain, sent in ((3.0, 2), (1.3, 3)):           # not so in a crowd, where all hops are late
+        for strain, sent in ((3.0, 2), (1.3, 3)):  # not so in a crowd, where all hops are late
             stage.proxy.strain = strain
             stage.arrive(key=9)
             self.assertEqual(len(stage.sends()), sent)
@@ -411,6 +427,7 @@
             stage = Stage([FakeHost(n, zone="ab"[n % 2]) for n in range(8)], cross_price=price)
             stage.many(300)
             return sum(host % 2 == 0 for host in stage.sends())
+
         self.assertLess(near(0.0), 200)
         self.assertGreater(near(0.1), 250)
 
@@ -520,7 +537,7 @@
 
     def test_where_all_hosts_hold_too_much_some_are_rolled_back_as_they_arrive_and_told_when_to_return(self):
         stage = self.live(3, 9.0, outcome=None)
-        stage.many(40)                  # no time passes meanwhile
+        stage.many(40)  # no time passes meanwhile
         rolled = [e for e in stage.record if isinstance(e, i.RollBack)]
         self.assertGreater(len(rolled), 10)
         self.assertGreater(min(e.come_back for e in rolled), 0)
@@ -528,16 +545,17 @@
     def test_errors_are_told_to_the_one_who_counts_and_three_of_them_make_all_keep_away_for_a_while(self):
         def told(stage):
             return [e for e in stage.record if isinstance(e, i.TellNews)]
+
         for peers in (False, True):
             stage = Stage(fleet(10, outcome=i.ERROR), proxies=10, peers=peers, position=3, elapsed=10)
             stage.many(30)
-            self.assertEqual(bool(told(stage)), peers)      # not allowed: none
+            self.assertEqual(bool(told(stage)), peers)  # not allowed: none
         hosts = {host: stage.proxy.servers[host].line.hash % 10 for host in range(10)}
         once = {host: i.TellNews(hosts[host], host, i.MET_FAULT) for host in {e.host for e in told(stage)}}
-        self.assertCountEqual(told(stage), once.values())       # a host at most once a second
+        self.assertCountEqual(told(stage), once.values())  # a host at most once a second
         stage = Stage(fleet(10), proxies=10, peers=True, position=3)
         mine = next(host for host, counts in hosts.items() if counts == 3)
-        for sender, many in ((1, 0), (1, 0), (3, 0), (-1, 0), (10, 0), (2, 0), (5, 1)):     # absurd ones
+        for sender, many in ((1, 0), (1, 0), (3, 0), (-1, 0), (10, 0), (2, 0), (5, 1)):  # absurd ones
             stage.tell(i.NewsCame(sender, mine, i.MET_FAULT))
             self.assertEqual(told(stage), [i.TellNews(None, mine, i.AT_FAULT)] * many)
         for wait, got in ((40_000, False), (0, True)):
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -1,4 +1,5 @@
 """System calls that fail for a moment, or do less than asked for: all rules hold, nothing spins."""
+
 import asyncio
 import errno
 import socket
@@ -31,6 +32,7 @@
                 if len(data) > 3:
                     raise BrokenPipeError(errno.EPIPE, "broken")
                 return super().send(data, *more)
+
         for parts in ((b"a first part", b"and a second one"), (b"one part alone",)):
             for paused in (False, True):
                 with socket.create_server(("127.0.0.1", 0)) as server:
@@ -60,8 +62,9 @@
                 return super().accept()
 
         def bound(*given):
-            sock, = real(*given)
+            (sock,) = real(*given)
             return [Failing(sock.family, sock.type, sock.proto, sock.detach())]
+
         with patch.object(listening, "bind_sockets", bound):
             made = Listener(("127.0.0.1", 0), lambda sock: taken.append(sock) or True)
         made.socket.setblocking(False)
@@ -73,9 +76,9 @@
         made.open()
         with socket.create_connection(made.address):
             await asyncio.sleep(0.4)
-            self.assertLessEqual(len(calls), 28)    # seven looks of four calls
+            self.assertLessEqual(len(calls), 28)  # seven looks of four calls
             self.assertFalse(taken)
-            calls += [1] * 10**6                # from now on it works
+            calls += [1] * 10**6  # from now on it works
             async with asyncio.timeout(5):
                 while not taken:
                     await asyncio.sleep(0.01)
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -1,4 +1,5 @@
 """Timers on a clock and a loop that are handed in."""
+
 import unittest
 from types import SimpleNamespace
 
@@ -43,8 +44,15 @@
             loop.turn()
         self.assertEqual(rung, [2_000, "late"])
 
-    @given(st.lists(st.tuples(st.integers(0, 500), st.lists(st.integers(0, 500), max_size=4),
-                              st.none() | st.integers(0, 30)), min_size=1, max_size=30))
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 500), st.lists(st.integers(0, 500), max_size=4), st.none() | st.integers(0, 30)
+            ),
+            min_size=1,
+            max_size=30,
+        )
+    )
     def test_each_rings_at_its_time_and_the_earliest_is_always_armed(self, plans):
         """A plan: due when, what it sets in its turn, and which of the earlier ones it cancels."""
         loop, rung, set_for = Loop(), {}, {}
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -1,4 +1,5 @@
 """The fleet's verdicts on hosts, in virtual time: hard cases, each against what must hold for all members."""
+
 import json
 import unittest
 from collections import Counter
@@ -26,17 +27,31 @@
 
 def play(*faults, seconds=16, zones=("a",), seed=1, proxies=20):
     """Twenty proxies before twenty hosts; the run, and who had which host out."""
-    head, fleet = BASE[:BASE.index("[[faults]]")], BASE[BASE.index("[fleet]"):]
-    told = scenario.parse(head.replace("proxies = 60", f"proxies = {proxies}").replace(
-        "seconds = 50", f"seconds = {seconds}").replace("cores = 2", f"cores = 2\nzones = {list(zones)}")
-        + "\n".join(faults) + "\n" + fleet, "day.toml")
+    head, fleet = BASE[: BASE.index("[[faults]]")], BASE[BASE.index("[fleet]") :]
+    told = scenario.parse(
+        head.replace("proxies = 60", f"proxies = {proxies}")
+        .replace("seconds = 50", f"seconds = {seconds}")
+        .replace("cores = 2", f"cores = 2\nzones = {list(zones)}")
+        + "\n".join(faults)
+        + "\n"
+        + fleet,
+        "day.toml",
+    )
     run = decisions.Fleet(told, seed)
     run.run()
     marks = {f"{mark:x}": host for host, mark in enumerate(run.marks)}
-    out = Counter((marks[fields["host"].split(".")[0]], n) for _, n, event, fields in run.talking.said
-                  if event == "verdict" and fields["state"] == OUT)
-    return run, decisions.found(told, run.wire, decisions.BORN, "decisions", talk=run.talking.figures(
-        told, decisions.BORN)), out
+    out = Counter(
+        (marks[fields["host"].split(".")[0]], n)
+        for _, n, event, fields in run.talking.said
+        if event == "verdict" and fields["state"] == OUT
+    )
+    return (
+        run,
+        decisions.found(
+            told, run.wire, decisions.BORN, "decisions", talk=run.talking.figures(told, decisions.BORN)
+        ),
+        out,
+    )
 
 
 class Cases(unittest.TestCase):
@@ -56,8 +71,17 @@
         self.assertGreater(back[True] / 3, 0.5 * back[False] / 17)
 
     def test_half_of_all_datagrams_lost_and_a_third_of_the_bytes_spoilt_delay_it_and_no_more(self):
-        way = fault("lossy", at=0, lasts=99, between=[["p0-19"], ["p0-19"]], loses=0.4, doubles=0.3,
-                    reorders=0.3, delay=0.05, spoils=0.1)
+        way = fault(
+            "lossy",
+            at=0,
+            lasts=99,
+            between=[["p0-19"], ["p0-19"]],
+            loses=0.4,
+            doubles=0.3,
+            reorders=0.3,
+            delay=0.05,
+            spoils=0.1,
+        )
         _, result, out = play(fault("silent", hosts=[0, 1, 2]), way)
         self.held(result)
         self.assertEqual({host for host, _ in out}, {0, 1, 2})
@@ -71,7 +95,7 @@
             self.assertGreaterEqual(len(out), 18)
 
     def test_a_host_that_one_zone_cannot_reach_is_out_for_that_zone_alone(self):
-        even = [f"p{n}" for n in range(0, 20, 2)]       # these are of zone a
+        even = [f"p{n}" for n in range(0, 20, 2)]  # these are of zone a
         _, result, out = play(fault("cut", between=[even, ["h1"]]), zones=("a", "b"))
         self.held(result)
         self.assertEqual({(host, n % 2) for host, n in out}, {(1, 0)})
@@ -93,9 +117,11 @@
 
     def test_who_counts_tries_or_tells_may_die_or_be_stopped_for_longer_than_a_life(self):
         for what in ("kill_proxy", "stop_proxy"):
-            _, result, out = play(fault("silent", hosts=[0, 1], lasts=12),
-                                  fault(what, at=4.5, lasts=11, proxies=[0, 1, 2, 3, 4, 5, 6, 7, 8, 9]),
-                                  seconds=22)
+            _, result, out = play(
+                fault("silent", hosts=[0, 1], lasts=12),
+                fault(what, at=4.5, lasts=11, proxies=[0, 1, 2, 3, 4, 5, 6, 7, 8, 9]),
+                seconds=22,
+            )
             self.held(result)
             self.assertEqual({host for host, _ in out}, {0, 1})
             self.assertGreater(result.verdict.service, 0.97)
@@ -121,6 +147,7 @@
         def never(self, now, kind, name, reader):
             made = [reader(h.fact, h.born) for h in self.by_subject.get((kind, name), {}).values()]
             return [word for word in made if word is not None]
+
         with patch.object(Table, "made", never), patch.object(Table, "expire", lambda *_: None):
             _, result, _ = play(fault("silent", hosts=[0], lasts=10))
         self.assertGreater(result.talk["over_age"], 0)
@@ -140,7 +167,7 @@
     def test_failing_takes_three_witnesses_a_share_and_more_than_most_hosts_have(self):
         bad = [word(who, errors=2, answers=1) for who in "abc"]
         self.assertEqual(judge(bad, 0.0, 9)[0], verdicts.FAILING)
-        self.assertEqual(judge(bad, 0.4, 9)[0], "")         # so do most hosts
+        self.assertEqual(judge(bad, 0.4, 9)[0], "")  # so do most hosts
         self.assertEqual(judge(bad[:2], 0.0, 9)[0], "")
         self.assertEqual(judge([*bad, word("d", answers=30)], 0.0, 9)[0], "")
 
@@ -168,8 +195,14 @@
         told = scenario.parse(BASE, "x")
         agreed = terms.agreement(settings(told, 0, "a"))
         self.proxy = Proxy(agreed, 1, 0)
-        self.proxy.handle(0, i.HostsListed(tuple(
-            i.Host(n, terms.number(f"host-{n}"), "a", 0, True, 1.0, None) for n in range(20)), True, True))
+        self.proxy.handle(
+            0,
+            i.HostsListed(
+                tuple(i.Host(n, terms.number(f"host-{n}"), "a", 0, True, 1.0, None) for n in range(20)),
+                True,
+                True,
+            ),
+        )
         self.table, self.members = Table("me", 1, LIVES), tuple(["me", *(f"p{n}" for n in range(30))])
         self.mind = Verdicts(self.proxy, self.table, "a", lambda: self.members)
 
@@ -178,14 +211,19 @@
         for n in range(30):
             for server in self.proxy.servers.values():
                 blame = word(f"p{n}", now - 100, lost=9)._replace(told=now)
-                self.table.take(now, Fact(f"p{n}", 1, HOST, subject(server.line), server.id + 1,
-                                          plain("a", blame), 0))
+                self.table.take(
+                    now, Fact(f"p{n}", 1, HOST, subject(server.line), server.id + 1, plain("a", blame), 0)
+                )
         judged = self.mind.look(now, now)
         shut = {host for host, until, _ in judged.hosts if until > now}
         self.assertEqual(len(shut), MOST_OUT * 20)
         self.proxy.handle(now, judged)
-        sent = {effect.host for n in range(200) for effect in self.proxy.handle(now, i.TxArrived(
-            n, 0, Random(n).getrandbits(40), 20_000)) if isinstance(effect, i.SendHop)}
+        sent = {
+            effect.host
+            for n in range(200)
+            for effect in self.proxy.handle(now, i.TxArrived(n, 0, Random(n).getrandbits(40), 20_000))
+            if isinstance(effect, i.SendHop)
+        }
         self.assertFalse(sent & shut)
         self.assertGreater(len(sent), 8)
         # and it lapses by itself where nobody speaks any more: with the evidence, and with the lease
@@ -199,17 +237,26 @@
         self.proxy.keep_away(self.proxy.servers[4], "ban", 50_000)
         self.proxy.handle(0, i.Judged(((3, 0, 0), (4, 0, 0)), 3))
         for n in range(200):
-            self.assertFalse({e.host for e in self.proxy.handle(10, i.TxArrived(n, 0, n, 20_000))
-                              if isinstance(e, i.SendHop)} & {3, 4})
+            self.assertFalse(
+                {
+                    e.host
+                    for e in self.proxy.handle(10, i.TxArrived(n, 0, n, 20_000))
+                    if isinstance(e, i.SendHop)
+                }
+                & {3, 4}
+            )
 
     def test_a_trial_is_a_repeatable_hop_cut_short_that_goes_on_elsewhere(self):
         self.proxy.handle(0, i.Judged(((5, 90_000, 99_000),), 5))
         for profile, tried in ((1, False), (0, True), (0, False)):
-            sends = [e for e in self.proxy.handle(10, i.TxArrived(profile + 7 * tried, profile, 1, 20_000))
-                     if isinstance(e, i.SendHop)]
+            sends = [
+                e
+                for e in self.proxy.handle(10, i.TxArrived(profile + 7 * tried, profile, 1, 20_000))
+                if isinstance(e, i.SendHop)
+            ]
             self.assertEqual(sends[0].host == 5, tried)
             if tried:
-                self.assertLess(sends[0].time_limit, 2_001)     # a third of the goal
+                self.assertLess(sends[0].time_limit, 2_001)  # a third of the goal
                 again = self.proxy.handle(2_010, i.HopEnded(7, 0, 5, i.TIMED_OUT, 2_000, False))
                 self.assertTrue([e for e in again if isinstance(e, i.SendHop) and e.host != 5])
 
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -1,4 +1,5 @@
 """The wall clock may be stepped, or be off at the start: a cold endpoint stays cold, a warm one warm."""
+
 import unittest
 
 from basalthook.protocol.catalogue import Line, Listing
@@ -37,8 +38,8 @@
         self.assertEqual(self.told(started), first)
 
     def test_starts_that_fit_the_clock_are_taken_as_told(self):
-        self.assertEqual(self.told(self.now - HOUR, answered=False), self.now - HOUR)   # of the first list
-        for ago in (0, 3 * TICKS, 24 * TICKS):      # as late as lists may come
+        self.assertEqual(self.told(self.now - HOUR, answered=False), self.now - HOUR)  # of the first list
+        for ago in (0, 3 * TICKS, 24 * TICKS):  # as late as lists may come
             self.setUp()
             self.told(None, name="s-1")
             self.now += 20 * TICKS
