--- a/basalthook/lab/processes.py
+++ b/basalthook/lab/processes.py
@@ -219,6 +219,17 @@
             self.running[n].send_signal(signal.SIGHUP)
             await asyncio.sleep(pause)
 
+    def pause_proxy(self, n: int) -> None:
+        self.signal_running(n, signal.SIGSTOP)
+
+    def unpause_proxy(self, n: int) -> None:
+        self.signal_running(n, signal.SIGCONT)
+
+    def signal_running(self, n: int, number: int) -> None:
+        process = self.running[n]
+        if process is not None and process.returncode is None:
+            process.send_signal(number)
+
     def stop_proxy(self, n: int) -> None:
         self.excuse(n)
         self.stopped.add(n)
--- a/basalthook/lab/scenario.py
+++ b/basalthook/lab/scenario.py
@@ -60,6 +60,7 @@
 
 class Rules(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     drain_grace: Seconds = 0.5
+    answer_late: Seconds = 0.0  # past a deadline, in which an answer earns nothing and breaks nothing
     cold_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.3
     cold_time: Positive = 8.0
     fall_multiple: Annotated[float, msgspec.Meta(gt=1)] = 3.0
@@ -274,6 +275,16 @@
         fleet.set_clock(proxy, 0.0, 1.0)
 
 
+class Pause(OfProxies, tag="pause"):
+    """Held up for a moment (SIGSTOP, SIGCONT) that frees it of nothing. On processes alone."""
+
+    def strike(self, fleet, proxy):
+        fleet.pause_proxy(proxy)
+
+    def mend(self, fleet, proxy):
+        fleet.unpause_proxy(proxy)
+
+
 class Terminate(OfProxies, tag="terminate"):
     """SIGTERM, SIGKILL at the earliest moment allowed, and a start at the end; clients go on on open
     connections till the kill. On processes alone."""
@@ -414,8 +425,9 @@
     | Reconfigure
     | DiscoveryFails
     | Terminate
+    | Pause
 )
-ON_PROCESSES = Watches | Reconfigure | DiscoveryFails | Terminate  # no other depth plays these
+ON_PROCESSES = Watches | Reconfigure | DiscoveryFails | Terminate | Pause  # no other depth plays these
 
 
 class Scenario(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
