A connect that fails for want of something here bans no endpoint

What operators see: EADDRNOTAVAIL, ENOBUFS or EAGAIN at connect, for a moment, banned the endpoint for half a second and longer, though it was never asked. Cause: every failure of connect was the endpoint's (transport/connection.py _connected). Change: what connect(2) says of this machine is an attempt not sent; the request goes on to another endpoint. A network that can't be reached stays the endpoint's. Test: test_what_this_machine_lacks_for_a_moment_is_no_fault_of_the_endpoint failed before (unreachable, endpoint kept away), passes now.

--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -75,7 +75,7 @@
         if self.over:
             return
         if fault is not None:
-            self.stage = max(self.stage, fault.stage)
+            self.stage = fault.stage
             return self.finish(fault)
         self.send()
 
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -1,5 +1,6 @@
 """One TCP connection: reads handed on as they come, writes, and values that say how far it had come."""
 
+import errno
 import select
 import socket
 import struct
@@ -17,6 +18,8 @@
 ENDED = "ended by the peer"  # in order: what a peer sends till then is all it had to say
 RESET = struct.pack("ii", 1, 0)  # linger, for no time
 PEER_ENDED = getattr(select, "POLLRDHUP", 0)  # Linux; elsewhere only what poll(2) tells unasked
+# connect(2): nothing was sent, and nothing is known of the peer
+OF_THIS_MACHINE = {errno.EADDRNOTAVAIL, errno.EAGAIN, errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE}
 READS_A_TURN = 4  # buffers that one connection may fill in a turn of the loop, before others come
 
 
@@ -103,6 +106,8 @@
             self.close()
             # reset, not refused: the peer's machine had taken it already
             stage = Stage.WRITING if isinstance(error, ConnectionResetError) else Stage.CONNECTING
+            if getattr(error, "errno", None) in OF_THIS_MACHINE:
+                stage = Stage.UNTRIED
             return up(Fault(stage, str(error)))
         took = arrival.connecting(self.stream.socket)
         if took is not None:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -12,6 +12,8 @@
 from basalthook.transport.connection import Connection
 from basalthook.transport.descriptors import Descriptors
 from basalthook.transport.listener import Listener
+from tests.fake import SocketHost
+from tests.loopback import Loopback
 from tests.test_incidents import play
 
 
@@ -49,6 +51,26 @@
                     self.assertEqual((connection.closed, len(ended)), (True, 1))
 
 
+class Connecting(Loopback):
+    async def test_what_this_machine_lacks_for_a_moment_is_no_fault_of_the_endpoint(self):
+        for code, outcome in ((errno.EADDRNOTAVAIL, "unsent"), (errno.ECONNREFUSED, "unreachable")):
+            caller = await self.play(SocketHost(), SocketHost())
+            failures, real = [code], socket.socket
+
+            class Failing(real):
+                def connect(self, address, failures=failures):
+                    if failures:
+                        raise OSError(failures.pop(), "for a moment")
+                    return super().connect(address)
+
+            with patch.object(socket, "socket", Failing):
+                self.assertEqual(await caller.outcome(), 200)
+            self.assertEqual([found for _, found in self.log.hops()], [outcome])
+            servers = self.service.owner.proxy.servers.values()
+            self.assertEqual(any(server.away for server in servers), outcome == "unreachable")
+            await self.stop()
+
+
 class Accepting(unittest.IsolatedAsyncioTestCase):
     def listener(self, failures):
         """One whose next so many calls of accept fail, and the connections it takes."""
