Signals after the last answer leave the process with zero

Cause: closing the loop gives each signal its default action back, which ends the process, some 0.3 s before it would end by itself. Change: they are ignored from the last answer on. Test: test_signals_up_to_the_last_moment_leave_it_with_zero failed before (exit code -15), passes now.

--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -152,6 +152,17 @@
         gc.freeze()  # what is here stays; looking at it again stopped everything for 4 ms
         await self.ending.wait()
         await self.end(listener)
+        self.ignore_signals()
+
+    @staticmethod
+    def ignore_signals() -> None:
+        """All is answered. The loop would leave each with its default action, which ends the process."""
+        handled = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+        signal.pthread_sigmask(signal.SIG_BLOCK, handled)
+        for number in handled:
+            asyncio.get_running_loop().remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, handled)
 
     def begin(self) -> Listener:
         """Ready only once the hosts are known to the decisions and the address is ours."""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,6 +8,7 @@
 import tempfile
 import tomllib
 import unittest
+from contextlib import suppress
 from pathlib import Path
 
 from tests.fake import OK, SILENT, Caller, SocketDiscovery, SocketHost, start_up
@@ -78,6 +79,17 @@
         self.assertEqual((await self.line(process, "ended"))["unanswered"], 0)
         self.assertEqual(await process.wait(), 0)
 
+    async def test_signals_up_to_the_last_moment_leave_it_with_zero(self):
+        process, _ = await self.serve()
+        process.terminate()
+        for number in (signal.SIGHUP, signal.SIGTERM) * 300:
+            if process.returncode is not None:
+                break
+            with suppress(ProcessLookupError):
+                process.send_signal(number)
+            await asyncio.sleep(0.003)
+        self.assertEqual(await asyncio.wait_for(process.wait(), 5), 0)
+
     async def test_a_new_file_is_taken_over_at_sighup_and_a_bad_one_is_not(self):
         moved = await SocketDiscovery().start()
         self.addAsyncCleanup(moved.stop)
