A watch that breaks is opened again within the grace: its news may be lost with it

What callers need: news counts when discovery has written it, also where the connection breaks before it is read. Cause: after a watch broke, an asked list was asked for again after ask_within / 4, up to 2 s. Change: grace / 8, / 4, / 2 for the first three tries, longer in large fleets (10 ms a proxy).

--- a/basalthook/lab/processes.py
+++ b/basalthook/lab/processes.py
@@ -127,6 +127,7 @@
             stdin=asyncio.subprocess.DEVNULL,
             stderr=errors,
             limit=2**20,
+            preexec_fn=ignore_hangup,
         )
         errors.close()
         self.running[n] = process
@@ -337,6 +338,11 @@
         return {"detect_s": detect, "agree_s": agree}
 
 
+def ignore_hangup() -> None:
+    """As the deploy file starts it: SIGHUP in the interpreter's first moments must not end it."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def play(told: Scenario, keep: list | None = None) -> Result:
     """`keep`: takes the rig, for whoever wants to look closer."""
     if any(isinstance(fault, Vanish | LongWay | Maintain) for fault in told.faults):
--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -128,7 +128,8 @@
     def connection_lost(self, _) -> None:
         self.over()
         self.fleet.watching.discard(self)
-        if self.owes:  # given up by the proxy
+        others = any(end.proxy == self.proxy for end in self.fleet.watching)
+        if self.owes and not others:  # given up by the proxy, not as another call was answered
             self.fleet.failed[self.proxy] = True
 
     def message(self, first: str, fields: dict, body: bytes) -> None:
--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -16,8 +16,9 @@
       where the news counts soon or already (a watch fell silent, discovery moved): `URGENT_FIRST`, longer by
       half each time, up to `URGENT_MOST`, for `URGENT_TRIES`. They are counted from that event: what
       failed before it uses none of them up
-      where the list is pushed, as its news counts at once: grace / 2; where discovery turns callers away and
-        there are many proxies, `FLEET_PACE` for each of them, `RETRY_MOST` at most
+      where the list is pushed, and at first where an open watch broke, as news may have been lost with it:
+        grace / 8, then / 4 and / 2; where discovery turns callers away, or for the latter, `FLEET_PACE` for
+        each proxy if that is longer, `RETRY_MOST` at most
       else, and after these: ask_within / 4, `RETRY_MOST` at most. However long discovery has been away, its
       news counts at a fixed time after it is back
 """
@@ -35,6 +36,7 @@
 BESIDE_MOST = 6  # calls out at a time
 GIVE_UP = 50_000  # past a call's wait; news counts 6 s after discovery had it, answered or not
 RETRY_MOST = 20_000  # tenths of a millisecond: what discovery has counts as told 6 s after it is back
+SOON_TRIES = 3  # after an answer: within the grace altogether
 FLEET_PACE = 100  # between two calls of all proxies, while they are turned away
 URGENT_FIRST = 2_000  # the first wait after a silence, or at a new address
 URGENT_MOST = 10_000  # the longest after a silence, or at a new address
@@ -99,12 +101,20 @@
             made = URGENT_TRIES - self.urgent_tries
             self.urgent_tries -= 1
             return int(min(URGENT_FIRST * URGENT_GROWTH**made, URGENT_MOST) * part)
-        if self.pushed:
-            soon = max(LEAST, self.settings.grace / 2)
-            crowd = min(RETRY_MOST, self.settings.proxies * FLEET_PACE) if turned_away else 0
-            return int(max(soon, crowd) * part)
+        if self.pushed or self.failures <= SOON_TRIES and not turned_away:
+            return max(LEAST, int(max(self._soon(), self._crowd(turned_away)) * part))
         return int(min(self.settings.ask_within / 4, RETRY_MOST) * part)
 
+    def _soon(self) -> float:
+        """Within the grace, as news may have been in an answer that was lost, which counts as told."""
+        return self.settings.grace / 2 ** max(1, SOON_TRIES + 1 - self.failures)
+
+    def _crowd(self, turned_away: bool) -> float:
+        """By the size of the fleet: all its proxies call again at once where discovery has reset them all."""
+        if self.pushed and not turned_away:
+            return 0.0
+        return min(RETRY_MOST, self.settings.proxies * FLEET_PACE)
+
 
 class Asking:
     """The same where a protocol has one word for a watch, and one for its end: beside the decisions, which it
