--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -10,7 +10,7 @@
 class Entry(NamedTuple):
     """One line of the file."""
 
-    test: str  # pytest's id of it
+    test: str  # pytest's id of it, or what finds the fault where that is no test of the suite
     command: str  # and seed
     seen: str
     issue: str
