Test of failing connects: the failure is met by an endpoint, never by the watch

Need: the suite gives the same verdict every time.

Cause: the test fails the next connect of the whole process.

Change: only connects to the two endpoints fail, and the test also asks that the failure was met.

--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -7,6 +7,7 @@
 from unittest.mock import patch
 
 from basalthook.lab.syscalls import Chances, faulty
+from basalthook.protocol import catalogue
 from basalthook.transport import listener as listening
 from basalthook.transport.buffers import BufferPool
 from basalthook.transport.connection import Connection
@@ -56,16 +57,17 @@
         for code, outcome in ((errno.EADDRNOTAVAIL, "unsent"), (errno.ECONNREFUSED, "unreachable")):
             caller = await self.play(SocketHost(), SocketHost())
             failures, real = [code], socket.socket
+            endpoints = {catalogue.address(host.address) for host in self.hosts}  # not discovery
 
             class Failing(real):
-                def connect(self, address, failures=failures):
-                    if failures:
+                def connect(self, address, failures=failures, endpoints=endpoints):
+                    if failures and address in endpoints:
                         raise OSError(failures.pop(), "for a moment")
                     return super().connect(address)
 
             with patch.object(socket, "socket", Failing):
                 self.assertEqual(await caller.outcome(), 200)
-            self.assertEqual([found for _, found in self.log.hops()], [outcome])
+            self.assertEqual((failures, [found for _, found in self.log.hops()]), ([], [outcome]))
             servers = self.service.owner.proxy.servers.values()
             self.assertEqual(any(server.away for server in servers), outcome == "unreachable")
             await self.stop()
