Lab: ages of facts are judged by when datagrams were sent, not by when the lab read them

Cause: the relays compared an age with the lab's own clock in the moment of reading, with 50 ms of slack. A lab process that reads late takes every fact of that datagram for younger by its own delay.

Change: the relays read their sockets with the kernel's stamps, and judge what the protocol promises: a fact is told at least as old as it was at the question it answers (the asker adds the time since), with 10 ms of slack in place of 50. An answer to no known question is held to its own sending time. A process stopped between its clock and its datagram is no defect, as the asker's clock covers it.

--- a/basalthook/lab/relays.py
+++ b/basalthook/lab/relays.py
@@ -4,31 +4,57 @@
 *a*'s source port, and goes on from the relay's socket for *a*. So each sees the right address of the other.
 
 What members tell is read here too, by the msgpack library alone: a judge must not rest on what it judges.
+When a datagram was sent is the kernel's word, so a lab process that is late to read judges nobody by that.
 """
 
 import asyncio
 import socket
 from collections import Counter
+from contextlib import suppress
 from random import Random
 
 import msgpack
 
 from ..fleet.facts import Fact
+from ..transport import arrival
 from .links import Links, spoil
 
-HEAD, ANSWER = 9, 18  # bytes before the message; the kind of message that carries facts
-YOUNGER = 0.05  # seconds by which clocks and rounding may make a fact seem younger than it is
+HEAD = 9  # bytes before the message
+ASK, ANSWER, ASK_DIFFERING = 17, 18, 19  # kinds of message: two questions, and what carries facts
+SLOW_CLOCK = 0.97  # the least part of a span that a member's clock may show, as the lab sets them
+ROUNDING = 0.01  # seconds by which an age may be told too low
+READ_MOST = 64  # datagrams read in a row from one socket
+LENGTH_MOST = 4096  # bytes read of one datagram
 
 
-class Socket(asyncio.DatagramProtocol):
-    def __init__(self, relays: "Relays", number: int) -> None:
-        self.relays, self.number, self.transport = relays, number, None
+class Socket:
+    """What others take for the address of one member."""
 
-    def connection_made(self, transport) -> None:
-        self.transport = transport
+    def __init__(self, relays: "Relays", number: int) -> None:
+        self.relays, self.number = relays, number
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setblocking(False)
+        self.socket.bind(("127.0.0.1", 0))
+        arrival.stamp(self.socket)
+        asyncio.get_running_loop().add_reader(self.socket.fileno(), self.readable)
+
+    def readable(self) -> None:
+        for _ in range(READ_MOST):
+            try:
+                data, ancillary, _, source = self.socket.recvmsg(LENGTH_MOST, arrival.SPACE)
+            except OSError:  # nothing more
+                return
+            sent_at = self.relays.clock() - arrival.late(ancillary) / 1e9
+            self.relays.came(self.number, data, source, sent_at)
+
+    def send(self, data: bytes, address: tuple[str, int]) -> None:
+        with suppress(OSError):  # a full buffer loses it, as a network may
+            self.socket.sendto(data, address)
 
-    def datagram_received(self, data: bytes, source) -> None:
-        self.relays.came(self.number, data, source)
+    def close(self) -> None:
+        if self.socket.fileno() >= 0:
+            asyncio.get_running_loop().remove_reader(self.socket.fileno())
+            self.socket.close()
 
 
 class Relays:
@@ -43,32 +69,30 @@
         self.sent, self.sent_bytes = Counter(), Counter()
         self.first: dict[int, float] = {}  # mark of a fact -> when it first came by
         self.kinds: dict[int, str] = {}  # mark -> kind of fact
+        self.asked: dict[int, float] = {}  # nonce of a question -> when it was sent
         self.younger: list[tuple] = []  # facts told younger than they can be: a defect
 
     async def open(self) -> None:
-        loop = asyncio.get_running_loop()
         for number in range(self.count):
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
                 free.bind(("127.0.0.1", 0))
                 self.real.append(free.getsockname())
-            _, end = await loop.create_datagram_endpoint(
-                lambda n=number: Socket(self, n), local_addr=("127.0.0.1", 0)
-            )
+            end = Socket(self, number)
             self.sockets.append(end)
-            self.told.append(end.transport.get_extra_info("sockname"))
+            self.told.append(end.socket.getsockname())
         self.by_port = {address[1]: number for number, address in enumerate(self.real)}
 
     def close(self) -> None:
         for end in self.sockets:
-            end.transport.close()
+            end.close()
 
-    def came(self, target: int, data: bytes, source) -> None:
+    def came(self, target: int, data: bytes, source, sent_at: float) -> None:
         sender = self.by_port.get(source[1])
         if sender is None:  # none of the members'
             return
         self.sent[sender] += 1
         self.sent_bytes[sender] += len(data)
-        self.read(sender, data)
+        self.read(sender, data, sent_at)
         way = self.links.datagram(f"p{sender}", f"p{target}")
         if way.spoilt:
             data = spoil(data, self.chance)
@@ -79,20 +103,32 @@
                 self.go_on(sender, target, data)
 
     def go_on(self, sender: int, target: int, data: bytes) -> None:
-        self.sockets[sender].transport.sendto(data, self.real[target])
+        self.sockets[sender].send(data, self.real[target])
 
-    def read(self, sender: int, data: bytes) -> None:
-        """When each fact first came by, and whether one is told younger than it must be."""
+    def read(self, sender: int, data: bytes, sent_at: float) -> None:
+        """Notes questions, and judges the facts in answers."""
         try:
             message = msgpack.unpackb(data[HEAD:])
         except ValueError:
             return
-        if not isinstance(message, list) or not message or message[0] != ANSWER:
+        if not isinstance(message, list) or not message:
             return
-        now = self.clock()
-        for author, life, kind, subject, sequence, value, age in message[3]:
-            mark = Fact(author, life, kind, subject, sequence, tuple(value), age).mark
-            first = self.first.setdefault(mark, now - age / 10_000)
-            self.kinds[mark] = kind
-            if age / 10_000 < (now - first) * 0.97 - YOUNGER:
-                self.younger.append((now, sender, mark, age / 10_000, now - first))
+        if message[0] in (ASK, ASK_DIFFERING):
+            self.asked.setdefault(message[2], sent_at)
+        elif message[0] == ANSWER:
+            since = min(sent_at, self.asked.get(message[2], sent_at))
+            for fact in message[3]:
+                self.judge(sender, fact, sent_at, since)
+
+    def judge(self, sender: int, plain: list, sent_at: float, since: float) -> None:
+        """Whether a fact is told younger than it was at `since`, the moment of the question it answers.
+
+        The asker adds what has passed since its question, so from then on no delay makes a fact younger.
+        """
+        author, life, kind, subject, sequence, value, ticks = plain
+        age = ticks / 10_000
+        mark = Fact(author, life, kind, subject, sequence, tuple(value), ticks).mark
+        first = self.first.setdefault(mark, sent_at - age)
+        self.kinds[mark] = kind
+        if age < (since - first) * SLOW_CLOCK - ROUNDING:
+            self.younger.append((sent_at, sender, mark, age, since - first))
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,17 +1,19 @@
 """Twelve real processes, every way between them through the rig, and faults on it: verdicts, not timings."""
 
+import asyncio
 import json
 import socket
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from importlib.resources import files
 from pathlib import Path
 
 from basalthook.config import fleet as fleet_file
 from basalthook.fleet.facts import Fact
-from basalthook.fleet.talk import ANSWER
+from basalthook.fleet.talk import ANSWER, ASK
 from basalthook.fleet.verdicts import OUT
 from basalthook.lab import processes, scenario
 from basalthook.lab.links import Links
@@ -118,9 +120,40 @@
         relays = Relays(2, Links(1, 2, 0), lambda: now, 1)
         for now, age in ((0.0, 100), (1.0, 10_100), (2.0, 15_000)):
             fact = Fact("p0", 1, "host", "x", 1, (), age)
-            relays.read(0, wire.sealed(b"k" * 16, [ANSWER, "p0", 7, [list(fact)]]))
+            relays.read(0, wire.sealed(b"k" * 16, [ANSWER, "p0", 7, [list(fact)]]), now)
             self.assertEqual(len(relays.younger), int(now == 2.0))
 
+    def test_a_fact_told_younger_than_at_its_question_is_seen_and_a_slow_answer_to_one_is_not(self):
+        relays = Relays(2, Links(1, 2, 0), float, 1)
+        born = 0.0
+        for nonce, asked_at, age, found in ((1, 0.5, 0.5, 0), (2, 1.0, 1.0, 0), (3, 1.5, 1.4, 1)):
+            relays.read(1, wire.sealed(b"k" * 16, [ASK, "p1", nonce, []]), asked_at)
+            fact = Fact("p0", 1, "host", "x", 1, (), int(age * 10_000))
+            answered_at = asked_at if nonce == 1 else asked_at + 4.0
+            relays.read(0, wire.sealed(b"k" * 16, [ANSWER, "p0", nonce, [list(fact)]]), answered_at)
+            self.assertEqual(len(relays.younger), found)
+        self.assertEqual(list(relays.first.values()), [born])
+
+
+class Late(unittest.IsolatedAsyncioTestCase):
+    async def test_a_lab_process_that_reads_late_takes_no_fact_for_younger_than_it_is(self):
+        relays = Relays(2, Links(1, 2, 0), asyncio.get_running_loop().time, 1)
+        await relays.open()
+        try:
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as member:
+                member.bind(relays.real[0])
+                await asyncio.sleep(0.1)  # until the system stamps what comes in
+                born = time.monotonic()
+                for late in (0.0, 0.15, 0.15):
+                    age = int((time.monotonic() - born) * 10_000)
+                    fact = Fact("p0", 1, "host", "x", 1, (), age)
+                    member.sendto(wire.sealed(b"k" * 16, [ANSWER, "p0", 7, [list(fact)]]), relays.told[1])
+                    time.sleep(late)  # blocks the loop that reads it
+                    await asyncio.sleep(0.02)
+        finally:
+            relays.close()
+        self.assertEqual((relays.sent[0], relays.younger), (3, []))
+
 
 class Files(unittest.TestCase):
     def setUp(self):
