The first watch of a new process is short, as the one after trouble is

Cause: a process that has just started opened its first watch with a wait of ask_within x (1 to 2).

Change: Following.began(), called where a watch begins: nothing is known of how discovery does, so the first wait is 2 s x (1 to 2), doubled by each answer, as after a failure, a silence or a move. Steady waits are as they were, and the checks on them.

The new test failed before (first wait 32.8 s with an ask_within of 20 s).

--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -5,7 +5,8 @@
 of what is left then. Names are those of `Agreement`; L is the longest grace for silence, `SILENT` + `grace`:
 
     a call's wait               ask_within x (1 to 2), each proxy its own part: the fleet's calls never
-                                fall together again after a change that answers them all at once
+                                fall together again after a change that answers them all at once. Of a
+                                new process, and after trouble: `WAIT_AFTER`, doubled by each answer
     silent                      no answer L / 5 past a call's wait, or after a connection was begun
     beside it, not in its place another connection asks what has changed since, at once (a wait of 0); a third
                                 after 1/5 more, then one each 2/5 more, `BESIDE_MOST` at a time. The first
@@ -30,7 +31,7 @@
 SILENT = 20_000  # tenths of a millisecond past a call's wait: by then its news counts as told
 WAIT_MOST = 600_000  # discovery waits no longer: a longer one would be taken for silent too late
 FIRST_MOST = 35_000  # until the first call of a new process: a second one must fit in 6 s
-WAIT_AFTER = 20_000  # the first wait after a call that failed or fell silent; each answer doubles it, ...
+WAIT_AFTER = 20_000  # the first wait of a process, or after a failure or silence; each answer doubles it, ...
 WAITS_GROW = 5  # ... so often at most: news of the call after a broken one counts sooner
 PARTS = 5  # of what is left until the grace is over; calls beside begin after 1, 2 and 4 of them
 BESIDE_MOST = 6  # calls out at a time
@@ -51,13 +52,17 @@
         self.settings, self.random = settings, random
         self.pushed = not settings.list_on_request
         self.failures = 0  # since the last answer
-        self.answers: int | None = None  # since a call failed, fell silent or moved; None: none has
+        self.answers: int | None = None  # since the start, or a call failed, fell silent or moved
         self.urgent_tries = 0  # left since a watch fell silent, or discovery moved
 
     def part(self) -> float:
         """This proxy's own part of a span that the fleet shares, from 0 up to 1."""
         return (self.settings.position % self.settings.proxies + self.random.random()) / self.settings.proxies
 
+    def began(self) -> None:
+        """A new process: nothing is known of how discovery does."""
+        self.answers = 0
+
     def first_delay(self) -> int:
         """Before the first call: pushed news counts from the first moment on."""
         return 0 if self.pushed else int(min(self.settings.ask_within / 2, FIRST_MOST) * self.part())
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -48,6 +48,7 @@
 
     def begin(self, at_once: bool = False) -> None:
         if not self.calls and self.retry_timer is None:
+            self.following.began()
             delay = 0 if at_once else self.following.first_delay()
             self.retry_timer = self.timers.set(delay, self.start_call, at_once or self.following.pushed)
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -10,7 +10,7 @@
 from basalthook.policy import interface as i
 from basalthook.protocol import catalogue
 from basalthook.recovery.following import SILENT, URGENT_TRIES, Following
-from tests.fake import TERMS, SocketDiscovery, SocketHost
+from tests.fake import SETTINGS, TERMS, SocketDiscovery, SocketHost
 from tests.loopback import Loopback
 
 
@@ -115,6 +115,21 @@
         self.assertEqual(self.hosts[0].got.qsize(), 0)
         await self.until(lambda: len(self.service.watch.calls) == 1)
 
+    async def test_the_first_watch_of_a_process_is_short_and_those_after_answers_grow(self):
+        # guards against a first watch that falls silent, and is missed only after its news counts
+        rules = {**SETTINGS["rules"], "ask_within_ns": 20_000_000_000, "drain_grace_ns": 500_000_000}
+        for mode, longest in (("pushed", 8_000), ("on_request", 4_000)):
+            waits = []
+            await self.play(SocketHost(), mode=mode, rules=rules)
+            for _ in range(3):
+                line = await asyncio.wait_for(self.discovery.got.get(), 5)
+                waits.append(int(line.rsplit("wait=", 1)[1]))
+                self.discovery.tell(1)
+            waits = [wait for wait in waits if wait]  # a pushed list is asked for once with none
+            self.assertLessEqual(waits[0], longest)
+            self.assertGreater(waits[-1], waits[0])
+            await self.stop()
+
     async def test_a_silent_watch_gets_a_call_beside_it_before_its_news_counts(self):
         # guards against waiting for it until its news counts, 2 s past its wait, and then for a while more
         for mode in ("on_request", "pushed"):
