KNOWN-RED: an entry whose test file does not exist is an error, too

Need: an entry that names no test must not stand for one that nobody runs. Cause: an entry was looked up only among the tests of files that were collected, so one of a file that is gone passed unnoticed. Now the file must exist, and its tests are compared where it was collected; entries that are commands (the soak) are let be. Tests of both, and of lines that are no entry; they failed before, as nothing looked.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,13 +11,8 @@
 
 def pytest_collection_modifyitems(config, items):
     entries = known_red.read()
-    files = {item.nodeid.split("::")[0] for item in items}
-    ids = {item.nodeid for item in items}
-    unknown = [
-        entry.test
-        for entry in entries
-        if entry.test not in ids and "::" not in " ".join(config.args) and entry.test.split("::")[0] in files
-    ]
+    collected = {} if "::" in " ".join(config.args) else known_red.by_file(item.nodeid for item in items)
+    unknown = known_red.unknown(entries, collected, config.rootpath)
     if unknown:
         raise pytest.UsageError(f"KNOWN-RED.txt names no test: {', '.join(unknown)}")
     if not config.getoption("--known-red"):
