Lab: the faults of a scenario stand in a module of their own

Change: the classes of faults and the field types move to lab/faults.py as they were; imports follow; two local variables named faults in lab and tests are renamed. Nothing else changes.

--- a/basalthook/lab/decisions.py
+++ b/basalthook/lab/decisions.py
@@ -19,10 +19,11 @@
 from ..protocol.catalogue import Line
 from ..recovery.following import Asking, Following
 from . import overrun
+from .faults import ON_PROCESSES, ClockFault, LongWay, Maintain
 from .links import Links
 from .model import machines
 from .result import Result, found
-from .scenario import ON_PROCESSES, BadScenario, ClockFault, LongWay, Maintain, Scenario, moments
+from .scenario import BadScenario, Scenario, moments
 from .start import settings
 from .talking import Talking
 from .wire import Answered, Asked, Called, Done, Excused, Got, Told
--- a/basalthook/lab/processes.py
+++ b/basalthook/lab/processes.py
@@ -20,10 +20,11 @@
 
 from ..fleet.verdicts import LIVES, OUT
 from . import overrun, syscalls
+from .faults import ClockFault, LongWay, Maintain, StopProxy, Vanish
 from .load import Clients
 from .relays import Relays
 from .result import Result, found, mean_and_most
-from .scenario import BadScenario, ClockFault, LongWay, Maintain, Scenario, StopProxy, Vanish, moments
+from .scenario import BadScenario, Scenario, moments
 from .standins import Fleet
 from .start import settings
 from .talking import keepers
--- a/basalthook/lab/schedules.py
+++ b/basalthook/lab/schedules.py
@@ -19,8 +19,8 @@
 from typing import NamedTuple
 
 from ..fleet.talk import Talk
+from .faults import Cut, Lossy
 from .links import Links, spoil
-from .scenario import Cut, Lossy
 
 KEY, LIVES = b"schedules have a key of their own", {"host": 30_000, "trial": 600_000}
 TICK, WAY = 500, 10  # tenths of a millisecond: between two ticks of a member; a datagram's way
--- a/basalthook/lab/soak.py
+++ b/basalthook/lab/soak.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from . import scenario
+from . import faults
 from .scenario import Discovery, Kind, Load, Profile, Rules, Scenario
 from .syscalls import Chances
 
@@ -63,16 +63,16 @@
         proxies=PROXIES,
         seed=seed,
         system_calls=chances,
-        faults=faults(random),
+        faults=faults_of_day(random),
     )
 
 
-def faults(random: Random) -> list:
+def faults_of_day(random: Random) -> list:
     """Of discovery, of hosts and of proxies; what a proxy suffers begins after the one before is over."""
     found = []
     if random.random() < 0.8:
         found.append(
-            scenario.DiscoveryFails(
+            faults.DiscoveryFails(
                 at=random.uniform(0, 3),
                 lasts=random.uniform(0.5, 5),
                 how=random.choice(("refuses", "down", "slow")),
@@ -81,15 +81,15 @@
         )
     if random.random() < 0.5:
         found.append(
-            scenario.Watches(
+            faults.Watches(
                 at=random.uniform(0, FAULTS), silent=random.random() < 0.7, more=random.randint(0, 1)
             )
         )
     for proxy in range(PROXIES):
         found += of_proxy(random, proxy)
     hosts = random.sample(range(HOSTS), 5)
-    found.append(scenario.Drain(at=random.uniform(1, FAULTS), lasts=60, hosts=hosts[: random.randint(1, 2)]))
-    kinds = (scenario.Silent, scenario.Errors, scenario.LoseAnswers, scenario.Kill, scenario.Slow)
+    found.append(faults.Drain(at=random.uniform(1, FAULTS), lasts=60, hosts=hosts[: random.randint(1, 2)]))
+    kinds = (faults.Silent, faults.Errors, faults.LoseAnswers, faults.Kill, faults.Slow)
     for number in range(2, random.randint(3, 4)):
         found.append(
             random.choice(kinds)(
@@ -98,7 +98,7 @@
         )
     if random.random() < 0.4:
         found.append(
-            scenario.ClockFault(
+            faults.ClockFault(
                 at=0, lasts=60, ahead=random.choice(CLOCKS_OFF), proxies=random.sample(range(PROXIES), 2)
             )
         )
@@ -110,15 +110,15 @@
     found, at = [], random.uniform(0.5, FAULTS / 2)
     if random.random() < 0.6:
         found.append(
-            scenario.Reconfigure(
+            faults.Reconfigure(
                 at=at, lasts=random.uniform(0.2, 2.0), proxies=[proxy], times=random.randint(1, 6)
             )
         )
     if random.random() < 0.5:
-        found.append(scenario.Terminate(at=at + random.uniform(0, 2.5), lasts=RESTARTED, proxies=[proxy]))
+        found.append(faults.Terminate(at=at + random.uniform(0, 2.5), lasts=RESTARTED, proxies=[proxy]))
     elif random.random() < 0.3:
-        found.append(scenario.KillProxy(at=at + random.uniform(0, 2.5), lasts=1.0, proxies=[proxy]))
+        found.append(faults.KillProxy(at=at + random.uniform(0, 2.5), lasts=1.0, proxies=[proxy]))
     for _ in range(random.randint(0, 3)):
         begins = random.uniform(0, FAULTS)
-        found.append(scenario.Pause(at=begins, lasts=random.uniform(0.02, 0.15), proxies=[proxy]))
+        found.append(faults.Pause(at=begins, lasts=random.uniform(0.02, 0.15), proxies=[proxy]))
     return found
--- a/basalthook/lab/trial.py
+++ b/basalthook/lab/trial.py
@@ -8,9 +8,10 @@
 from ..program.service import Service
 from ..program.startup import decode
 from ..transport.turns import Turns, run
+from .faults import Between, LongWay, OfProxies, Vanish
 from .load import Clients
 from .result import Result, found
-from .scenario import BadScenario, Between, LongWay, OfProxies, Scenario, Vanish, moments
+from .scenario import BadScenario, Scenario, moments
 from .standins import Fleet
 from .start import settings
 from .wire import Answered, Asked, Got
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from basalthook.lab import decisions
+from basalthook.lab import decisions, faults
 from basalthook.lab import scenario as s
 from basalthook.lab.result import found
 from basalthook.lab.wire import Called, Got
@@ -50,7 +50,7 @@
     def test_six_jammed_hosts_of_sixty_neither_stop_the_fleet_nor_go_on_drawing(self):
         """Forty proxies met each of them every few seconds, saw it late, and rolled back at sound hosts."""
         jammed = list(range(6))
-        run, result = fleet(faults=[s.Slow(at=0, hosts=jammed, lasts=99, factor=12.0)], seed=2)
+        run, result = fleet(faults=[faults.Slow(at=0, hosts=jammed, lasts=99, factor=12.0)], seed=2)
         asked = sum(result.verdict.answers.values())
         self.assertGreater(result.verdict.service, 0.85)
         self.assertLess(result.verdict.answers["rolled_back"], 0.08 * asked)
@@ -61,7 +61,7 @@
         run, result = fleet(
             rate=900,
             seconds=18,
-            faults=[s.Kill(at=6, hosts=replaced, lasts=0.2)],
+            faults=[faults.Kill(at=6, hosts=replaced, lasts=0.2)],
             discovery=s.Discovery(notice=0.05),
         )
         self.assertTrue(result.verdict.kept, result.verdict.first)
@@ -69,7 +69,7 @@
 
     def test_each_proxy_pays_a_vanished_host_ever_more_seldom(self):
         gone = list(range(0, HOSTS, 2))
-        run, result = fleet(rate=600, faults=[s.Vanish(at=3, hosts=gone, lasts=99)])
+        run, result = fleet(rate=600, faults=[faults.Vanish(at=3, hosts=gone, lasts=99)])
         self.assertGreater(result.verdict.service, 0.8)
         self.assertGreater(len(run.unreached), 0)
         self.assertLess(max(run.unreached.values()), 12)  # what was under way when the first one failed
@@ -102,7 +102,7 @@
                 seconds=30,
                 proxies=1,
                 seed=seed,
-                faults=[s.Kill(at=4, hosts=[0], lasts=1)],
+                faults=[faults.Kill(at=4, hosts=[0], lasts=1)],
                 rules=msgspec.structs.replace(RULES, cold_time=8.0, fall_time=2.0),
             )
             self.assertGreater(hops(run, [0], 14, 30), 0.5 * hops(run, [1, 2, 3, 4, 5], 14, 30) / 5)
@@ -136,12 +136,12 @@
 
     def storm(self):
         """A hundred proxies, five hops each a second; near half of the hosts fail, two are cold."""
-        faults = [
-            s.Kill(at=4, hosts=[0, 1], lasts=0.5),
-            s.Errors(at=5, hosts=[2, 3, 4, 5, 6], lasts=9, share=1),
+        storm = [
+            faults.Kill(at=4, hosts=[0, 1], lasts=0.5),
+            faults.Errors(at=5, hosts=[2, 3, 4, 5, 6], lasts=9, share=1),
         ]
         rules = msgspec.structs.replace(RULES, cold_share=0.1, fall_multiple=3.0)
-        _, result = fleet(12, rate=500, seconds=10, proxies=100, keys=300, rules=rules, faults=faults)
+        _, result = fleet(12, rate=500, seconds=10, proxies=100, keys=300, rules=rules, faults=storm)
         return result.verdict
 
     def test_cold_hosts_are_not_pushed_over_with_any_other_defence_out(self):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,7 +10,7 @@
 from random import Random
 from unittest.mock import patch
 
-from basalthook.lab import decisions, scenario, trial
+from basalthook.lab import decisions, faults, scenario, trial
 from basalthook.lab.deadlines import ProxyView, counts_at
 from basalthook.lab.judge import judge
 from basalthook.lab.model import Machine
@@ -154,9 +154,9 @@
         self.assertGreater(len(found), 6)
         for name in found:
             told = scenario.load(str(files("basalthook.lab").joinpath("scenarios", name)))
-            if any(isinstance(fault, scenario.ON_PROCESSES) for fault in told.faults):
+            if any(isinstance(fault, faults.ON_PROCESSES) for fault in told.faults):
                 continue  # tests.test_processes and tests.test_incidents play it whole
-            on_sockets = any(isinstance(fault, scenario.Maintain) for fault in told.faults)
+            on_sockets = any(isinstance(fault, faults.Maintain) for fault in told.faults)
             told = scenario.msgspec.structs.replace(told, seconds=6.0 if on_sockets else 9.0)
             verdict = (trial if on_sockets else decisions).play(told).verdict
             self.assertTrue(verdict.kept, (name, verdict.first))
@@ -185,14 +185,14 @@
         return trial.play(scenario.msgspec.structs.replace(told, **parts))
 
     def test_a_host_killed_and_back_with_all_rules_kept(self):
-        found = self.play(3.0, [scenario.Kill(at=0.5, hosts=[0], lasts=1.0)])
+        found = self.play(3.0, [faults.Kill(at=0.5, hosts=[0], lasts=1.0)])
         self.assertTrue(found.verdict.kept, found.verdict.first)
         self.assertGreater(found.verdict.service, 0.9)
         self.assertEqual(found.faults, [])
 
     def test_a_proxy_that_sends_again_what_may_have_run_is_found_out(self):
         with patch.object(Hosts, "repeatable", lambda self, tx: True):
-            found = self.play(1.5, [scenario.Errors(at=0.1, hosts=[0, 1, 2, 3], lasts=2.0, share=1.0)])
+            found = self.play(1.5, [faults.Errors(at=0.1, hosts=[0, 1, 2, 3], lasts=2.0, share=1.0)])
         self.assertGreater(found.verdict.rules["doubled"], 0)
 
     def test_as_a_command_it_says_what_it_saw_and_a_bad_file_costs_two(self):
