--- a/basalthook/lab/load.py
+++ b/basalthook/lab/load.py
@@ -11,8 +11,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from .messages import Messages
 from .scenario import Load
-from .standins import Messages
 from .wire import Answered, Asked, Crossed, Left
 
 GIVE_UP = 1.0  # seconds past the hard limit after which a connection that owes an answer is closed
--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -1,190 +1,21 @@
-"""Hosts and discovery on loopback sockets, for the proxies under test; they note what crossed the wire.
+"""Endpoints and discovery for the proxies under test, on loopback sockets; they note what crossed the wire.
 
 Every proxy has an end of its own at each host and at discovery, so that each way can be told from all others
-and faults can lie on it: what a way loses or holds up is lost or held up here, before the host sees it. Their
-HTTP/1.1 is read here, without the project's parser: a judge must not rest on what it judges.
+and faults can lie on it: what a way loses or holds up is lost or held up here, before the host sees it.
 """
 
 import asyncio
-import json
-import re
 import time
 from functools import partial
 from random import Random
 
-from .deadlines import SILENCE, WAIT_OVER, ProxyView, counts_at
+from .deadlines import ProxyView, counts_at
+from .discovery import DiscoveryEnd
+from .endpoints import HostEnd
 from .links import Links
-from .model import Machine, machines
+from .model import machines
 from .scenario import Scenario
-from .wire import Done, Got, Ordered, Told
-
-FIELD = re.compile(rb"\r\n([!-9;-~]+): *([^\r\n]*)")
-WATCH = re.compile(r"[?&](index|wait)=(\d+)")
-
-
-class Messages(asyncio.Protocol):
-    """Whole messages, sized by Content-Length or without a body: `message(first line, fields, body)`."""
-
-    def __init__(self) -> None:
-        self.rest, self.transport = b"", None
-
-    def connection_made(self, transport) -> None:
-        self.transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        self.rest += data
-        while (end := self.rest.find(b"\r\n\r\n")) >= 0:
-            fields = {n.lower().decode(): v.decode("latin-1") for n, v in FIELD.findall(self.rest, 0, end)}
-            whole = end + 4 + int(fields.get("content-length", 0))
-            if len(self.rest) < whole:
-                return
-            first, body = self.rest[: self.rest.find(b"\r\n")].decode("latin-1"), self.rest[end + 4 : whole]
-            self.rest = self.rest[whole:]
-            self.message(first, fields, body)
-
-    def answer(self, status: int, body: bytes = b"", more: str = "") -> None:
-        if not self.transport.is_closing():
-            head = f"HTTP/1.1 {status} Stated\r\n{more}Content-Length: {len(body)}\r\n\r\n"
-            self.transport.write(head.encode() + body)
-
-
-class HostEnd(Messages):
-    def __init__(self, fleet: "Fleet", number: int, proxy: int) -> None:
-        super().__init__()
-        self.fleet, self.number, self.proxy = fleet, number, proxy
-
-    def connection_made(self, transport) -> None:
-        super().connection_made(transport)
-        self.fleet.ends[self.number].add(self)
-
-    def connection_lost(self, _) -> None:
-        self.fleet.ends[self.number].discard(self)
-
-    def message(self, first: str, fields: dict, body: bytes) -> None:
-        self.fleet.carry(f"p{self.proxy}", f"h{self.number}", self.arrived, fields, self.fleet.clock())
-
-    def say(self, status: int, body: bytes = b"", more: str = "") -> None:
-        self.fleet.carry(f"h{self.number}", f"p{self.proxy}", self.answer, status, body, more)
-
-    def arrived(self, fields: dict, left: float) -> None:
-        fleet, machine, now = self.fleet, self.fleet.machines[self.number], self.fleet.clock()
-        tx, key = fields.get("request-id", ""), fields.get("cookie", "")
-        cost = machine.cost(now, key, float(fields.get("lab-work", 0)))
-        cold, capacity = machine.started if machine.warmth(now) < 1.0 else None, machine.capacity(now)
-        ends = None if machine.held >= machine.slots else now
-        fails = ends is not None and any(fleet.chance[self.number].random() < s for s in machine.erring)
-        if ends is not None and not fails:
-            ends = machine.take(now, cost)
-        fleet.wire.append(
-            Got(
-                now,
-                self.number,
-                tx,
-                cost,
-                capacity,
-                cold,
-                ends is not None,
-                self.proxy,
-                left,
-                float(fields["request-timeout"]) if "request-timeout" in fields else None,
-            )
-        )
-        if ends is None:
-            self.say(503, more="Not-Started: 1\r\n")
-        elif fails:
-            fleet.ended(self.number, tx)
-            self.say(500)
-        else:
-            asyncio.get_running_loop().call_later(ends - now, self.done, machine, machine.life, tx)
-
-    def done(self, machine: Machine, life: int, tx: str) -> None:
-        machine.done(life)
-        if life == machine.life:
-            self.fleet.ended(self.number, tx)
-        lost = any(self.fleet.chance[self.number].random() < share for share in machine.losing)
-        if life == machine.life and not machine.silent and not lost:
-            self.say(200, f"{tx} by {self.number}".encode())
-
-
-class DiscoveryEnd(Messages):
-    """Answers a watch when there is something newer, or when its wait is over."""
-
-    def __init__(self, fleet: "Fleet", proxy: int) -> None:
-        super().__init__()
-        self.fleet, self.proxy, self.waits, self.timer = fleet, proxy, None, None
-        self.silent: float | None = None  # since when, for good
-        self.until = 0.0  # when the wait of the last call is over
-        self.owes = False  # whether it has a call without an answer
-
-    def connection_made(self, transport) -> None:
-        super().connection_made(transport)
-        self.fleet.watching.add(self)
-        if self.fleet.failing == "down":
-            return transport.abort()
-        if self.fleet.to_silence[self.proxy]:
-            self.fleet.to_silence[self.proxy] -= 1
-            self.silent = self.fleet.clock()
-
-    def connection_lost(self, _) -> None:
-        self.over()
-        self.fleet.watching.discard(self)
-        others = any(end.proxy == self.proxy for end in self.fleet.watching)
-        if self.owes and not others:  # given up by the proxy, not as another call was answered
-            self.fleet.failed[self.proxy] = True
-
-    def message(self, first: str, fields: dict, body: bytes) -> None:
-        self.owes = True
-        self.until = self.fleet.last_call[self.proxy] = self.fleet.clock()
-        self.until += min(60_000, int(dict(WATCH.findall(first)).get("wait", 0))) / 1000
-        if self.silent is None and self.fleet.discovery_delay:
-            asyncio.get_running_loop().call_later(self.fleet.discovery_delay, self.called, first)
-        elif self.silent is None:
-            self.fleet.carry(f"p{self.proxy}", "d", self.called, first)
-
-    def refuse(self) -> None:
-        """Discovery has too many callers."""
-        self.over()
-        self.owes, self.fleet.failed[self.proxy] = False, True
-        self.answer(503)
-
-    def called(self, first: str) -> None:
-        if self.transport.is_closing():
-            return
-        if self.fleet.failing == "refuses":
-            return self.refuse()
-        asked = dict(WATCH.findall(first))
-        if "index" not in asked:
-            return self.tell(None)
-        self.waits = int(asked["index"])
-        if self.waits < self.fleet.version:
-            return self.tell(self.waits)
-        self.fleet.watches.add(self)
-        wait = min(60_000, int(asked.get("wait", 0))) / 1000
-        self.timer = asyncio.get_running_loop().call_later(wait, self.tell, self.waits)
-
-    def over(self) -> None:
-        self.fleet.watches.discard(self)
-        if self.timer is not None:
-            self.timer.cancel()
-
-    def counts(self) -> float:
-        """When what this silent one misses counts as told, whether or not it came."""
-        return max(self.silent + SILENCE, self.until + WAIT_OVER)
-
-    def tell(self, since: int | None) -> None:
-        self.over()
-        numbers = [n for n, changed in enumerate(self.fleet.changed) if since is None or changed > since]
-        told = json.dumps(self.fleet.listing(numbers, since is None, self.proxy)).encode()
-        states = [(n, self.fleet.states[n]) for n in numbers]
-        self.fleet.carry("d", f"p{self.proxy}", self.write, told, states)
-
-    def write(self, told: bytes, states: list) -> None:
-        if self.transport.is_closing():
-            return
-        now, fleet, self.owes = self.fleet.clock(), self.fleet, False
-        fleet.wire += [Told(now, n, state, self.proxy) for n, state in states]
-        fleet.failed[self.proxy], fleet.moved[self.proxy] = False, None
-        self.answer(200, told)
+from .wire import Done, Ordered, Told
 
 
 class Fleet:
