An attempt that its client's leaving ends at the first byte ends quietly

Cause: the gate at the first byte looks whether the client has gone. Where that look is the first to see it, the request ends there and then and its attempt with it (connection None); send() went on and handed that connection to the pool. Only a connection that came up late does so, as on a kept one the event waits in the owner's queue.

Change: send() returns when the gate has ended its attempt. Every loopback test now fails on an exception that reaches the event loop: with it test_nothing_is_sent_for_a_client_that_left_behind_the_first_bytes_of_its_next_request failed before.

--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -81,7 +81,10 @@
 
     def send(self) -> None:
         hops, connection = self.hops, self.connection
-        if not hops.owner.may_begin(self.order, self.host):  # what was decided may have changed meanwhile
+        allowed = hops.owner.may_begin(self.order, self.host)  # what was decided may have changed meanwhile
+        if self.over:  # its client was just seen to have left
+            return
+        if not allowed:
             self.stopped, self.stage = i.UNSENT, Stage.UNTRIED
             self.keep()
             return self.finish(None)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -25,6 +25,8 @@
 class Loopback(unittest.IsolatedAsyncioTestCase):
     async def play(self, *hosts, **told):
         """Start these hosts, discovery and a proxy that knows them; return a caller."""
+        self.unhandled = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: self.unhandled.append(context))
         self.hosts, self.log = [await self.started(h) for h in hosts], Said()
         self.discovery = await self.started(SocketDiscovery())
         self.service = Service(decode(start_up(self.hosts, self.discovery, **told), {}), self.log)
@@ -53,6 +55,7 @@
         await asyncio.wait_for(self.until(lambda: not self.service.clients.descriptors.held), 5)
         self.service.timers.close()
         self.assertEqual([line for line in self.log.lines if line["event"] == "fault"], [])
+        self.assertEqual(self.unhandled, [])
 
     def settled(self, seconds):
         """How long a connection to a host rests between two hops."""
