Lab: resting connections, spoilt answers, late connections, unsound lists, half requests

Change: one small class a fault; late connections are the kernel's own (a full backlog drops the SYN, which is sent again after a second); a reset is an RST now where a fault says so. The judge takes a half request kept open for over 3.5 s for lost. `connect_timeout` and `keepalive` can be told.

--- a/basalthook/lab/discovery.py
+++ b/basalthook/lab/discovery.py
@@ -78,11 +78,19 @@
 
     def tell(self, since: int | None) -> None:
         self.over()
-        numbers = [n for n, changed in enumerate(self.fleet.changed) if since is None or changed > since]
-        told = json.dumps(self.fleet.listing(numbers, since is None, self.proxy)).encode()
+        if self.fleet.lists == "spoilt":
+            return self.spoil()
+        whole = since is None or self.fleet.lists == "whole"
+        numbers = [n for n, changed in enumerate(self.fleet.changed) if whole or changed > since]
+        told = json.dumps(self.fleet.listing(numbers, whole, self.proxy)).encode()
         states = [(n, self.fleet.states[n]) for n in numbers]
         self.fleet.carry("d", f"p{self.proxy}", self.write, told, states)
 
+    def spoil(self) -> None:
+        """An answer with no sound list: a failed call."""
+        self.owes, self.fleet.failed[self.proxy] = False, True
+        self.answer(200, json.dumps(self.fleet.listing([0], True, self.proxy)).encode()[:-3])
+
     def write(self, told: bytes, states: list) -> None:
         if self.transport.is_closing():
             return
--- a/basalthook/lab/faults.py
+++ b/basalthook/lab/faults.py
@@ -283,6 +283,62 @@
             fleet.discovery_works()
 
 
+class Resting(Fault, tag="resting"):
+    """Connections that have rested so long are ended: closed, reset, or forgotten, so that the next bytes on
+    them are answered by a reset. On processes alone."""
+
+    how: Annotated[str, msgspec.Meta(pattern=r"^(closes|resets|forgets)$")] = "closes"
+    after: Seconds = 0.1
+
+    def begin(self, fleet, number):
+        fleet.resting[number].append(self)
+
+    def end(self, fleet, number):
+        fleet.resting[number].remove(self)
+
+
+class SpoilAnswers(Fault, tag="spoil_answers"):
+    """The work runs; its answer ends early by FIN or RST, is no HTTP, or comes twice. On processes alone."""
+
+    how: Annotated[str, msgspec.Meta(pattern=r"^(short|reset|garbage|twice)$")] = "short"
+    share: Share = 0.3
+
+    def begin(self, fleet, number):
+        fleet.spoiling[number].append(self)
+
+    def end(self, fleet, number):
+        fleet.spoiling[number].remove(self)
+
+
+class LateConnections(Fault, tag="late_connections"):
+    """The backlog is full: connections come up when their SYN is sent again (after 1 s, 3 s). On processes
+    alone."""
+
+    def begin(self, fleet, number):
+        fleet.hold(number)
+
+    def end(self, fleet, number):
+        fleet.release(number)
+
+
+class Lists(
+    msgspec.Struct, tag_field="what", tag="lists", forbid_unknown_fields=True, frozen=True, kw_only=True
+):
+    """Discovery answers with unsound lists, ends a watch in place of its news, or tells whole lists without
+    what is not up. On processes alone."""
+
+    at: Seconds
+    lasts: Positive
+    how: Annotated[str, msgspec.Meta(pattern=r"^(spoilt|ends|whole)$")] = "whole"
+    hosts: tuple[()] = ()
+
+    def begin(self, fleet) -> None:
+        fleet.lists = self.how
+
+    def end(self, fleet) -> None:
+        fleet.lists = ""
+
+
 class Vanish(Fault, tag="vanish"):
     """The machine is cut off and says nothing; in virtual time alone, as loopback can't lose a connection."""
 
@@ -335,5 +391,19 @@
     | DiscoveryFails
     | Terminate
     | Pause
+    | Resting
+    | SpoilAnswers
+    | LateConnections
+    | Lists
+)
+ON_PROCESSES = (  # no other depth plays these
+    Watches
+    | Reconfigure
+    | DiscoveryFails
+    | Terminate
+    | Pause
+    | Resting
+    | SpoilAnswers
+    | LateConnections
+    | Lists
 )
-ON_PROCESSES = Watches | Reconfigure | DiscoveryFails | Terminate | Pause  # no other depth plays these
--- a/basalthook/lab/judge.py
+++ b/basalthook/lab/judge.py
@@ -3,7 +3,7 @@
 from collections import defaultdict, deque
 from typing import NamedTuple
 
-from .wire import Answered, Asked, Crossed, Excused, Got, Left, Ordered, Told
+from .wire import Answered, Asked, Crossed, Excused, Got, KeptOpen, Left, Ordered, Told
 
 SLACK = 0.05  # seconds that a socket may take more than a rule's time
 ROLLED_BACK = (429, 503)
@@ -50,6 +50,7 @@
         [
             *lost(asked, answered, hops, excused | left.keys() | crossed, rules.answer_late),
             *unasked(asked, hops, left, crossed),
+            *kept_open(wire),
             *doubled(asked, answered, hops),
             *keyed(asked, answered, hops),
             *drains(wire, rules),
@@ -155,6 +156,13 @@
                 yield Offence("lost", begun, hop.host, tx, "told to take longer than its client waits")
 
 
+def kept_open(wire):
+    """Whoever stops half way through a request is owed an error or the end within 3 s."""
+    for e in wire:
+        if isinstance(e, KeptOpen):
+            yield Offence("lost", e.at, None, None, f"half a request was kept open by p{e.proxy}")
+
+
 def keyed(asked, answered, hops):
     """A keyed request that may have run is sent again, or refused as harmless, in its window only."""
     for tx, e in asked.items():
--- a/basalthook/lab/load.py
+++ b/basalthook/lab/load.py
@@ -13,10 +13,12 @@
 
 from .messages import Messages
 from .scenario import Load
-from .wire import Answered, Asked, Crossed, Left
+from .wire import Answered, Asked, Crossed, KeptOpen, Left
 
 GIVE_UP = 1.0  # seconds past the hard limit after which a connection that owes an answer is closed
 CROSSED = 0.05  # seconds in which a resting connection that ends has not read what was just written
+STALLED_MOST = 3.5  # seconds in which a request that stops half way has to be ended: 3 s, and half a second
+HALF_REQUEST = b"GET /read/half HTTP/1.1\r\nHost: lab\r\nRequ"
 IDLE_AGAIN = 0.3  # seconds until another connection that says nothing takes the place of one that ended
 MICROSECOND, LONGEST = 1_000_000, 60
 
@@ -108,7 +110,20 @@
 
     def connection_lost(self, _) -> None:
         self.clients.idle.discard(self.transport)
-        self.clients.stay(self.proxy)
+        self.clients.stay(self.proxy, type(self))
+
+
+class Stalled(Idle):
+    """A connection that begins a request and says no more; the proxy has to end it in time."""
+
+    def connection_made(self, transport) -> None:
+        super().connection_made(transport)
+        transport.write(HALF_REQUEST)
+        asyncio.get_running_loop().call_later(STALLED_MOST, self.look)
+
+    def look(self) -> None:
+        if not self.transport.is_closing() and self.clients.running:
+            self.clients.wire.append(KeptOpen(self.clients.clock(), self.proxy))
 
 
 class Clients:
@@ -136,7 +151,9 @@
         self.running = True
         for proxy in range(len(self.addresses)):
             for _ in range(self.told.idle):
-                self.stay(proxy)
+                self.stay(proxy, Idle)
+            for _ in range(self.told.stalled):
+                self.stay(proxy, Stalled)
         while (due := due + self.schedule.expovariate(rate(due - begin))) < begin + seconds:
             if (wait := due - self.clock()) > 0:
                 await asyncio.sleep(wait)
@@ -145,28 +162,30 @@
             self.begin(profile, key, self.draws.expovariate(1 / profile.work), due, None, 0)
         longest = max(p.hard_limit for p in self.told.profiles) + GIVE_UP
         over = self.clock() + longest * (1 + self.told.retries)
-        while self.clock() < over and (self.tasks and not self.told.idle or any(c.asked for c in self.all)):
+        while self.clock() < over and (
+            self.tasks and not (self.told.idle or self.told.stalled) or any(c.asked for c in self.all)
+        ):
             await asyncio.sleep(0.02)
         self.running = False
         for transport in [client.transport for client in self.all] + list(self.idle):
             transport.abort()
 
-    def stay(self, proxy: int) -> None:
-        """Open a connection that says nothing, a little later."""
+    def stay(self, proxy: int, kind: type[Idle]) -> None:
+        """Open a connection of this kind, a little later."""
         if self.running:
             asyncio.get_running_loop().call_later(
-                IDLE_AGAIN * self.manners.random(), lambda: self.task(self.stay_on(proxy))
+                IDLE_AGAIN * self.manners.random(), lambda: self.task(self.stay_on(proxy, kind))
             )
 
-    async def stay_on(self, proxy: int) -> None:
+    async def stay_on(self, proxy: int, kind: type[Idle]) -> None:
         try:
             if self.addresses[proxy]:
                 loop = asyncio.get_running_loop()
-                await loop.create_connection(lambda: Idle(self, proxy), *self.addresses[proxy])
+                await loop.create_connection(lambda: kind(self, proxy), *self.addresses[proxy])
                 return
         except OSError:
             pass  # nobody listens, or there is no room
-        self.stay(proxy)
+        self.stay(proxy, kind)
 
     def task(self, work) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/basalthook/lab/messages.py
+++ b/basalthook/lab/messages.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import re
+import socket
+import struct
 
+LINGER_NONE = struct.pack("ii", 1, 0)  # struct linger: close sends a reset
 FIELD = re.compile(rb"\r\n([!-9;-~]+): *([^\r\n]*)")
 
 
@@ -32,3 +35,10 @@
         if not self.transport.is_closing():
             head = f"HTTP/1.1 {status} Stated\r\n{more}Content-Length: {len(body)}\r\n\r\n"
             self.transport.write(head.encode() + body)
+
+    def reset(self) -> None:
+        """End the connection as a process does that has lost it: with RST, not with FIN."""
+        if not self.transport.is_closing():
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        self.transport.abort()
--- a/basalthook/lab/scenario.py
+++ b/basalthook/lab/scenario.py
@@ -52,6 +52,7 @@
     leave: Share = 0.0  # of the clients go before their answer, at a moment of their time ...
     ahead: Share = 0.0  # ... and of these so many have begun to write their next request
     idle: Annotated[int, msgspec.Meta(ge=0)] = 0  # further connections to each proxy that say nothing
+    stalled: Annotated[int, msgspec.Meta(ge=0)] = 0  # ... and that stop half way through a request
 
 
 class Rules(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -115,6 +116,8 @@
     key_memory: Seconds = 10.0  # a host that met a key so lately does less work for it ...
     key_saves: Share = 0.5  # ... by this share
     seed: Annotated[int, msgspec.Meta(ge=0)] = 1
+    connect_timeout: Positive = 0.25
+    keepalive: Positive = 30.0
     system_calls: Chances | None = None  # that fail in every proxy; on processes alone
 
     def rate(self, at: float) -> float:
--- a/basalthook/lab/soak.py
+++ b/basalthook/lab/soak.py
@@ -16,7 +16,7 @@
 
 def drawn(seed: int) -> Scenario:
     """The day of this seed; the same for ever, as long as this file stays as it is."""
-    random = Random(f"soak {seed}")
+    random, further = Random(f"soak {seed}"), Random(f"further faults of soak {seed}")
     limit = random.choice((0.8, 1.5, 3.0))
     profiles = [
         Profile(name="read", effect="repeatable", work=0.01, service_goal=0.4, hard_limit=limit, share=2),
@@ -38,6 +38,7 @@
         ahead=0.5,
         retries=random.choice((0, 2)),
         idle=random.randint(120, 260) if crowd else 0,
+        stalled=further.choice((0, 0, 3)),
     )
     discovery = Discovery(
         mode=random.choice(("pushed", "on_request")), notice=0.05, ask_within=random.choice((2.0, 5.0, 10.0))
@@ -63,7 +64,9 @@
         proxies=PROXIES,
         seed=seed,
         system_calls=chances,
-        faults=faults_of_day(random),
+        connect_timeout=further.choice((0.25, 1.5)),
+        keepalive=further.choice((0.5, 30.0)),
+        faults=faults_of_day(random) + further_faults(further, discovery.mode),
     )
 
 
@@ -105,6 +108,32 @@
     return found
 
 
+def further_faults(random: Random, mode: str) -> list:
+    """Of connections to endpoints, of answers, and of lists; each of some endpoints, for a while."""
+    found = []
+
+    def some() -> dict:
+        return {
+            "at": random.uniform(0, FAULTS),
+            "lasts": random.uniform(1.0, 6.0),
+            "hosts": random.sample(range(HOSTS), random.randint(1, 4)),
+        }
+
+    if random.random() < 0.6:
+        how = random.choice(("closes", "resets", "forgets"))
+        found.append(faults.Resting(how=how, after=random.choice((0.0, 0.02, 0.1)), **some()))
+    if random.random() < 0.5:
+        how = random.choice(("short", "reset", "garbage", "twice"))
+        found.append(faults.SpoilAnswers(how=how, share=random.uniform(0.05, 0.6), **some()))
+    if random.random() < 0.5:
+        found.append(faults.LateConnections(**some()))
+    if random.random() < 0.6:
+        hows = ("ends", "whole") if mode == "pushed" else ("ends", "whole", "spoilt")
+        at, lasts = random.uniform(0, FAULTS), random.uniform(1.0, 5.0)
+        found.append(faults.Lists(at=at, lasts=lasts, how=random.choice(hows)))
+    return found
+
+
 def of_proxy(random: Random, proxy: int) -> list:
     """New start-up files in a row, and then the end, in any order and overlapping."""
     found, at = [], random.uniform(0.5, FAULTS / 2)
--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -11,7 +11,7 @@
 
 from .deadlines import ProxyView, counts_at
 from .discovery import DiscoveryEnd
-from .endpoints import HostEnd
+from .endpoints import HostEnd, HostListener
 from .links import Links
 from .model import machines
 from .scenario import Scenario
@@ -29,7 +29,9 @@
         count = len(self.machines)
         self.chance = [Random(f"host {n} of {seed}") for n in range(count)]
         self.ends: list[set[HostEnd]] = [set() for _ in range(count)]
-        self.servers: list[list] = [[] for _ in range(count)]  # by host and proxy
+        self.servers: list[list[HostListener]] = [[] for _ in range(count)]  # by host and proxy
+        self.resting: list[list] = [[] for _ in range(count)]  # faults of idle connections, by host
+        self.spoiling: list[list] = [[] for _ in range(count)]  # faults of answers, by host
         self.ports = [[0] * proxies for _ in range(count)]
         self.states, self.changed, self.version = ["up"] * count, [1] * count, 1
         self.started_ms = [0] * count
@@ -41,6 +43,7 @@
         self.moved: list[float | None] = [None] * proxies  # when its discovery moved, until that one answers
         self.discovery_delay = 0.0  # seconds until discovery looks at a call
         self.failing = ""  # how discovery fails at present
+        self.lists = ""  # how its lists are not as usual
         self.reachable = 0.0  # since when it has worked
         self.untold: list[tuple[int, str]] = []  # changes made while it failed; emptied when it works
         self.console: tuple[str, int] | None = None  # the proxy's second address
@@ -63,11 +66,17 @@
 
     async def listen(self, number: int) -> None:
         for proxy, port in enumerate(self.ports[number]):
-            server = await asyncio.get_running_loop().create_server(
-                partial(HostEnd, self, number, proxy), "127.0.0.1", port, backlog=512
-            )
+            server = HostListener(self, number, proxy, port)
             self.servers[number].append(server)
-            self.ports[number][proxy] = server.sockets[0].getsockname()[1]
+            self.ports[number][proxy] = server.port
+
+    def hold(self, number: int) -> None:
+        for server in self.servers[number]:
+            server.hold()
+
+    def release(self, number: int) -> None:
+        for server in self.servers[number]:
+            server.release()
 
     def serving(self, number: int) -> bool:
         return bool(self.servers[number])
@@ -94,6 +103,7 @@
             end.transport.abort()
 
     def listing(self, numbers, full: bool, proxy: int = 0) -> dict:
+        left_out = ("removed", "draining") if self.lists == "whole" else ("removed",)
         lines = [
             {
                 "id": f"host-{n}",
@@ -105,7 +115,7 @@
                 "started_ms": self.started_ms[n],
             }
             for n in numbers
-            if not (full and self.states[n] == "removed")
+            if not (full and self.states[n] in left_out)
         ]
         return {"version": self.version, "full": full, "servers": lines}
 
@@ -133,7 +143,10 @@
         for proxy in range(self.count):
             self.count_as_told(proxy, number, state)
         for watch in list(self.watches):
-            watch.tell(watch.waits)
+            if self.lists == "ends":
+                watch.transport.close()
+            else:
+                watch.tell(watch.waits)
 
     def discovery_fails(self, how: str) -> None:
         self.failing = how
@@ -157,11 +170,12 @@
         """News binds also where it does not arrive."""
         now, ends = self.clock(), [end for end in self.watching if end.proxy == proxy]
         silent = tuple(end.counts() for end in ends if end.silent is not None)
+        lost = self.lists in ("spoilt", "ends")  # what is written, or not, in the news' place
         view = ProxyView(
-            len(ends) > len(silent) and not self.failed[proxy],
+            len(ends) > len(silent) and not self.failed[proxy] and not lost,
             silent,
             self.last_call[proxy],
-            self.failed[proxy],
+            self.failed[proxy] or lost,
             self.moved[proxy],
         )
         mode = self.told.discovery
--- a/basalthook/lab/start.py
+++ b/basalthook/lab/start.py
@@ -31,8 +31,8 @@
             "cancelling": True,
             "retry_after": True,
             "max_retry_after_ns": 2 * NANO,
-            "connect_timeout_ns": NANO // 4,
-            "keepalive_ns": 30 * NANO,
+            "connect_timeout_ns": int(told.connect_timeout * NANO),
+            "keepalive_ns": int(told.keepalive * NANO),
         },
         "rules": {
             "ask_within_ns": int(told.discovery.ask_within * NANO),
--- a/basalthook/lab/wire.py
+++ b/basalthook/lab/wire.py
@@ -26,6 +26,13 @@
     tx: str
 
 
+class KeptOpen(NamedTuple):
+    """A client has stopped half way through its request, and its connection is open well after that."""
+
+    at: float
+    proxy: int
+
+
 class Crossed(NamedTuple):
     """The proxy closed a resting connection just as a request was written to it: never read, so sent anew."""
 
