The gate at the first byte says why it refuses; logged and counted

Need: an attempt that was decided and not begun showed as `unsent` with no reason, so an operator could not tell a drained endpoint from an expired window. Change: Owner.refusal and Rules.refusal give one of six named reasons in place of False; the `hop` line has it as its reason, `figures` counts them (attempts_not_begun). The client is looked at before the slow-start window is charged, not after.

Tests: each reason, in the log and in the count; a drain that comes while the connection comes up.

--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -19,6 +19,10 @@
 DROPPED = "dropped"  # the host's machine took the connection, and it broke before all was written
 DECLINED = "declined"  # the host answered that the transaction itself is wrong: its last word, like a commit
 
+# Why an attempt that was decided may not begin any more; asked right before its first byte.
+REQUEST_OVER, OUT_OF_TIME, REPEAT_NOT_ALLOWED = "request over", "out of time", "repeat not allowed"
+ENDPOINT_LEAVING, PLACEMENT, CLIENT_GONE = "endpoint leaving", "placement", "client gone"
+
 # News of a host: one proxy met a fault there, told to the one who counts; many did, told to all.
 MET_FAULT, AT_FAULT = "met fault", "at fault"
 
--- a/basalthook/policy/rules.py
+++ b/basalthook/policy/rules.py
@@ -22,16 +22,25 @@
             or (tx.profile.kind == i.JOURNALLED and self.now < tx.ran[0] + tx.profile.repeat_window)
         )
 
-    def may_begin(self, now, tx_id, host):
-        """Whether an attempt decided earlier may still begin: asked right before its first byte goes out."""
+    def refusal(self, now, tx_id, host):
+        """Why an attempt decided earlier may not begin any more; None if it may, and it counts as begun.
+
+        Asked right before its first byte goes out.
+        """
         tx, server, self.now = self.txs.get(tx_id), self.servers.get(host), now
-        if tx is None or server is None or tx.state != "out" or now >= tx.hard_limit:
-            return False
-        if not (self.repeatable(tx) and self.open_to(tx, server.line)):
-            return False
+        if tx is None or tx.state != "out":
+            return i.REQUEST_OVER
+        if now >= tx.hard_limit:
+            return i.OUT_OF_TIME
+        if server is None or not server.line.ready:
+            return i.ENDPOINT_LEAVING
+        if not self.repeatable(tx):
+            return i.REPEAT_NOT_ALLOWED
+        if not self.open_to(tx, server.line):
+            return i.PLACEMENT
         if server.fresh_from is not None and any(now - at > CONNECTED_LATE for _, at in tx.out.values()):
             server.sent.add(now)  # its window moved while the connection came up
-        return True
+        return None
 
     def open_to(self, tx, line):
         """Drains; placement: a bound profile goes to the named zones and kinds only; and repeat groups."""
--- a/basalthook/program/figures.py
+++ b/basalthook/program/figures.py
@@ -32,5 +32,6 @@
             connections=len(self.clients.open),
             answers=dict(self.clients.answers),
             attempts=dict(self.hops.outcomes),
+            attempts_not_begun=dict(self.hops.refusals),
         )
         self.begin()
--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/hops.py
@@ -35,6 +35,7 @@
         "stopped",
         "reused",
         "answer",
+        "refusal",
         "timer",
         "over",
     )
@@ -47,6 +48,7 @@
         self.connection: Connection | None = None  # while it is this hop's alone
         self.stage, self.stopped, self.reused, self.over = Stage.UNTRIED, None, False, False
         self.answer: Parser | None = None
+        self.refusal: str | None = None  # why it was not begun
         self.timer = None
 
     def stop(self, outcome: str) -> None:
@@ -81,10 +83,13 @@
 
     def send(self) -> None:
         hops, connection = self.hops, self.connection
-        allowed = hops.owner.may_begin(self.order, self.host)  # what was decided may have changed meanwhile
+        refusal = hops.owner.refusal(self.order, self.host)  # what was decided may have changed meanwhile
+        if refusal is not None:
+            hops.refusals[refusal] += 1
         if self.over:  # its client was just seen to have left
             return
-        if not allowed:
+        if refusal is not None:
+            self.refusal = refusal
             self.stopped, self.stage = i.UNSENT, Stage.UNTRIED
             self.keep()
             return self.finish(None)
@@ -176,7 +181,7 @@
                 ms=elapsed / 10,
             )
         else:
-            reason = "" if found is None or message else found.reason
+            reason = (self.refusal or "") if found is None or message else found.reason
             hops.say(
                 "hop",
                 tx=self.order.asked.id,
@@ -210,6 +215,7 @@
         self.owner, self.say = owner, say
         self.sparingly = RateLimitedLog(say, clock, SUCCEEDED_MOST)
         self.outcomes: Counter[str] = Counter()  # of attempts that are over
+        self.refusals: Counter[str] = Counter()  # of attempts not begun after all, by reason
 
     def begin(self, order: Order, index: int, host: int, place: Place, limit: int, over: bool) -> Hop:
         """What ends at once is told to the owner after this has returned: the owner is at an event now."""
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -232,14 +232,15 @@
         place = self.roster.hop_out(effect.host)
         order.hops.append(self.begin_hop(order, len(order.hops), effect.host, place, limit, over))
 
-    def may_begin(self, order: Order, host: int) -> bool:
-        """Whether an attempt decided earlier may still send its first byte now."""
-        return (
-            not order.closed
-            and self.roster.ready(host)
-            and (self.proxy.may_begin(self.clock.now(), order.number, host))
-            and not order.left()
-        )
+    def refusal(self, order: Order, host: int) -> str | None:
+        """Why an attempt decided earlier may not send its first byte now; None if it may."""
+        if order.closed:
+            return i.REQUEST_OVER
+        if not self.roster.ready(host):
+            return i.ENDPOINT_LEAVING
+        if order.left():
+            return i.CLIENT_GONE
+        return self.proxy.refusal(self.clock.now(), order.number, host)
 
     def roll_back(self, effect: i.RollBack) -> None:
         self.answer(effect.tx, Answer("rolled back", None, effect.come_back, reason=effect.reason))
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -8,6 +8,14 @@
 from tests.fake import RESET, SILENT, UPLOAD, FakeHost, SocketHost, Stage
 from tests.loopback import Loopback
 
+REASONS = (
+    i.REQUEST_OVER,
+    i.OUT_OF_TIME,
+    i.REPEAT_NOT_ALLOWED,
+    i.ENDPOINT_LEAVING,
+    i.PLACEMENT,
+    i.CLIENT_GONE,
+)
 LATE = 0.5  # seconds that a connection takes to come up
 SCAN = {
     "name": "scan",
@@ -40,9 +48,15 @@
     def attempts(self):
         return sum(host.got.qsize() for host in self.hosts)
 
+    def refused(self):
+        """Reasons for which attempts were not begun after all: of the log's lines, and as counted."""
+        lines = [line["reason"] for line in self.log.lines if line["event"] == "hop"]
+        return [reason for reason in lines if reason in REASONS], dict(self.service.hops.refusals)
+
     async def test_a_keyed_request_is_not_sent_again_after_its_window(self):
         caller = await self.retried()
         self.assertEqual(((await caller.answer())[0], self.attempts()), (502, 1))
+        self.assertEqual(self.refused(), ([i.REPEAT_NOT_ALLOWED], {i.REPEAT_NOT_ALLOWED: 1}))
 
     async def test_a_keyed_request_is_sent_again_within_its_window(self):
         caller = await self.retried(window=1.9)
@@ -55,6 +69,16 @@
 
         caller = await self.retried(leave, window=1.9)
         self.assertEqual(((await caller.answer())[0], self.attempts()), (502, 1))
+        self.assertEqual(self.refused(), ([i.PLACEMENT], {i.PLACEMENT: 1}))
+
+    async def test_nothing_is_sent_to_an_endpoint_that_began_to_drain_while_its_connection_came_up(self):
+        def drain():
+            (second,) = (n for n, host in enumerate(self.hosts) if not host.got.qsize())
+            self.discovery.tell(2, self.hosts[second].line(f"s-{second}", state="draining"))
+
+        caller = await self.retried(drain, window=1.9)
+        self.assertEqual(((await caller.answer())[0], self.attempts()), (502, 1))
+        self.assertEqual(self.refused(), ([i.ENDPOINT_LEAVING], {i.ENDPOINT_LEAVING: 1}))
 
     async def test_nothing_is_sent_for_a_client_that_left_behind_the_first_bytes_of_its_next_request(self):
         caller = await self.retried(window=1.9)
@@ -63,6 +87,7 @@
         caller.writer.close()
         await asyncio.sleep(LATE + 0.2)
         self.assertEqual(self.attempts(), 1)
+        self.assertEqual(self.refused()[1], {i.CLIENT_GONE: 1})
 
     async def test_nothing_is_sent_for_a_client_that_left_meanwhile(self):
         caller = await self.retried(window=1.9)
@@ -83,6 +108,18 @@
         self.assertEqual([line for line in self.log.lines if line["event"] == "fault"], [])
 
 
+class Reasons(unittest.TestCase):
+    def test_an_attempt_past_its_deadline_or_of_a_request_that_is_over_may_not_begin(self):
+        stage = Stage([FakeHost(0, outcome=None)])
+        stage.arrive(UPLOAD, key=1)
+        (tx,) = stage.hosts[0].got
+        self.assertIsNone(stage.proxy.refusal(stage.now, tx, 0))
+        self.assertEqual(stage.proxy.refusal(stage.now + 10**6, tx, 0), i.OUT_OF_TIME)
+        self.assertEqual(stage.proxy.refusal(stage.now, tx, 7), i.ENDPOINT_LEAVING)
+        stage.tell(i.TxGone(tx))
+        self.assertEqual(stage.proxy.refusal(stage.now, tx, 0), i.REQUEST_OVER)
+
+
 class SlowStart(unittest.TestCase):
     def test_attempts_whose_connections_come_up_late_count_in_a_cold_endpoints_window_when_they_begin(self):
         cold = FakeHost(0, started=990_000, outcome=None)
@@ -92,7 +129,7 @@
         first = len(cold.got)
         self.assertIn(first, range(3, 40))
         stage.now += 10_000  # of a window of 30,000
-        self.assertTrue(all(stage.proxy.may_begin(stage.now, tx, 0) for tx in cold.got))
+        self.assertEqual({stage.proxy.refusal(stage.now, tx, 0) for tx in cold.got}, {None})
         for tx in list(cold.got):
             stage.end(tx, 0, 0, i.COMMITTED)
         stage.now += 21_000
