--- a/basalthook/lab/command.py
+++ b/basalthook/lab/command.py
@@ -1,11 +1,12 @@
 """What the command line asks of the lab."""
 
+import time
 from importlib.resources import files
 
 import msgspec
 from rich.console import Console
 
-from . import decisions, processes, scenario, show, soak
+from . import decisions, processes, scenario, show, soak, timeline
 from .result import Result
 from .trial import play
 
@@ -29,25 +30,48 @@
     return said(told, found, console, out)
 
 
-def soaked(first: int, count: int) -> bool:
-    """Play the drawn days of these seeds one after the other, a line each; whether all kept the rules."""
-    console, broken = Console(), []
+def soaked(first: int, count: int, minutes: float | None, out: str | None) -> bool:
+    """Play the drawn days of these seeds one after the other, a line each; whether all kept the rules.
+
+    `minutes`: no day begins after that; `out`: a file that takes one JSON object for all of it.
+    """
+    console, days = Console(), []
+    until = None if minutes is None else time.monotonic() + minutes * 60
     for seed in range(first, first + count):
-        found = processes.play(soak.drawn(seed))
-        verdict = found.verdict
-        bad = not verdict.kept or found.faults
-        console.print(
-            f"seed {seed}: {'BROKEN' if bad else 'kept'}, served {verdict.service:.3f}, "
-            f"{sum(verdict.answers.values())} answers",
-            highlight=False,
-        )
-        if bad:
-            broken.append(seed)
-            console.print(f"  {verdict.rules}, {verdict.first}, {found.faults[:2]}", highlight=False)
-    console.print(f"{count - len(broken)} of {count} days kept all rules; broken: {broken}", highlight=False)
+        if until is not None and time.monotonic() >= until:
+            break
+        days.append(soaked_day(seed, console))
+    broken = [day["seed"] for day in days if not day["kept"]]
+    console.print(
+        f"{len(days) - len(broken)} of {len(days)} days kept all rules; broken: {broken}", highlight=False
+    )
+    write(out, {"days": days, "broken": broken})
     return not broken
 
 
+def soaked_day(seed: int, console: Console) -> dict:
+    """Plays one day and says how it went; of a broken one also how to play it again, and what led to it."""
+    rigs: list[processes.Rig] = []
+    found = processes.play(soak.drawn(seed), rigs)
+    verdict, kept = found.verdict, found.verdict.kept and not found.faults
+    answers = sum(verdict.answers.values())
+    console.print(
+        f"seed {seed}: {'kept' if kept else 'BROKEN'}, served {verdict.service:.3f}, {answers} answers",
+        highlight=False,
+    )
+    lines = []
+    if not kept:
+        again = f"python -m basalthook lab soak --first {seed} --count 1"
+        console.print(f"  {verdict.rules}, {verdict.first}, {found.faults[:2]}", highlight=False)
+        console.print(f"  again: {again}", highlight=False)
+    if verdict.first is not None:
+        (rig,) = rigs
+        lines = [str(line) for line in timeline.of_offence(verdict.first, rig.wire, rig.said, rig.begin_at)]
+    for line in lines:
+        console.print(f"  {line}", highlight=False, markup=False, soft_wrap=True)
+    return {"seed": seed, "kept": kept, **found.told(), "timeline": lines}
+
+
 def read(path: str | None, seed: int | None, seconds: float | None) -> scenario.Scenario:
     if path is None:
         built_in = files("basalthook.lab").joinpath("scenarios/try.toml")
@@ -61,10 +85,16 @@
 def said(told: scenario.Scenario, found: Result, console: Console, out: str | None) -> bool:
     """Shown, and written as JSON whose names every depth of the lab gives."""
     show.summary(told, found, console)
-    if out is not None:
-        try:
-            with open(out, "wb") as file:
-                file.write(msgspec.json.format(msgspec.json.encode(found.told()), indent=1) + b"\n")
-        except OSError as fault:
-            raise Failed(f"cannot write {out}: {fault.strerror}") from None
+    write(out, found.told())
     return found.verdict.kept
+
+
+def write(out: str | None, told: dict) -> None:
+    """As JSON, where a file is named."""
+    if out is None:
+        return
+    try:
+        with open(out, "wb") as file:
+            file.write(msgspec.json.format(msgspec.json.encode(told), indent=1) + b"\n")
+    except OSError as fault:
+        raise Failed(f"cannot write {out}: {fault.strerror}") from None
--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -180,12 +180,16 @@
 @lab.command("soak")
 @click.option("--first", type=click.IntRange(0), default=1, show_default=True, help="The first seed.")
 @click.option("--count", type=click.IntRange(1, 1000), default=50, show_default=True, help="How many seeds.")
-def lab_soak(first: int, count: int) -> None:
+@click.option("--minutes", type=click.FloatRange(0, min_open=True), help="No day begins after that.")
+@click.option("--json", "out", type=click.Path(dir_okay=False), help="Write the results there as well.")
+def lab_soak(first: int, count: int, minutes: float | None, out: str | None) -> None:
     """Play short days of many faults at once on real processes, one drawn from each seed.
 
+    Of a broken day the command that plays it again is shown, and the timeline of its first offence.
+
     Exit code 0: all rules held; 3: one broke.
     """
-    in_lab(lambda command: command.soaked(first, count))
+    in_lab(lambda command: command.soaked(first, count, minutes, out))
 
 
 def in_lab(play) -> NoReturn:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,11 +10,11 @@
 from random import Random
 from unittest.mock import patch
 
-from basalthook.lab import decisions, faults, scenario, trial
+from basalthook.lab import decisions, faults, scenario, timeline, trial
 from basalthook.lab.deadlines import ProxyView, counts_at
 from basalthook.lab.judge import judge
 from basalthook.lab.model import Machine
-from basalthook.lab.wire import Answered, Asked, Got, Ordered, Told
+from basalthook.lab.wire import Answered, Asked, Crossed, Got, KeptOpen, Left, Ordered, Told
 from basalthook.policy.hosts import Hosts
 from basalthook.policy.measure import Rendezvous
 
@@ -95,6 +95,56 @@
             self.assertEqual({r for r, count in verdict.rules.items() if count}, {rule}, verdict)
             self.assertEqual(verdict.first[:3], (rule, at, host))
 
+    def test_each_broken_term_on_clients_deadlines_and_windows_is_found(self):
+        keyed = asked()._replace(window=0.5, once=False)
+        ok = Answered(1.5, "t", 200, True)
+        for rule, at, wire in (
+            ("lost", 0.5, [asked(), Left(0.3, "t"), got(0.5)]),
+            ("lost", 0.1, [asked(), got(0.1), Crossed(0.2, "t")]),
+            ("lost", 0.5, [asked(), got(0.5)._replace(told=1.8), ok]),
+            ("lost", 4.0, [KeptOpen(4.0, 0)]),
+            ("doubled", 0.8, [keyed, got(0.1), got(0.8, 1), ok]),
+            ("doubled", 1.5, [keyed, got(0.1), Answered(1.5, "t", 503, False)]),
+        ):
+            verdict = self.found(*wire)
+            self.assertEqual({r for r, count in verdict.rules.items() if count}, {rule}, verdict)
+            self.assertEqual(verdict.first[:2], (rule, at))
+
+    def test_what_the_terms_allow_is_no_offence(self):
+        keyed = asked()._replace(window=0.5, once=False)
+        ok = Answered(1.5, "t", 200, True)
+        for wire in (
+            [asked(), Left(0.3, "t"), got(0.4)],
+            [asked(), Crossed(0.02, "t")],
+            [asked(), got(0.5)._replace(told=1.6), ok],
+            [keyed, got(0.1), got(0.5, 1), ok],
+            [keyed, got(0.1), Answered(0.5, "t", 503, False)],
+            [keyed, got(0.1, ran=False), got(0.9, 1), ok],
+        ):
+            self.assertTrue(self.found(*wire).kept, wire)
+
+    def test_the_timeline_of_an_offence_shows_its_request_and_what_its_proxy_learned(self):
+        told, other = Told(1.0, 0, "draining"), Told(1.0, 1, "draining")
+        wire = [told, other, asked(1.5), got(1.6), asked(1.6, "u"), Answered(1.7, "t", 200, True)]
+        logs = [
+            (1.2, 0, "list unchanged", {"version": 3}),
+            (1.3, 1, "list unchanged", {"version": 4}),
+            (1.6, 0, "attempt", {"tx": "t", "endpoint": "s-0"}),
+            (1.6, 0, "attempt", {"tx": "u", "endpoint": "s-0"}),
+        ]
+        lines = timeline.of_offence(self.found(*wire).first, wire, logs, 1.0)
+        self.assertEqual(
+            [(round(line.at, 1), line.where, line.what.split(" ")[0]) for line in lines],
+            [
+                (0.0, "wire", "Told"),
+                (0.2, "p0", "list"),
+                (0.5, "wire", "Asked"),
+                (0.6, "p0", "attempt"),
+                (0.6, "wire", "Got"),
+                (0.7, "wire", "Answered"),
+            ],
+        )
+
     def test_within_the_grace_and_listed_again_is_no_offence(self):
         verdict = self.found(
             Told(1.0, 0, "draining"),
