Lab: one loopback address a process; proxies end with the lab; no Nagle at endpoints

Causes, traced: (1) sixteen proxies of soaks that I had killed lived on and called their discoveries' ports, which other runs had been given since (requests without an id every 1.2 s, parent 1). (2) Sockets of the new HostListener had no TCP_NODELAY, as asyncio sets it only where the protocol is named; the second of two answers, written 5 ms after the first, left 20 to 40 ms after it (proxy's reads against the rig's writes), past the 10 ms for which a connection rests.

Change: a proxy gets SIGKILL when its lab dies (prctl); endpoints and discovery listen on 127.x.y.z of their process, so that runs side by side can't reach each other's ports; TCP_NODELAY. Tests: proxies end with a killed lab (failed before), addresses differ.

--- a/basalthook/lab/endpoints.py
+++ b/basalthook/lab/endpoints.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from functools import partial
 
+from . import loopback
 from .messages import LINGER_NONE, Messages
 from .model import Machine
 from .wire import Got
@@ -138,7 +139,7 @@
 
     def __init__(self, fleet, number: int, proxy: int, port: int) -> None:
         self.connect = partial(HostEnd, fleet, number, proxy)
-        self.socket = socket.create_server(("127.0.0.1", port), backlog=BACKLOG)
+        self.socket = socket.create_server((loopback.ADDRESS, port), backlog=BACKLOG)
         self.socket.setblocking(False)
         self.port = self.socket.getsockname()[1]
         self.fillers: list[socket.socket] = []
@@ -157,6 +158,7 @@
         loop = asyncio.get_running_loop()
         for taken in self.waiting():
             taken.setblocking(False)
+            taken.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             task = loop.create_task(loop.connect_accepted_socket(self.connect, taken))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
@@ -168,7 +170,7 @@
         for _ in range(FILLERS):
             filler = socket.socket()
             filler.setblocking(False)
-            filler.connect_ex(("127.0.0.1", self.port))
+            filler.connect_ex((loopback.ADDRESS, self.port))
             self.fillers.append(filler)
 
     def release(self) -> None:
--- a/basalthook/lab/processes.py
+++ b/basalthook/lab/processes.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import ctypes
 import os
 import shutil
 import signal
@@ -31,6 +32,8 @@
 from .underclock import VARIABLE, worded
 from .wire import Excused
 
+LIBC = ctypes.CDLL(None) if sys.platform == "linux" else None
+PR_SET_PDEATHSIG = 1  # prctl(2)
 KEY = b"the lab's own key, known to all of its members"
 START, EACH = 2.0, 0.12  # seconds until the scenario begins, and more for each proxy
 GO = 5.0  # seconds in which they end after SIGTERM
@@ -128,7 +131,7 @@
             stdin=asyncio.subprocess.DEVNULL,
             stderr=errors,
             limit=2**20,
-            preexec_fn=ignore_hangup,
+            preexec_fn=prepare_child,
         )
         errors.close()
         self.running[n] = process
@@ -339,8 +342,11 @@
         return {"detect_s": detect, "agree_s": agree}
 
 
-def ignore_hangup() -> None:
-    """As the deploy file starts it: SIGHUP in the interpreter's first moments must not end it."""
+def prepare_child() -> None:
+    """In the child, before it becomes a proxy: it ends with the lab, and SIGHUP in the interpreter's first
+    moments must not end it, as the deploy file starts it."""
+    if LIBC is not None:
+        LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -9,6 +9,7 @@
 from functools import partial
 from random import Random
 
+from . import loopback
 from .deadlines import ProxyView, counts_at
 from .discovery import DiscoveryEnd
 from .endpoints import HostEnd, HostListener
@@ -59,10 +60,10 @@
     async def open_discovery(self, proxy: int) -> None:
         """Another address of discovery for this proxy; those before it go on serving."""
         server = await asyncio.get_running_loop().create_server(
-            partial(DiscoveryEnd, self, proxy), "127.0.0.1", 0
+            partial(DiscoveryEnd, self, proxy), loopback.ADDRESS, 0
         )
         self.discovery.append(server)
-        self.discovery_at[proxy] = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.discovery_at[proxy] = f"{loopback.ADDRESS}:{server.sockets[0].getsockname()[1]}"
 
     async def listen(self, number: int) -> None:
         for proxy, port in enumerate(self.ports[number]):
@@ -107,7 +108,7 @@
         lines = [
             {
                 "id": f"host-{n}",
-                "addr": f"127.0.0.1:{self.ports[n][proxy]}",
+                "addr": f"{loopback.ADDRESS}:{self.ports[n][proxy]}",
                 "zone": self.zones[n],
                 "cell": 0,
                 "state": self.states[n],
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,6 +1,7 @@
 """Twelve real processes, every way between them through the rig, and faults on it: verdicts, not timings."""
 
 import asyncio
+import ipaddress
 import json
 import socket
 import subprocess
@@ -15,7 +16,7 @@
 from basalthook.fleet.facts import Fact
 from basalthook.fleet.talk import ANSWER, ASK
 from basalthook.fleet.verdicts import OUT
-from basalthook.lab import processes, scenario
+from basalthook.lab import loopback, processes, scenario
 from basalthook.lab.links import Links
 from basalthook.lab.relays import Relays
 from basalthook.lab.wire import Told
@@ -50,6 +51,30 @@
             self.assertEqual(len({(e.host, e.proxy) for e in drained}), 3 * 6)
 
 
+class Alone(unittest.TestCase):
+    def test_proxies_end_with_a_lab_that_is_killed(self):
+        # guards against proxies left behind, which call ports that other runs have been given since
+        call = [sys.executable, "-m", "basalthook", "lab", "soak", "--first", "1", "--count", "1"]
+        lab = subprocess.Popen(call, stdout=subprocess.DEVNULL)
+        self.addCleanup(lab.kill)
+        children = Path(f"/proc/{lab.pid}/task/{lab.pid}/children")
+        until, proxies = time.monotonic() + 20, []
+        while len(proxies) < 4 and time.monotonic() < until:
+            time.sleep(0.05)
+            proxies = children.read_text().split()
+        self.assertEqual(len(proxies), 4)
+        lab.kill()
+        lab.wait()
+        while any(Path("/proc", pid).exists() for pid in proxies) and time.monotonic() < until:
+            time.sleep(0.05)
+        self.assertFalse([pid for pid in proxies if Path("/proc", pid, "exe").exists()])
+
+    def test_processes_of_the_lab_listen_on_addresses_of_their_own(self):
+        addresses = {loopback.address_of(process) for process in range(1, 2**22, 37)}
+        self.assertEqual(len(addresses), len(range(1, 2**22, 37)))
+        self.assertTrue(all(ipaddress.ip_address(address).is_loopback for address in list(addresses)[:999]))
+
+
 class Together(unittest.TestCase):
     def play(self, *faults, seconds=13):
         """The rig after its run, and the result; in each the four rules hold and nothing old is acted on."""
