Lab: news counts from when lists are sound again; a timeline keeps its last lines

Cause: the rig's. Change: what falls due while lists are unsound counts 6 s after they are sound again; all other clocks are as they were. The timeline cut off its end, where the offence is.

--- a/basalthook/lab/faults.py
+++ b/basalthook/lab/faults.py
@@ -336,7 +336,7 @@
         fleet.lists = self.how
 
     def end(self, fleet) -> None:
-        fleet.lists = ""
+        fleet.lists_sound()
 
 
 class Vanish(Fault, tag="vanish"):
--- a/basalthook/lab/timeline.py
+++ b/basalthook/lab/timeline.py
@@ -25,7 +25,7 @@
     "ready",
     "ending",
 )
-LINES_MOST = 80
+LINES_MOST = 80  # the last ones
 
 
 class Line(NamedTuple):
@@ -47,7 +47,7 @@
     if offence.rule == "drains":
         for proxy in proxies:
             found += _of_list(offence, proxy, wire, logs, begin)
-    return sorted(set(found))[:LINES_MOST]
+    return sorted(set(found))[-LINES_MOST:]
 
 
 def _of_request(tx: str, wire: list, logs: list[tuple], begin: float) -> list[Line]:
