A pushed watch opened again asks what is there, with a call beside it within the grace

Pushed news counts at the return.

Cause: after a failure the watch was opened with a wait of 3 to 4 s, so that its silence showed only 0.5 s after that; and a call beside a silent one came (2 s + grace) / 5 after the wait, also where the news counts already.

Change: where the list is pushed, a call after a failure asks first with a wait of 0 (as at the start), and one that asks so gets a call beside it after grace / 4, or 10 ms for each proxy of the fleet where that is longer: from 50 proxies at a grace of 0.5 s nothing changes. Lists that are asked for are as they were.

Two tests; the one on sockets failed before.

--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -11,6 +11,8 @@
     beside it, not in its place another connection asks what has changed since, at once (a wait of 0); a third
                                 after 1/5 more, then one each 2/5 more, `BESIDE_MOST` at a time. The first
                                 answer of any counts
+    pushed, and asked at once   as at the start and after a failure: another beside it after grace / 4, or
+                                `FLEET_PACE` for each proxy if that is longer, as its news counts already
     given up                    `GIVE_UP` past its wait. Who gives up a slow discovery sooner, and asks it
                                 anew at the end of its queue, is never answered
     again, once all have failed, times (1/2 to 1), each proxy its own part:
@@ -34,6 +36,7 @@
 WAIT_AFTER = 20_000  # the first wait of a process, or after a failure or silence; each answer doubles it, ...
 WAITS_GROW = 5  # ... so often at most: news of the call after a broken one counts sooner
 PARTS = 5  # of what is left until the grace is over; calls beside begin after 1, 2 and 4 of them
+PUSHED_PARTS = 4  # of the grace; a call for pushed news that is there already gets another after one
 BESIDE_MOST = 6  # calls out at a time
 GIVE_UP = 50_000  # past a call's wait; news counts 6 s after discovery had it, answered or not
 RETRY_MOST = 20_000  # tenths of a millisecond: what discovery has counts as told 6 s after it is back
@@ -73,9 +76,15 @@
             return usual
         return min(usual, int(WAIT_AFTER * 2 ** min(self.answers, WAITS_GROW) * (1 + self.part())))
 
-    def silent_after(self, calls: int) -> int:
-        """So long after its wait, or its beginning, the newest of so many calls gets another beside it."""
-        return (SILENT + self.settings.grace) // PARTS * (1, 1, 2)[min(calls, 3) - 1]
+    def silent_after(self, calls: int, at_once: bool = False) -> int:
+        """So long after its wait, or its beginning, the newest of so many calls gets another beside it.
+
+        `at_once`: it asked for what is there already, and pushed news of that counts already.
+        """
+        usual = (SILENT + self.settings.grace) // PARTS * (1, 1, 2)[min(calls, 3) - 1]
+        if not (at_once and self.pushed):
+            return usual
+        return min(usual, max(self.settings.grace // PUSHED_PARTS, self.settings.proxies * FLEET_PACE))
 
     @property
     def urgent(self) -> bool:
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -110,7 +110,7 @@
             to=list(self.address),
         )
         self.reasons = []
-        self.retry_timer = self.timers.set(wait, self.start_call, False)
+        self.retry_timer = self.timers.set(wait, self.start_call, self.following.pushed)
         self.contacted()
 
     def contacted(self) -> None:
@@ -131,7 +131,8 @@
 
     async def follow(self, connection: Connection, me: asyncio.Task, at_once: bool) -> str:
         """What went wrong; nothing, if discovery has closed the connection after an answer."""
-        up, late = asyncio.get_running_loop().create_future(), self.following.silent_after(len(self.calls))
+        up = asyncio.get_running_loop().create_future()
+        late = self.following.silent_after(len(self.calls), at_once)
         connection.connect(self.address, up.set_result)
         with self.bounded(connection, 0, late, me):
             fault = await up
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -25,6 +25,13 @@
         begun = sum(rule.silent_after(calls) for calls in range(1, 4))
         self.assertLessEqual(begun + (SILENT + grace) // 5, SILENT + grace)
 
+    def test_calls_beside_one_for_pushed_news_come_within_the_grace_at_few_proxies_only(self):
+        for proxies, most in ((1, 1_250), (12, 1_250), (30, 3_000), (2_000, 5_000)):
+            rule = following(list_on_request=False, proxies=proxies)
+            self.assertLessEqual(rule.silent_after(1, at_once=True), most)
+        self.assertEqual(rule.silent_after(1, at_once=True), rule.silent_after(1))
+        self.assertEqual(following().silent_after(1, at_once=True), following().silent_after(1))
+
     @given(st.integers(1, 2_000), st.integers(0, 2**32))
     def test_a_fleet_whose_calls_were_all_answered_at_once_does_not_call_at_once_again(self, proxies, seed):
         self.assertEqual(following(ask_within=900_000).watch_wait(), 600_000)  # discovery waits no longer
@@ -140,6 +147,16 @@
         # guards against a watch that is never opened again: from then on the process followed no list
         await self.leaves(0.5, "pushed", lambda: self.discovery.writers[-1].transport.abort())
 
+    async def test_a_pushed_watch_opened_again_that_is_silent_from_the_first_gets_a_call_beside_it(self):
+        # guards against news that counts at discovery's return, looked for on one silent connection alone
+        rules = {**SETTINGS["rules"], "drain_grace_ns": 500_000_000}
+        await self.play(SocketHost(), mode="pushed", rules=rules)
+        self.discovery.tell(2)
+        await self.discovery.got.get(), await self.discovery.got.get()
+        self.discovery.writers[-1].transport.abort()
+        self.assertIn("wait=0", await asyncio.wait_for(self.discovery.got.get(), 0.3))
+        self.assertIn("wait=0", await asyncio.wait_for(self.discovery.got.get(), 0.2))
+
     async def test_a_list_of_changes_is_not_taken_for_the_whole_list_of_another_discovery(self):
         await self.play(SocketHost(), SocketHost())
         await self.discovery.got.get()
