--- a/basalthook/lab/load.py
+++ b/basalthook/lab/load.py
@@ -19,6 +19,7 @@
 CROSSED = 0.05  # seconds in which a resting connection that ends has not read what was just written
 STALLED_MOST = 3.5  # seconds in which a request that stops half way has to be ended: 3 s, and half a second
 HALF_REQUEST = b"GET /read/half HTTP/1.1\r\nHost: lab\r\nRequ"
+HURRIED = (0.002, 0.1)  # seconds that a client in a hurry waits
 IDLE_AGAIN = 0.3  # seconds until another connection that says nothing takes the place of one that ended
 MICROSECOND, LONGEST = 1_000_000, 60
 
@@ -32,13 +33,13 @@
         self.count, self.left = 0, False  # requests so far; whether it went before its answer
 
     def ask(self, profile, key: str, work: float, due: float, tx: str, first: str, tries: int) -> None:
-        now = self.clients.clock()
+        now, limit = self.clients.clock(), self.clients.limit_of(profile)
         once, keyed = profile.effect == "once", profile.effect == "by_key"
         self.asked = Asked(
             now,
             tx,
             once,
-            now + profile.hard_limit,
+            now + limit,
             profile.name,
             due,
             first,
@@ -50,15 +51,15 @@
         self.clients.wire.append(self.asked)
         self.transport.write(
             f"{'POST' if once else 'GET'} /{profile.name}/it HTTP/1.1\r\nHost: lab\r\nRequest-Id: {tx}\r\n"
-            f"Cookie: k={key}\r\nRequest-Timeout: {profile.hard_limit:.3f}\r\nLab-Work: {work:.6f}\r\n"
+            f"Cookie: k={key}\r\nRequest-Timeout: {limit:.3f}\r\nLab-Work: {work:.6f}\r\n"
             f"{size}\r\n".encode()
         )
-        wait = profile.hard_limit + GIVE_UP
+        wait = limit + GIVE_UP
         loop, manners, told = asyncio.get_running_loop(), self.clients.manners, self.clients.told
         self.timer = loop.call_later(wait, self.transport.abort)
         if told.leave and manners.random() < told.leave:
             begins = manners.random() < told.ahead
-            loop.call_later(manners.random() * profile.hard_limit, self.leave, self.asked, begins)
+            loop.call_later(manners.random() * limit, self.leave, self.asked, begins)
 
     def leave(self, asked: Asked, begins: bool) -> None:
         """Go before the answer; with the first bytes of a next request written, if it has begun one."""
@@ -134,6 +135,7 @@
         self.schedule, self.draws, self.manners = (
             Random(f"{name} of {seed}") for name in ("schedule", "draws", "manners")
         )
+        self.hurries = Random(f"hurries of {seed}")
         self.weights = list(accumulate(rank**-told.zipf for rank in range(1, told.keys + 1)))
         self.free: list[list[Client]] = [[] for _ in addresses]  # by proxy
         self.all: set[Client] = set()
@@ -170,6 +172,12 @@
         for transport in [client.transport for client in self.all] + list(self.idle):
             transport.abort()
 
+    def limit_of(self, profile) -> float:
+        """Seconds that a client waits: its profile's deadline, or next to nothing where it is in a hurry."""
+        if self.told.hurried and self.hurries.random() < self.told.hurried:
+            return min(profile.hard_limit, self.hurries.uniform(*HURRIED))
+        return profile.hard_limit
+
     def stay(self, proxy: int, kind: type[Idle]) -> None:
         """Open a connection of this kind, a little later."""
         if self.running:
--- a/basalthook/lab/scenario.py
+++ b/basalthook/lab/scenario.py
@@ -51,6 +51,7 @@
     obey: Share = 1.0  # of the clients wait as long as they were told
     leave: Share = 0.0  # of the clients go before their answer, at a moment of their time ...
     ahead: Share = 0.0  # ... and of these so many have begun to write their next request
+    hurried: Share = 0.0  # of the clients wait for next to nothing
     idle: Annotated[int, msgspec.Meta(ge=0)] = 0  # further connections to each proxy that say nothing
     stalled: Annotated[int, msgspec.Meta(ge=0)] = 0  # ... and that stop half way through a request
 
--- a/basalthook/lab/soak.py
+++ b/basalthook/lab/soak.py
@@ -39,6 +39,7 @@
         retries=random.choice((0, 2)),
         idle=random.randint(120, 260) if crowd else 0,
         stalled=further.choice((0, 0, 3)),
+        hurried=further.choice((0.0, 0.05)),
     )
     discovery = Discovery(
         mode=random.choice(("pushed", "on_request")), notice=0.05, ask_within=random.choice((2.0, 5.0, 10.0))
