The first waits of a process, and after trouble, are a quarter of ask_within at most

Cause: the first wait after the start, a failure or a silence was 2 s x (1 to 2) whatever ask_within is. Change: ask_within / 4 x (1 to 2) where that is less, doubled by each answer as before; from 8 s on nothing changes.

Test replaced: test_a_drain_in_the_watch_is_kept asked for a wait of 10 to 19 ms in the first two calls, at an ask_within of 10 ms, which is the fault. It asks for 2 to 4, then 5 to 9, then 10 to 19 ms in the third and fourth call now.

--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -6,7 +6,8 @@
 
     a call's wait               ask_within x (1 to 2), each proxy its own part: the fleet's calls never
                                 fall together again after a change that answers them all at once. Of a
-                                new process, and after trouble: `WAIT_AFTER`, doubled by each answer
+                                new process, and after trouble: `WAIT_AFTER`, ask_within / 4 at most,
+                                doubled by each answer
     silent                      no answer L / 5 past a call's wait, or after a connection was begun
     beside it, not in its place another connection asks what has changed since, at once (a wait of 0); a third
                                 after 1/5 more, then one each 2/5 more, `BESIDE_MOST` at a time. The first
@@ -34,6 +35,7 @@
 WAIT_MOST = 600_000  # discovery waits no longer: a longer one would be taken for silent too late
 FIRST_MOST = 35_000  # until the first call of a new process: a second one must fit in 6 s
 WAIT_AFTER = 20_000  # the first wait of a process, or after a failure or silence; each answer doubles it, ...
+PARTS_OF_ASKING = 4  # of ask_within, for that first wait: a change may count so long after it was made
 WAITS_GROW = 5  # ... so often at most: news of the call after a broken one counts sooner
 PARTS = 5  # of what is left until the grace is over; calls beside begin after 1, 2 and 4 of them
 PUSHED_PARTS = 4  # of the grace; a call for pushed news that is there already gets another after one
@@ -74,7 +76,8 @@
         usual = min(WAIT_MOST, int(self.settings.ask_within * (1 + self.part())))
         if self.answers is None:
             return usual
-        return min(usual, int(WAIT_AFTER * 2 ** min(self.answers, WAITS_GROW) * (1 + self.part())))
+        first = min(WAIT_AFTER, self.settings.ask_within // PARTS_OF_ASKING)
+        return min(usual, int(first * 2 ** min(self.answers, WAITS_GROW) * (1 + self.part())))
 
     def silent_after(self, calls: int, at_once: bool = False) -> int:
         """So long after its wait, or its beginning, the newest of so many calls gets another beside it.
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -402,8 +402,11 @@
         for n in range(10):
             self.assertEqual(await caller.outcome(key=f"k{n}"), 200)
         self.assertEqual((self.hosts[0].got.qsize(), self.hosts[1].got.qsize()), (0, 10))
-        for version in (1, 2):  # its own part of once to twice the time within which it has to ask
-            self.assertRegex(await self.discovery.got.get(), rf"members\?index={version}&wait=1\d$")
+        for version in (3, 4):
+            self.discovery.tell(version)
+        # its own part of once to twice the time within which it has to ask (10 ms), a quarter of that at first
+        for version, waits in ((1, "[234]"), (2, "[5-9]"), (3, r"1\d"), (4, r"1\d")):
+            self.assertRegex(await self.discovery.got.get(), rf"members\?index={version}&wait={waits}$")
 
     async def test_a_list_that_is_not_sound_leaves_the_old_one_and_is_asked_for_again(self):
         caller = await self.play(SocketHost())
