A call for the list that breaks beside a silent one is made again within the grace

Cause: of several calls out, one that failed was followed by another only after (2 s + grace) / 5, 0.46 s there, though its news may have been lost; only the last of all calls was followed within the grace.

Change: Following.beside_delay: after grace / 8, / 4 and / 2 x (1/2 to 1), or 10 ms for each proxy of the fleet if that is longer; after three failures since the last answer, or where all were answered 503, as before.

Result: a test on sockets (failed before: no call within 0.3 s) and one of the rule.

--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -12,6 +12,8 @@
     beside it, not in its place another connection asks what has changed since, at once (a wait of 0); a third
                                 after 1/5 more, then one each 2/5 more, `BESIDE_MOST` at a time. The first
                                 answer of any counts
+    one fails, others are out   another after grace / 8, / 4, / 2, as news may have been lost with it, or
+                                `FLEET_PACE` for each proxy if that is longer
     pushed, and asked at once   as at the start and after a failure: another beside it after grace / 4, or
                                 `FLEET_PACE` for each proxy if that is longer, as its news counts already
     given up                    `GIVE_UP` past its wait. Who gives up a slow discovery sooner, and asks it
@@ -119,12 +121,23 @@
             self.urgent_tries -= 1
             return int(min(URGENT_FIRST * URGENT_GROWTH**made, URGENT_MOST) * part)
         if self.pushed or self.failures <= SOON_TRIES and not turned_away:
-            return max(LEAST, int(max(self._soon(), self._crowd(turned_away)) * part))
+            return max(LEAST, int(max(self._soon(self.failures), self._crowd(turned_away)) * part))
         return int(min(self.settings.ask_within / 4, RETRY_MOST) * part)
 
-    def _soon(self) -> float:
+    def beside_delay(self, others: int, failed: int, turned_away: bool) -> int:
+        """Ticks until another call beside `others` that have no answer yet, as one has failed.
+
+        `failed`: calls since the last answer; `turned_away`: as for `retry_delay`.
+        """
+        usual = self.silent_after(others)
+        if turned_away or failed > SOON_TRIES:
+            return usual
+        soon = max(self._soon(failed), self._crowd(turned_away)) * (0.5 + self.part() / 2)
+        return min(usual, max(LEAST, int(soon)))
+
+    def _soon(self, failures: int) -> float:
         """Within the grace, as news may have been in an answer that was lost, which counts as told."""
-        return self.settings.grace / 2 ** max(1, SOON_TRIES + 1 - self.failures)
+        return self.settings.grace / 2 ** max(1, SOON_TRIES + 1 - failures)
 
     def _crowd(self, turned_away: bool) -> float:
         """By the size of the fleet: all its proxies call again at once where discovery has reset them all."""
--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -97,10 +97,12 @@
             at_once = False
         self.calls.remove(me)
         self.reasons.append(reason)
+        turned_away = all(r.startswith("status") for r in self.reasons)
         if self.calls:  # one of the others may still be answered
-            self.timers.set(self.following.silent_after(len(self.calls)), self.add_call, self.calls[-1])
+            delay = self.following.beside_delay(len(self.calls), len(self.reasons), turned_away)
+            self.timers.set(delay, self.add_call, self.calls[-1])
             return self.log("list call failed", reason=reason, others=len(self.calls))
-        wait = self.following.retry_delay(all(r.startswith("status") for r in self.reasons))
+        wait = self.following.retry_delay(turned_away)
         self.log(
             "list lost",
             reason="; ".join(dict.fromkeys(self.reasons)),
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -25,6 +25,14 @@
         begun = sum(rule.silent_after(calls) for calls in range(1, 4))
         self.assertLessEqual(begun + (SILENT + grace) // 5, SILENT + grace)
 
+    def test_calls_that_break_beside_silent_ones_are_made_again_soon_and_no_more_than_three_times(self):
+        rule = following()
+        waits = [rule.beside_delay(1, failed, False) for failed in range(1, 6)]
+        self.assertLess(sum(waits[:3]), 5_000)
+        self.assertEqual(waits[3:], [rule.silent_after(1)] * 2)
+        self.assertEqual(rule.beside_delay(1, 1, True), rule.silent_after(1))
+        self.assertGreaterEqual(following(proxies=100).beside_delay(1, 1, False), 5_000 - 1)
+
     def test_calls_beside_one_for_pushed_news_come_within_the_grace_at_few_proxies_only(self):
         for proxies, most in ((1, 1_250), (12, 1_250), (30, 3_000), (2_000, 5_000)):
             rule = following(list_on_request=False, proxies=proxies)
@@ -157,6 +165,16 @@
         self.assertIn("wait=0", await asyncio.wait_for(self.discovery.got.get(), 0.3))
         self.assertIn("wait=0", await asyncio.wait_for(self.discovery.got.get(), 0.2))
 
+    async def test_a_call_that_breaks_beside_a_silent_one_is_made_again_within_the_grace(self):
+        # guards against news lost with an answer, while another call that says nothing is waited for
+        rules = {**SETTINGS["rules"], "drain_grace_ns": 500_000_000}
+        await self.play(SocketHost(), rules=rules)
+        self.discovery.tell(2)
+        for _ in range(3):  # the first, the silent one, and the one beside it
+            await asyncio.wait_for(self.discovery.got.get(), 2)
+        self.discovery.writers[-1].transport.abort()
+        await asyncio.wait_for(self.discovery.got.get(), 0.3)
+
     async def test_a_list_of_changes_is_not_taken_for_the_whole_list_of_another_discovery(self):
         await self.play(SocketHost(), SocketHost())
         await self.discovery.got.get()
