--- a/basalthook/lab/standins.py
+++ b/basalthook/lab/standins.py
@@ -45,6 +45,8 @@
         self.discovery_delay = 0.0  # seconds until discovery looks at a call
         self.failing = ""  # how discovery fails at present
         self.lists = ""  # how its lists are not as usual
+        self.sound_since = -SILENCE  # when lists were last sound again
+        self.changed_at = [0.0] * count
         self.unsound: list[tuple[int, int, str]] = []  # what would have counted while they were not sound
         self.reachable = 0.0  # since when it has worked
         self.untold: list[tuple[int, str]] = []  # changes made while it failed; emptied when it works
@@ -139,6 +141,7 @@
     def change(self, number: int, state: str) -> None:
         self.version += 1
         self.states[number], self.changed[number] = state, self.version
+        self.changed_at[number] = self.clock()
         if self.failing:
             self.untold.append((number, state))
             return
@@ -188,16 +191,22 @@
     def note_told(self, proxy: int, number: int, state: str) -> None:
         if self.states[number] != state:  # it has changed again since
             return
+        sound_for = self.clock() - self.sound_since
         if self.lists == "spoilt":
             self.unsound.append((proxy, number, state))
+        elif self.changed_at[number] < self.sound_since and sound_for < SILENCE:
+            wait = SILENCE - sound_for
+            asyncio.get_running_loop().call_later(wait, self.note_told, proxy, number, state)
         else:
             self.wire.append(Told(self.clock(), number, state, proxy))
 
     def lists_sound(self) -> None:
         """Whoever was told nothing sound has as long as after any other return of discovery."""
+        if self.lists == "spoilt":
+            self.sound_since = self.clock()
         self.lists, unsound, self.unsound = "", self.unsound, []
         for proxy, number, state in unsound:
-            asyncio.get_running_loop().call_later(SILENCE, self.note_told, proxy, number, state)
+            self.note_told(proxy, number, state)
 
     def watches_fail(self, silent: bool, more: int) -> None:
         self.to_silence = [more] * self.count
