A log field that is no JSON does not end the log

Need: found by reading for what may end a thread of ours: the log's writer words each event with orjson, which refuses lone surrogates and long numbers. The exception ended the thread: a traceback on standard error, and no line ever after. Change: such an event is written in its Python form.

--- a/basalthook/program/log.py
+++ b/basalthook/program/log.py
@@ -12,6 +12,14 @@
 GATHER = 0.05  # seconds between two looks of the writer: one wake-up an event costs more
 
 
+def worded(line: dict) -> bytes:
+    """As JSON; of what can't be worded (a lone surrogate, a number that is too long) its Python form."""
+    try:
+        return orjson.dumps(line, default=str)
+    except (TypeError, ValueError, RecursionError):
+        return orjson.dumps({name: ascii(value) for name, value in line.items()})
+
+
 class Log:
     """Events are handed over as they are; the writer's thread words and writes them, many in one call."""
 
@@ -41,8 +49,7 @@
             lines = []
             while self.events:
                 at, name, event, fields = self.events[0]
-                line = {"at": round(at, 4), "proxy": name, "event": event, **fields}
-                lines.append(orjson.dumps(line, default=str))
+                lines.append(worded({"at": round(at, 4), "proxy": name, "event": event, **fields}))
                 self.events.popleft()
             data = b"\n".join([*lines, b""])
             try:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -404,7 +404,7 @@
         self.assertEqual((self.hosts[0].got.qsize(), self.hosts[1].got.qsize()), (0, 10))
         for version in (3, 4):
             self.discovery.tell(version)
-        # its own part of once to twice the time within which it has to ask (10 ms), a quarter of that at first
+        # its own part of once to twice the 10 ms within which it has to ask, a quarter of that at first
         for version, waits in ((1, "[234]"), (2, "[5-9]"), (3, r"1\d"), (4, r"1\d")):
             self.assertRegex(await self.discovery.got.get(), rf"members\?index={version}&wait={waits}$")
 
