Test of timers in order: the clock stands while they are set

Cause: the three timers, of 9, 3 and 6 ms, were each set against the clock of their own moment; a process held up for 6 ms between the first and the second is right to ring the first one first. The order asked for holds only for timers set at one moment. Change: the clock that the timers are handed stands until all are set and cancelled, and runs from then on; the check is as it was.

--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -114,12 +114,18 @@
 
 class Clockwork(unittest.IsolatedAsyncioTestCase):
     async def test_timers_go_off_in_order_and_cancelled_ones_never(self):
-        timers, rung = Timers(lambda: time.monotonic_ns() // 100_000, 10_000), []
+        standing, rung = [time.monotonic_ns() // 100_000], []  # the clock stands until all are set
+
+        def clock() -> int:
+            return standing[0] if standing else time.monotonic_ns() // 100_000
+
+        timers = Timers(clock, 10_000)
         kept = [timers.set(delay, rung.append, delay) for delay in (90, 30, 60)]
         dropped = [timers.set(20, rung.append, "cancelled") for _ in range(2 * COMPACT_FROM)]
         for entry in dropped + dropped:
             timers.cancel(entry)
         self.assertLessEqual(len(timers.heap), COMPACT_FROM + len(kept))
+        standing.clear()
         await asyncio.sleep(0.02)
         self.assertEqual(rung, [30, 60, 90])
         timers.cancel(kept[0])
