Lab: what came is judged by when it came, and nothing is asked on an ended connection

Cause: the rig's. And it wrote requests to new connections that the proxy had shut meanwhile, unread, as others that had said nothing in a crowd.

Change: endpoints and clients note when the newest bytes came, by the kernel (tcp_info); a connection that its peer has ended already is given up before anything is written on it, and another one taken. A request that was written and got no answer is lost as before.

--- a/basalthook/lab/endpoints.py
+++ b/basalthook/lab/endpoints.py
@@ -37,7 +37,9 @@
         if self.is_forgotten():
             return self.reset()
         self.out += 1
-        self.fleet.carry(f"p{self.proxy}", f"h{self.number}", self.arrived, fields, self.fleet.clock())
+        late = self.read_late()
+        sent_at = self.fleet.clock() - late
+        self.fleet.carry(f"p{self.proxy}", f"h{self.number}", self.arrived, fields, sent_at, late)
 
     def say(self, status: int, body: bytes = b"", more: str = "") -> None:
         self.fleet.carry(f"h{self.number}", f"p{self.proxy}", self.answer, status, body, more)
@@ -70,7 +72,8 @@
             and any(f.how == "forgets" and rested >= f.after for f in self.fleet.resting[self.number])
         )
 
-    def arrived(self, fields: dict, left: float) -> None:
+    def arrived(self, fields: dict, left: float, late: float) -> None:
+        """`left`: when it was sent; `late`: seconds that it had lain in this process's kernel buffer."""
         fleet, machine, now = self.fleet, self.fleet.machines[self.number], self.fleet.clock()
         tx, key = fields.get("request-id", ""), fields.get("cookie", "")
         cost = machine.cost(now, key, float(fields.get("lab-work", 0)))
@@ -81,7 +84,7 @@
             ends = machine.take(now, cost)
         fleet.wire.append(
             Got(
-                now,
+                now - late,
                 self.number,
                 tx,
                 cost,
--- a/basalthook/lab/load.py
+++ b/basalthook/lab/load.py
@@ -222,24 +222,34 @@
         )
 
     async def one(self, *given) -> None:
-        proxy = self.pick()
-        if proxy is None:
-            return
-        if self.free[proxy]:
-            return self.free[proxy].pop().ask(*given)
+        """Ask on a connection that rests, or else on a new one."""
+        client = None
+        while client is None:
+            proxy = self.pick()
+            if proxy is None:
+                return
+            resting = self.free[proxy]
+            client = resting.pop() if resting else await self.connected(proxy)
+            if client is None:
+                return  # nobody listens: it was never taken, so it is in nobody's books
+            stopped = client.count == 0 and not self.addresses[proxy]  # or killed, since it was picked
+            if stopped or client.peer_ended():  # what is written now can't be read
+                client.transport.abort()
+                client = None
+        client.ask(*given)
+
+    async def connected(self, proxy: int) -> Client | None:
+        """A new connection to this proxy; None if nobody listens."""
         try:
             loop = asyncio.get_running_loop()
             _, client = await loop.create_connection(lambda: Client(self, proxy), *self.addresses[proxy])
         except OSError:
-            return  # nobody listens: it was never taken, so it is in nobody's books
-        if not self.addresses[proxy]:  # killed, or stopped, since it was picked
-            client.transport.abort()
-            return await self.one(*given)
+            return None
         self.all.add(client)
-        client.ask(*given)
+        return client
 
     def answered(self, client: Client, asked: Asked, status: int, by_host: bool, fields: dict) -> None:
-        now = self.clock()
+        now = max(asked.at, self.clock() - client.read_late())
         self.wire.append(Answered(now, asked.tx, status, by_host))
         if status == 200:
             took = int((now - asked.due) * MICROSECOND)
--- a/basalthook/lab/messages.py
+++ b/basalthook/lab/messages.py
@@ -4,10 +4,14 @@
 
 import asyncio
 import re
+import select
 import socket
 import struct
+import sys
 
+PEER_ENDED = getattr(select, "POLLRDHUP", 0)  # Linux; elsewhere only what poll(2) tells unasked
 LINGER_NONE = struct.pack("ii", 1, 0)  # struct linger: close sends a reset
+LAST_DATA_RECEIVED = struct.Struct("@52xI")  # of struct tcp_info: tcpi_last_data_recv, milliseconds
 FIELD = re.compile(rb"\r\n([!-9;-~]+): *([^\r\n]*)")
 
 
@@ -31,6 +35,28 @@
             self.rest = self.rest[whole:]
             self.message(first, fields, body)
 
+    def peer_ended(self) -> bool:
+        """Whether the peer has ended the connection, seen also before this process has read so."""
+        if self.transport.is_closing():
+            return True
+        looked_for = select.poll()
+        looked_for.register(self.transport.get_extra_info("socket"), PEER_ENDED)
+        return bool(looked_for.poll(0))
+
+    def read_late(self) -> float:
+        """Seconds for which the newest bytes had lain in the kernel.
+
+        A busy lab reads late, and judges by when they came.
+        """
+        if sys.platform != "linux":
+            return 0.0
+        sock = self.transport.get_extra_info("socket")
+        try:
+            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size)
+        except OSError:  # it has ended meanwhile
+            return 0.0
+        return LAST_DATA_RECEIVED.unpack(info)[0] / 1000
+
     def answer(self, status: int, body: bytes = b"", more: str = "") -> None:
         if not self.transport.is_closing():
             head = f"HTTP/1.1 {status} Stated\r\n{more}Content-Length: {len(body)}\r\n\r\n"
--- a/basalthook/lab/result.py
+++ b/basalthook/lab/result.py
@@ -58,6 +58,7 @@
     talk: dict | None = None,
 ) -> Result:
     """`begin`: the moment, on the wire's clock, at which the scenario began."""
+    wire = sorted(wire, key=lambda e: e.at)  # on sockets an entry is noted when it was read, a little late
     histogram, asked = HdrHistogram(1, LONGEST * MICROSECOND, 3), {}
     for e in wire:
         if isinstance(e, Asked):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,9 +1,11 @@
 """The lab: its judge finds what is planted and nothing else, its model and scenarios hold what they say."""
 
+import asyncio
 import json
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from importlib.resources import files
 from pathlib import Path
@@ -13,6 +15,7 @@
 from basalthook.lab import decisions, faults, scenario, timeline, trial
 from basalthook.lab.deadlines import ProxyView, counts_at
 from basalthook.lab.judge import judge
+from basalthook.lab.messages import Messages
 from basalthook.lab.model import Machine
 from basalthook.lab.wire import Answered, Asked, Crossed, Got, KeptOpen, Left, Ordered, Told
 from basalthook.policy.hosts import Hosts
@@ -158,6 +161,26 @@
         self.assertTrue(verdict.kept, verdict.first)
 
 
+class ReadLate(unittest.IsolatedAsyncioTestCase):
+    async def test_a_lab_process_that_reads_late_knows_when_the_bytes_came(self):
+        found = []
+
+        class Noting(Messages):
+            def message(self, first, fields, body):
+                found.append(self.read_late())
+
+        server = await asyncio.get_running_loop().create_server(Noting, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        for late in (0.0, 0.2):
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            time.sleep(late)  # blocks the loop that reads it
+            await asyncio.sleep(0.02)
+        writer.close()
+        server.close()
+        self.assertLess(found[0], 0.1)
+        self.assertGreater(found[1], 0.15)
+
+
 class Model(unittest.TestCase):
     def machine(self, **changes):
         usual = {"cores": 2, "speed": 1.0, "slots": 3}
