Signals to child processes are sent by pid: the exit code is left to the event loop

Cause: asyncio's send_signal asks Popen.poll first, which takes the exit code of a process that has just ended; asyncio's watcher then finds none and gives 255. The program had ended with 0. Change: os.kill, as long as no exit code is known, in that test and wherever the lab signals its proxies, which may end at any moment there and would count as a crash.

--- a/basalthook/lab/processes.py
+++ b/basalthook/lab/processes.py
@@ -14,6 +14,7 @@
 import tempfile
 import time
 from collections import Counter
+from contextlib import suppress
 from pathlib import Path
 
 import msgspec
@@ -183,7 +184,7 @@
     def kill_proxy(self, n: int) -> None:
         self.excuse(n)
         if self.running[n] is not None:
-            self.running[n].kill()
+            signalled(self.running[n], signal.SIGKILL)
             self.running[n] = None
 
     def terminate(self, n: int) -> None:
@@ -191,14 +192,13 @@
         process, loop = self.running[n], asyncio.get_running_loop()
         if process is None or process.returncode is not None:
             return
-        process.terminate()
+        signalled(process, signal.SIGTERM)
         loop.call_later(NEW_ON, self.addresses.__setitem__, n, None)
         longest = max(profile.hard_limit for profile in self.told.load.profiles)
         loop.call_later(longest + KILL_AFTER, self.kill_terminated, n, process)
 
     def kill_terminated(self, n: int, process) -> None:
-        if process.returncode is None:
-            process.kill()
+        signalled(process, signal.SIGKILL)
         if self.running[n] is process:
             self.running[n] = None
 
@@ -221,27 +221,22 @@
             if self.running[n] is None or self.running[n].returncode is not None:
                 return
             self.moved[n] = self.clock()
-            self.running[n].send_signal(signal.SIGHUP)
+            signalled(self.running[n], signal.SIGHUP)
             await asyncio.sleep(pause)
 
     def pause_proxy(self, n: int) -> None:
-        self.signal_running(n, signal.SIGSTOP)
+        signalled(self.running[n], signal.SIGSTOP)
 
     def unpause_proxy(self, n: int) -> None:
-        self.signal_running(n, signal.SIGCONT)
-
-    def signal_running(self, n: int, number: int) -> None:
-        process = self.running[n]
-        if process is not None and process.returncode is None:
-            process.send_signal(number)
+        signalled(self.running[n], signal.SIGCONT)
 
     def stop_proxy(self, n: int) -> None:
         self.excuse(n)
         self.stopped.add(n)
-        self.running[n].send_signal(signal.SIGSTOP)
+        signalled(self.running[n], signal.SIGSTOP)
 
     def go_on_proxy(self, n: int) -> None:
-        self.running[n].send_signal(signal.SIGCONT)
+        signalled(self.running[n], signal.SIGCONT)
         self.stopped.discard(n)
         at = next(
             fields["listen"] for _, who, event, fields in reversed(self.said) if who == n and event == "ready"
@@ -259,14 +254,13 @@
 
     async def end(self) -> None:
         for process in self.running:
-            if process is not None and process.returncode is None:
-                process.send_signal(signal.SIGCONT)
-                process.terminate()
+            signalled(process, signal.SIGCONT)
+            signalled(process, signal.SIGTERM)
         if self.readers:
             await asyncio.wait(self.readers, timeout=GO)
         for process in self.running:
             if process is not None and process.returncode is None:
-                process.kill()
+                signalled(process, signal.SIGKILL)
                 await process.wait()
         for n in range(self.told.proxies):
             errors = self.folder / f"p{n}" / "stderr"
@@ -350,6 +344,17 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
+def signalled(process: asyncio.subprocess.Process | None, number: int) -> None:
+    """Sends a signal, if the process still runs.
+
+    Not by the process's own method: that one looks first whether it has ended, and may so take its exit code
+    from the event loop, which then gives 255.
+    """
+    if process is not None and process.returncode is None:
+        with suppress(ProcessLookupError):
+            os.kill(process.pid, number)
+
+
 def play(told: Scenario, keep: list | None = None) -> Result:
     """`keep`: takes the rig, for whoever wants to look closer."""
     if any(isinstance(fault, Vanish | LongWay | Maintain) for fault in told.faults):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -86,7 +86,7 @@
             if process.returncode is not None:
                 break
             with suppress(ProcessLookupError):
-                process.send_signal(number)
+                os.kill(process.pid, number)  # send_signal may take the exit code from the loop's watcher
             await asyncio.sleep(0.003)
         self.assertEqual(await asyncio.wait_for(process.wait(), 5), 0)
 
