Rename hop to attempt in the routing package

Names of the field: routing/hops.py is attempts.py; Hop, Hops, HopOver are Attempt, Attempts, AttemptOver; begin_hop, hop_out, hop_over follow. Nothing else changes: log events and their keys (`hop`, `hops`) stay, and so do the events of the decisions for now.

--- a/basalthook/program/figures.py
+++ b/basalthook/program/figures.py
@@ -1,7 +1,7 @@
 """A line of figures in the log at a steady pace: what an operator plots, and raises alarms on."""
 
+from ..routing.attempts import Attempts
 from ..routing.clients import Clients
-from ..routing.hops import Hops
 from ..routing.owner import Owner
 from ..routing.watch import Watch
 from ..transport.timers import Timers
@@ -12,8 +12,10 @@
 class Figures:
     """Counts are since the start of the process; `list_age_s` is the time since discovery last answered."""
 
-    def __init__(self, owner: Owner, clients: Clients, hops: Hops, watch: Watch, timers: Timers, log) -> None:
-        self.owner, self.clients, self.hops, self.watch = owner, clients, hops, watch
+    def __init__(
+        self, owner: Owner, clients: Clients, attempts: Attempts, watch: Watch, timers: Timers, log
+    ) -> None:
+        self.owner, self.clients, self.attempts, self.watch = owner, clients, attempts, watch
         self.timers, self.log = timers, log
 
     def begin(self) -> None:
@@ -31,7 +33,7 @@
             requests_open=len(self.owner.orders),
             connections=len(self.clients.open),
             answers=dict(self.clients.answers),
-            attempts=dict(self.hops.outcomes),
-            attempts_not_begun=dict(self.hops.refusals),
+            attempts=dict(self.attempts.outcomes),
+            attempts_not_begun=dict(self.attempts.refusals),
         )
         self.begin()
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -12,9 +12,9 @@
 from ..handover.neighbours import Neighbours
 from ..recovery.door import Door
 from ..recovery.following import SILENT, Following
+from ..routing.attempts import Attempts
 from ..routing.clients import IDLE, NEW, Clients
 from ..routing.clock import TICKS, Clock
-from ..routing.hops import Hops
 from ..routing.owner import Owner
 from ..routing.roster import Roster
 from ..routing.staff import Staff
@@ -68,12 +68,12 @@
             turns.first, turns.urgent = descriptors.outgoing, urgent
         door = Door(min(p.service_goal for p in told.agreed.profiles), Random(told.seed ^ DOOR))
         self.pool = HostPool(buffers, descriptors, timers, told.idle_seconds, told.connect_seconds)
-        self.hops = Hops(self.pool, clock, timers, roster, self.owner, log.say)
+        self.attempts = Attempts(self.pool, clock, timers, roster, self.owner, log.say)
         following = Following(told.agreed, self.owner.proxy.chance)
         self.watch = Watch(
             told.discovery, told.known.version, following, self.owner, buffers, descriptors, timers, log.say
         )
-        self.owner.begin_hop = self.hops.begin
+        self.owner.begin_attempt = self.attempts.begin
         roster.left = self.pool.close_idle
         self.clients = Clients(
             self.owner,
@@ -86,7 +86,7 @@
             Room(told.bodies_most),
             log.say,
         )
-        self.figures = Figures(self.owner, self.clients, self.hops, self.watch, timers, log.say)
+        self.figures = Figures(self.owner, self.clients, self.attempts, self.watch, timers, log.say)
         self.staff = Staff(self.owner, roster, self.clients, clock, log.say)
         self.callers = Callers(self.staff.carry_out, timers, buffers, urgent, log.say)
         self.console: Listener | None = None
--- a/basalthook/routing/__init__.py
+++ b/basalthook/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Between sockets and decisions: the owner, hops, clients' connections, discovery's watch."""
+"""Between sockets and decisions: the owner, attempts, clients' connections, discovery's watch."""
--- a/basalthook/routing/hops.py
+++ b/basalthook/routing/attempts.py
@@ -1,4 +1,7 @@
-"""One hop: a message to a host and its answer, or how far it had come. From that alone follows what ran."""
+"""One attempt: a message to an endpoint and its answer, or how far it had come.
+
+From that alone follows what may have run.
+"""
 
 from collections import Counter
 
@@ -10,7 +13,7 @@
 from ..transport.hostpool import HostPool
 from ..transport.timers import Timers
 from .clock import TICK, TICKS, Clock
-from .owner import HopOver, Order, Owner
+from .owner import AttemptOver, Order, Owner
 from .ratelog import RateLimitedLog
 from .roster import Place, Roster
 
@@ -19,11 +22,11 @@
 SUCCEEDED_MOST = 50  # lines a second on attempts that succeeded
 
 
-class Hop:
+class Attempt:
     """Driven by its connection and its timer; over once, whatever ends it."""
 
     __slots__ = (
-        "hops",
+        "attempts",
         "order",
         "index",
         "host",
@@ -41,11 +44,11 @@
     )
 
     def __init__(
-        self, hops: "Hops", order: Order, index: int, host: int, place: Place, begun: int, limit: int
+        self, attempts: "Attempts", order: Order, index: int, host: int, place: Place, begun: int, limit: int
     ) -> None:
-        self.hops, self.order, self.index, self.host, self.place = hops, order, index, host, place
+        self.attempts, self.order, self.index, self.host, self.place = attempts, order, index, host, place
         self.begun, self.limit = begun, limit  # connecting counts
-        self.connection: Connection | None = None  # while it is this hop's alone
+        self.connection: Connection | None = None  # while it is this attempt's alone
         self.stage, self.stopped, self.reused, self.over = Stage.UNTRIED, None, False, False
         self.answer: Parser | None = None
         self.refusal: str | None = None  # why it was not begun
@@ -64,11 +67,11 @@
         self.stop(i.TIMED_OUT)
 
     def begin(self) -> None:
-        connection = self.hops.pool.kept_one(self.place.door)
+        connection = self.attempts.pool.kept_one(self.place.door)
         if connection is not None:
             self.reused, self.connection = True, connection
             return self.send()
-        connection = self.hops.pool.fresh(self.place.address, self.up)
+        connection = self.attempts.pool.fresh(self.place.address, self.up)
         if isinstance(connection, Fault):
             return self.finish(connection)
         self.stage, self.connection = Stage.CONNECTING, connection
@@ -82,10 +85,10 @@
         self.send()
 
     def send(self) -> None:
-        hops, connection = self.hops, self.connection
-        refusal = hops.owner.refusal(self.order, self.host)  # what was decided may have changed meanwhile
+        attempts, connection = self.attempts, self.connection
+        refusal = attempts.owner.refusal(self.order, self.host)  # what was decided may have changed meanwhile
         if refusal is not None:
-            hops.refusals[refusal] += 1
+            attempts.refusals[refusal] += 1
         if self.over:  # its client was just seen to have left
             return
         if refusal is not None:
@@ -95,7 +98,7 @@
             return self.finish(None)
         self.stage = Stage.WRITING
         self.answer = Parser(responses=True, wanted=hosts.WANTED, long=True, open_most=OPEN_MOST)
-        left = self.limit - (hops.clock.now() - self.begun)
+        left = self.limit - (attempts.clock.now() - self.begun)
         connection.follow(self.took, self.ended)
         if not self.over and connection.write(
             hosts.hop(self.order.asked.message, max(1, left) / TICKS), self.wrote
@@ -118,8 +121,8 @@
                 self.finish(found, late // TICK)
             elif begun is not None:
                 self.pass_on(begun, late // TICK)
-        except Exception as fault:  # exceptions stop here; how far the hop had come still counts
-            self.hops.say("fault", where="hop", error=repr(fault))
+        except Exception as fault:  # exceptions stop here; how far the attempt had come still counts
+            self.attempts.say("fault", where="hop", error=repr(fault))
             self.finish(Fault(self.stage, repr(fault)))
 
     def ended(self, fault: Fault) -> None:
@@ -129,32 +132,34 @@
         self.finish(self.answer.found or fault)
 
     def pass_on(self, begun: Message, late: int) -> None:
-        """A long answer has begun. It is this transaction's last word, and goes on without this hop."""
+        """A long answer has begun. It is this transaction's last word, and goes on without this attempt."""
         if begun.status != 200 or self.stage != Stage.ANSWERING:
             return self.finish(begun._replace(keep=False), late)  # its status is all that counts
-        self.over, hops, pool = True, self.hops, self.hops.pool
-        hops.timers.cancel(self.timer)
+        self.over, attempts, pool = True, self.attempts, self.attempts.pool
+        attempts.timers.cancel(self.timer)
         connection, self.connection, door = self.connection, None, self.place.door
         late += connection.noticed_late // TICK if not self.reused else 0
-        relay = Relay(connection, self.answer, hops.timers, lambda kept: pool.keep(kept, door))
-        elapsed = max(0, hops.clock.now() - late - self.begun)
-        hops.outcomes[i.COMMITTED] += 1
-        hops.owner.post(HopOver(self.order, self.index, self.host, i.COMMITTED, elapsed, late, begun, relay))
+        relay = Relay(connection, self.answer, attempts.timers, lambda kept: pool.keep(kept, door))
+        elapsed = max(0, attempts.clock.now() - late - self.begun)
+        attempts.outcomes[i.COMMITTED] += 1
+        attempts.owner.post(
+            AttemptOver(self.order, self.index, self.host, i.COMMITTED, elapsed, late, begun, relay)
+        )
         if relay.client is None:  # nobody waits for it
             relay.stop()
 
     def keep(self) -> None:
-        """From here on the connection is the pool's: stopping this hop must not close it under another."""
+        """From here on the connection is the pool's: stopping this attempt must not close it."""
         connection, self.connection = self.connection, None
-        self.hops.pool.keep(connection, self.place.door)
+        self.attempts.pool.keep(connection, self.place.door)
 
     def finish(self, found: Message | Fault | Malformed | None, late: int = 0) -> None:
         """`late`: ticks that the answer had lain here unread; they are ours, not the host's."""
         if self.over:
             return
         self.over = True
-        hops, connection = self.hops, self.connection
-        hops.timers.cancel(self.timer)
+        attempts, connection = self.attempts, self.connection
+        attempts.timers.cancel(self.timer)
         if connection is not None:
             late += connection.noticed_late // TICK if not self.reused else 0
             if (
@@ -167,11 +172,11 @@
             else:
                 connection.close()
                 self.connection = None
-        outcome, message = hops.outcome(self, found), found if isinstance(found, Message) else None
-        elapsed = max(0, hops.clock.now() - late - self.begun)
-        hops.outcomes[outcome] += 1
+        outcome, message = attempts.outcome(self, found), found if isinstance(found, Message) else None
+        elapsed = max(0, attempts.clock.now() - late - self.begun)
+        attempts.outcomes[outcome] += 1
         if outcome == i.COMMITTED:
-            hops.sparingly(
+            attempts.sparingly(
                 "attempt",
                 tx=self.order.asked.id,
                 number=self.index,
@@ -182,7 +187,7 @@
             )
         else:
             reason = (self.refusal or "") if found is None or message else found.reason
-            hops.say(
+            attempts.say(
                 "hop",
                 tx=self.order.asked.id,
                 hop=self.index,
@@ -194,8 +199,8 @@
                 reason=reason,
                 status=message.status if message else None,
             )
-        hops.owner.post(
-            HopOver(
+        attempts.owner.post(
+            AttemptOver(
                 self.order,
                 self.index,
                 self.host,
@@ -207,7 +212,7 @@
         )
 
 
-class Hops:
+class Attempts:
     def __init__(
         self, pool: HostPool, clock: Clock, timers: Timers, roster: Roster, owner: Owner, say
     ) -> None:
@@ -217,25 +222,25 @@
         self.outcomes: Counter[str] = Counter()  # of attempts that are over
         self.refusals: Counter[str] = Counter()  # of attempts not begun after all, by reason
 
-    def begin(self, order: Order, index: int, host: int, place: Place, limit: int, over: bool) -> Hop:
+    def begin(self, order: Order, index: int, host: int, place: Place, limit: int, over: bool) -> Attempt:
         """What ends at once is told to the owner after this has returned: the owner is at an event now."""
-        hop = Hop(self, order, index, host, place, self.clock.now(), limit)
+        attempt = Attempt(self, order, index, host, place, self.clock.now(), limit)
         if over:
-            hop.stop(i.UNSENT)
+            attempt.stop(i.UNSENT)
         else:
-            hop.timer = self.timers.set(limit, hop.expire)
-            hop.begin()
-        return hop
+            attempt.timer = self.timers.set(limit, attempt.expire)
+            attempt.begin()
+        return attempt
 
     @staticmethod
-    def outcome(hop: Hop, found: Message | Fault | Malformed | None) -> str:
-        written = hop.stage >= Stage.WRITTEN
+    def outcome(attempt: Attempt, found: Message | Fault | Malformed | None) -> str:
+        written = attempt.stage >= Stage.WRITTEN
         if isinstance(found, Message):
             return hosts.outcome(found, written)
-        if hop.stopped is not None and written:
-            return hop.stopped
-        if hop.stopped is not None or hop.stage == Stage.UNTRIED:
+        if attempt.stopped is not None and written:
+            return attempt.stopped
+        if attempt.stopped is not None or attempt.stage == Stage.UNTRIED:
             return i.UNSENT
         if isinstance(found, Malformed) and written:
             return i.ERROR  # guards against taking a host that answers, if badly, for one that is gone
-        return i.RESET if written else i.DROPPED if hop.stage == Stage.WRITING else i.UNREACHABLE
+        return i.RESET if written else i.DROPPED if attempt.stage == Stage.WRITING else i.UNREACHABLE
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -241,7 +241,7 @@
                     "answer",
                     tx=order.asked.id,
                     kind=answer.kind,
-                    hops=len(order.hops),
+                    hops=len(order.attempts),
                     left_ms=(order.hard_limit - clients.clock.now()) / 10,
                     come_back_ms=answer.come_back / 10,
                     reason=answer.reason,
@@ -349,7 +349,7 @@
             self.clients.sparingly(
                 "client gone",
                 tx=order.asked.id,
-                hops=len(order.hops),
+                hops=len(order.attempts),
                 left_ms=(order.hard_limit - self.clients.clock.now()) / 10,
             )
             self.clients.owner.post(Gone(order))
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -28,9 +28,9 @@
 
 
 class Order:
-    """One transaction taken; in the owner's books from its arrival until it is closed with no hop out."""
+    """One transaction taken; in the owner's books from its arrival until it is closed with no attempt out."""
 
-    __slots__ = ("asked", "came", "hard_limit", "deliver", "left", "number", "hops", "closed")
+    __slots__ = ("asked", "came", "hard_limit", "deliver", "left", "number", "attempts", "closed")
 
     def __init__(self, asked: Asked, came: int, hard_limit: int, deliver, left) -> None:
         """`came`: when its last byte came in; `deliver(answer)` is called once, unless its client went.
@@ -39,7 +39,11 @@
         """
         self.asked, self.came, self.hard_limit, self.deliver = asked, came, hard_limit, deliver
         self.left = left
-        self.number, self.hops, self.closed = -1, [], False  # hops: one an effect, None once it is over
+        self.number, self.attempts, self.closed = (
+            -1,
+            [],
+            False,
+        )  # one an effect, None once it is over
 
     def close(self, answer: Answer | None) -> None:
         if not self.closed:
@@ -62,9 +66,9 @@
     order: Order
 
 
-class HopOver(NamedTuple):
+class AttemptOver(NamedTuple):
     order: Order
-    hop: int
+    attempt: int
     host: int
     outcome: str
     elapsed: int
@@ -93,8 +97,8 @@
 class Owner:
     """`post` returns once all that an event brought about is decided and carried out.
 
-    What it brings about at once (a hop that could not begin) waits in the queue for its turn, so that the
-    decisions are never entered twice; the queue is empty again when `post` returns.
+    What it brings about at once (an attempt that could not begin) waits in the queue for its turn, so that
+    the decisions are never entered twice; the queue is empty again when `post` returns.
     """
 
     def __init__(
@@ -106,7 +110,7 @@
         self.queue: deque = deque()
         self.running, self.next = False, 0
         self.orders: dict[int, Order] = {}
-        self.begin_hop = None  # set by whoever builds the program
+        self.begin_attempt = None  # set by whoever builds the program
 
     def start(self, known: Listing) -> None:
         self.decide(self.roster.told(known, answered=False))
@@ -175,15 +179,15 @@
             self.decide(i.TxGone(order.number))
             self.forget(order)
 
-    def hop_over(self, item: HopOver) -> None:
+    def attempt_over(self, item: AttemptOver) -> None:
         order = item.order
-        order.hops[item.hop] = None
-        self.roster.hop_over(item.host)
+        order.attempts[item.attempt] = None
+        self.roster.attempt_over(item.host)
         if item.message is not None and not order.closed:
             order.close(Answer(item.outcome, item.message, 0, item.relay))
         self.decide(
             i.HopEnded(
-                order.number, item.hop, item.host, item.outcome, item.elapsed, order.closed, item.waited
+                order.number, item.attempt, item.host, item.outcome, item.elapsed, order.closed, item.waited
             )
         )
         self.forget(order)
@@ -206,7 +210,7 @@
         Arrived: arrived,
         Gone: gone,
         Overdue: overdue,
-        HopOver: hop_over,
+        AttemptOver: attempt_over,
         Listed: listed,
         Ordered: ordered,
         Shared: lambda self, item: self.decide(i.Shared(item.processes)),
@@ -216,7 +220,7 @@
     }
 
     def forget(self, order: Order) -> None:
-        if order.closed and not any(order.hops):
+        if order.closed and not any(order.attempts):
             self.orders.pop(order.number, None)
 
     # ---- what goes out
@@ -228,9 +232,9 @@
     def send(self, effect: i.SendHop) -> None:
         order = self.orders[effect.tx]
         limit = min(effect.time_limit, order.hard_limit - self.clock.now())
-        over = order.closed or limit <= 0 or len(order.hops) >= self.agreed.max_hops
-        place = self.roster.hop_out(effect.host)
-        order.hops.append(self.begin_hop(order, len(order.hops), effect.host, place, limit, over))
+        over = order.closed or limit <= 0 or len(order.attempts) >= self.agreed.max_hops
+        place = self.roster.attempt_begun(effect.host)
+        order.attempts.append(self.begin_attempt(order, len(order.attempts), effect.host, place, limit, over))
 
     def refusal(self, order: Order, host: int) -> str | None:
         """Why an attempt decided earlier may not send its first byte now; None if it may."""
@@ -255,8 +259,8 @@
 
     def cancel(self, effect: i.CancelHop) -> None:
         order = self.orders.get(effect.tx)
-        if order is not None and order.hops[effect.hop] is not None:
-            order.hops[effect.hop].stop(i.CANCELLED)
+        if order is not None and order.attempts[effect.hop] is not None:
+            order.attempts[effect.hop].stop(i.CANCELLED)
 
     def set_timer(self, effect: i.SetTimer) -> None:
         self.timers.set(effect.delay, self.due, effect.mark)
--- a/basalthook/routing/roster.py
+++ b/basalthook/routing/roster.py
@@ -27,9 +27,9 @@
         """`starts`: judges when endpoints started; None: as they are told."""
         self.starts = starts
         self.only_draining_binds = only_draining_binds  # a host gone without that stays until it is let go
-        self.places: dict[int, Place] = {}  # emptied of hosts that are gone with no hop out
+        self.places: dict[int, Place] = {}  # emptied of hosts that are gone with no attempt out
         self.numbers: dict[str, int] = {}
-        self.out: dict[int, int] = {}  # hops out, by host; emptied as they end
+        self.out: dict[int, int] = {}  # attempts out, by host; emptied as they end
         self.next = 0
         self.orders = Orders()  # the staff's; they stand over every list
         self.changes: dict[str, list[str]] = {}  # by the newest list: kind of change -> ids of endpoints
@@ -72,11 +72,11 @@
             self.left(self.places[number].door)
             self._forget(number)
 
-    def hop_out(self, number: int) -> Place:
+    def attempt_begun(self, number: int) -> Place:
         self.out[number] = self.out.get(number, 0) + 1
         return self.places[number]
 
-    def hop_over(self, number: int) -> None:
+    def attempt_over(self, number: int) -> None:
         self.out[number] -= 1
         if not self.out[number]:
             del self.out[number]
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -51,7 +51,7 @@
     def refused(self):
         """Reasons for which attempts were not begun after all: of the log's lines, and as counted."""
         lines = [line["reason"] for line in self.log.lines if line["event"] == "hop"]
-        return [reason for reason in lines if reason in REASONS], dict(self.service.hops.refusals)
+        return [reason for reason in lines if reason in REASONS], dict(self.service.attempts.refusals)
 
     async def test_a_keyed_request_is_not_sent_again_after_its_window(self):
         caller = await self.retried()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -8,7 +8,7 @@
 
 from basalthook.policy import interface as i
 from basalthook.program.startup import decode
-from basalthook.routing.hops import Hop, Hops
+from basalthook.routing.attempts import Attempt, Attempts
 from basalthook.routing.roster import Roster
 from basalthook.transport.buffers import BufferPool
 from basalthook.transport.connection import Connection, Stage
@@ -170,9 +170,9 @@
             (Stage.WRITTEN, i.TIMED_OUT, i.TIMED_OUT),
             (Stage.ANSWERING, i.CANCELLED, i.CANCELLED),
         ):
-            hop = Hop(None, None, 0, 0, None, 0, 1)
+            hop = Attempt(None, None, 0, 0, None, 0, 1)
             hop.stage, hop.stopped = stage, stopped
-            self.assertEqual(Hops.outcome(hop, None), outcome, (stage, stopped))
+            self.assertEqual(Attempts.outcome(hop, None), outcome, (stage, stopped))
 
     async def test_a_connection_that_never_comes_up_ends_in_the_connect_timeout(self):
         host = SocketHost()
@@ -438,10 +438,10 @@
         roster, host = Roster(), await self.started(SocketHost())
         first = decode(start_up([host], host), {}).known
         number = roster.told(first, False).hosts[0].host
-        roster.hop_out(number)
+        roster.attempt_begun(number)
         roster.told(first._replace(lines=()), True)
         self.assertEqual((len(roster.places), roster.ready(number)), (1, False))
-        roster.hop_over(number)
+        roster.attempt_over(number)
         self.assertEqual((roster.places, roster.numbers), ({}, {}))
         self.assertNotEqual(roster.told(first, True).hosts[0].host, number)
 
