A step of the wall clock makes no bytes that lie unread late

What callers would see: the wall clock is stepped forward by less than 10 s; requests and answers that lay unread in that moment count as that late, so requests are refused for want of time, and the load shedding takes this process for one that is behind.

Cause: arrival.late compares the kernel's stamps (wall time) with the wall clock. Change: at each stamped read the wall clock is set against the monotonic one; where they have parted by over 0.1 s since the last look, nothing counts as late for a second, as bytes seldom lie unread for longer. Stalls of the process move both clocks.

--- a/basalthook/transport/arrival.py
+++ b/basalthook/transport/arrival.py
@@ -15,6 +15,8 @@
 SPACE = socket.CMSG_SPACE(SECONDS.size)
 SYN_SENT = 2  # tcpi_state of a connection that is still coming up (tcp_states.h)
 LATE_MOST = 10_000_000_000  # nanoseconds; more tells of a clock that was set, not of us
+STEP_LEAST = 100_000_000  # nanoseconds between two looks by which a wall clock was set, not drifting
+DISTRUSTED_FOR = 1_000_000_000  # nanoseconds after that: bytes seldom lie unread for longer
 
 
 def stamp(sock: socket.socket) -> None:
@@ -24,13 +26,35 @@
             sock.setsockopt(socket.SOL_SOCKET, OPTION, 1)
 
 
+class StampReader:
+    """Compares the kernel's stamps, which are wall time, with the wall clock, while that one can be trusted.
+
+    A clock that was set shows against the monotonic one. What lay unread then was stamped before.
+    """
+
+    def __init__(self) -> None:
+        self.ahead = time.time_ns() - time.monotonic_ns()  # of the wall clock, at the last look
+        self.trusted_from = time.monotonic_ns()
+
+    def late(self, stamped_at: int) -> int:
+        """Nanoseconds since this stamp; 0 where that is not known."""
+        wall, now = time.time_ns(), time.monotonic_ns()
+        ahead, self.ahead = self.ahead, wall - now
+        if abs(self.ahead - ahead) > STEP_LEAST:
+            self.trusted_from = now + DISTRUSTED_FOR
+        ago = wall - stamped_at
+        return ago if 0 < ago < LATE_MOST and now >= self.trusted_from else 0
+
+
+READER = StampReader()
+
+
 def late(ancillary: list) -> int:
     """How many nanoseconds ago the bytes came that were read just now; 0 where that is not known."""
     for level, kind, data in ancillary:
         if level == socket.SOL_SOCKET and kind == OPTION and len(data) == SECONDS.size:
             seconds, rest = SECONDS.unpack(data)
-            ago = time.time_ns() - seconds * 1_000_000_000 - rest
-            return ago if 0 < ago < LATE_MOST else 0
+            return READER.late(seconds * 1_000_000_000 + rest)
     return 0
 
 
