Lab: what every fault of a scenario has stands once

Need: seven classes said the same struct options and the same two fields. Change: one base, Described; faults of endpoints ask for `hosts`, all others refuse any, as before (tried: missing, empty, and not allowed are refused).

--- a/basalthook/lab/faults.py
+++ b/basalthook/lab/faults.py
@@ -14,8 +14,16 @@
 Count = Annotated[int, msgspec.Meta(ge=1)]
 
 
-class Fault(msgspec.Struct, tag_field="what", forbid_unknown_fields=True, frozen=True, kw_only=True):
+class Described(msgspec.Struct, tag_field="what", forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """What every entry of a scenario's faults has; by itself it strikes no endpoint."""
+
     at: Seconds
+    hosts: tuple[()] = ()
+
+
+class Fault(Described):
+    """A fault of endpoints."""
+
     hosts: Annotated[list[Annotated[int, msgspec.Meta(ge=0)]], msgspec.Meta(min_length=1)]
     lasts: Positive
 
@@ -82,44 +90,34 @@
         fleet.machines[number].losing.remove(self.share)
 
 
-class Burst(
-    msgspec.Struct, tag_field="what", tag="burst", forbid_unknown_fields=True, frozen=True, kw_only=True
-):
+class Burst(Described, tag="burst"):
     """So many times the usual load."""
 
-    at: Seconds
     lasts: Positive
     factor: Positive = 2.0
-    hosts: tuple[()] = ()  # it is at none
 
     def of(self, at: float) -> float:
         return self.factor if self.at <= at < self.at + self.lasts else 1.0
 
 
-class LongWay(
-    msgspec.Struct, tag_field="what", tag="long_way", forbid_unknown_fields=True, frozen=True, kw_only=True
-):
+class LongWay(Described, tag="long_way"):
     """Every way between these zones takes longer and loses some; in virtual time alone."""
 
-    at: Seconds
     lasts: Positive
     zones: tuple[str, str]
     more: Seconds = 0.2  # each way
     loses: Share = 0.0  # of hops, and of answers
-    hosts: tuple[()] = ()
 
     def holds(self, at: float, here: str, there: str) -> bool:
         return self.at <= at < self.at + self.lasts and {here, there} == set(self.zones)
 
 
-class Between(msgspec.Struct, tag_field="what", forbid_unknown_fields=True, frozen=True, kw_only=True):
+class Between(Described):
     """A fault of ways, not of hosts; `links` says what becomes of what goes there."""
 
-    at: Seconds
     lasts: Positive
     between: tuple[list[str], list[str]]
     one_way: bool = False
-    hosts: tuple[()] = ()
 
     cuts = False
     loses = doubles = reorders = delay = spoils = 0.0
@@ -147,13 +145,11 @@
     spoils: Share = 0.0
 
 
-class OfProxies(msgspec.Struct, tag_field="what", forbid_unknown_fields=True, frozen=True, kw_only=True):
+class OfProxies(Described):
     """A fault of whole processes, not of hosts."""
 
-    at: Seconds
     lasts: Positive
     proxies: Annotated[list[Annotated[int, msgspec.Meta(ge=0)]], msgspec.Meta(min_length=1)]
-    hosts: tuple[()] = ()
 
     def begin(self, fleet) -> None:
         for proxy in self.proxies:
@@ -226,16 +222,12 @@
         fleet.start_proxy(proxy, True)
 
 
-class Watches(
-    msgspec.Struct, tag_field="what", tag="watches", forbid_unknown_fields=True, frozen=True, kw_only=True
-):
+class Watches(Described, tag="watches"):
     """Every open watch falls silent for good, or is reset; and so many that each proxy opens next are silent
     from the first. On sockets alone."""
 
-    at: Seconds
     silent: bool = True
     more: Annotated[int, msgspec.Meta(ge=0)] = 0
-    hosts: tuple[()] = ()
     lasts = 0.0
 
     def begin(self, fleet) -> None:
@@ -258,17 +250,13 @@
         """The last start-up file stays in force."""
 
 
-class DiscoveryFails(
-    msgspec.Struct, tag_field="what", tag="discovery", forbid_unknown_fields=True, frozen=True, kw_only=True
-):
+class DiscoveryFails(Described, tag="discovery"):
     """Discovery answers every call with 503, is down, or is slow to look at a call, for all proxies. On
     sockets alone."""
 
-    at: Seconds
     lasts: Positive
     how: Annotated[str, msgspec.Meta(pattern=r"^(refuses|down|slow)$")] = "refuses"
     delay: Seconds = 0.0  # where it is slow: until it looks at a call
-    hosts: tuple[()] = ()
 
     def begin(self, fleet) -> None:
         if self.how == "slow":
@@ -321,16 +309,12 @@
         fleet.release(number)
 
 
-class Lists(
-    msgspec.Struct, tag_field="what", tag="lists", forbid_unknown_fields=True, frozen=True, kw_only=True
-):
+class Lists(Described, tag="lists"):
     """Discovery answers with unsound lists, ends a watch in place of its news, or tells whole lists without
     what is not up. On processes alone."""
 
-    at: Seconds
     lasts: Positive
     how: Annotated[str, msgspec.Meta(pattern=r"^(spoilt|ends|whole)$")] = "whole"
-    hosts: tuple[()] = ()
 
     def begin(self, fleet) -> None:
         fleet.lists = self.how
--- a/basalthook/recovery/following.py
+++ b/basalthook/recovery/following.py
@@ -59,7 +59,7 @@
         self.settings, self.random = settings, random
         self.pushed = not settings.list_on_request
         self.failures = 0  # since the last answer
-        self.answers: int | None = None  # since the start, or a call failed, fell silent or moved
+        self.answers: int | None = None  # since the start or trouble; None: not begun
         self.urgent_tries = 0  # left since a watch fell silent, or discovery moved
 
     def part(self) -> float:
--- a/basalthook/routing/owner.py
+++ b/basalthook/routing/owner.py
@@ -39,11 +39,8 @@
         """
         self.asked, self.came, self.hard_limit, self.deliver = asked, came, hard_limit, deliver
         self.left = left
-        self.number, self.attempts, self.closed = (
-            -1,
-            [],
-            False,
-        )  # one an effect, None once it is over
+        self.number, self.closed = -1, False
+        self.attempts = []  # one an effect, None once it is over
 
     def close(self, answer: Answer | None) -> None:
         if not self.closed:
