Review: each case names its record itself

The path of record.txt is now said in the case and not in the shared stand-ins; nothing else changed.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -109,4 +109,4 @@
     return not client.foreign
 
 
-rig.play(HERE, story)
+rig.play(HERE / "record.txt", story)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -105,4 +105,4 @@
     return not client.lost
 
 
-rig.play(HERE, story)
+rig.play(HERE / "record.txt", story)
--- a/review/rig.py
+++ b/review/rig.py
@@ -28,11 +28,11 @@
 
 
 class Record:
-    """record.txt in the folder of the case: what was sent, answered and run."""
+    """The record of a case: what was sent, answered and run."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, path: pathlib.Path) -> None:
         self.started = time.monotonic()
-        self.file = open(folder / "record.txt", "w", encoding="utf-8")  # noqa: SIM115
+        self.file = open(path, "w", encoding="utf-8")  # noqa: SIM115
         self.note(f"TROUBLE={1 if TROUBLE else 0}")
 
     def now(self) -> float:
@@ -288,9 +288,9 @@
             return [line.strip() for line in file if any(f'"event":"{event}"' in line for event in events)]
 
 
-def play(folder: str, story, seconds: float = 110.0) -> None:
+def play(path: pathlib.Path, story, seconds: float = 110.0) -> None:
     """Play `story(record, temporary folder, cleanups)`, which says whether the rule held, and exit."""
-    record = Record(pathlib.Path(folder).resolve())
+    record = Record(path)
 
     async def run() -> bool:
         cleanups: list = []
