Fix: a second copy of a list was taken for the answer to the next call to discovery

Cause: the same as at hosts, on the one other kind of connection that is kept: nothing looked at what came between two calls, and the answer was acknowledged by the next call only.

Change: AnswerReader acknowledges the answer and keeps reading in the pause before the next call, which is 10 ms at least (5 ms, or none after a first call and after a list with a lower version, before); with more than the answer the next call goes over a new connection (`list answered twice`).

--- a/basalthook/routing/watch.py
+++ b/basalthook/routing/watch.py
@@ -15,7 +15,44 @@
 # Pause after an answer without a newer version, so that a discovery which answers at once isn't called in a
 # tight loop. Discovery keeps a watch open if the next call comes within 0.2 s.
 UNCHANGED_PAUSE_S = 0.1
-CHANGED_PAUSE_S = 0.005  # after a newer version; a discovery may have a newer one at every call
+# After a newer version, as a discovery may have a newer one at every call. Stray bytes behind the answer
+# arrive meanwhile.
+CHANGED_PAUSE_S = 0.01
+
+
+class AnswerReader:
+    """Reads the answer to one call, and any bytes that follow it before the next call."""
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+        self.parser = Parser(responses=True, max_body=catalogue.MAX_BODY_BYTES)
+        # None once there is an answer, or the failure that came instead
+        self.done: asyncio.Future = asyncio.get_running_loop().create_future()
+        connection.start_reading(self.on_data, self.on_close)
+
+    def on_data(self, data, _: int) -> None:
+        self.parser.feed(data)
+        if self.parser.result is not None and not self.done.done():
+            self.done.set_result(None)
+
+    def on_close(self, failure: ConnectionFailure) -> None:
+        self.parser.feed_eof()
+        if not self.done.done():
+            self.done.set_result(None if self.parser.result is not None else failure)
+
+    async def response(self) -> Message | ConnectionFailure:
+        """Return the answer, acknowledged: its sender may hold back until then what follows."""
+        failure = await self.done
+        if failure is not None:
+            return failure
+        self.connection.acknowledge()
+        if not isinstance(self.parser.result, Message) or not self.parser.result.delimited:
+            return ConnectionFailure(Stage.ANSWERING, "no valid HTTP response")
+        return self.parser.result
+
+    def has_stray_bytes(self) -> bool:
+        """Whether more than the answer has come; it would be taken for the answer to the next call."""
+        return bool(self.parser.unparsed)
 
 
 class Watch:
@@ -151,7 +188,7 @@
     async def follow(self, connection: Connection, task: asyncio.Task, at_once: bool) -> str:
         """Call discovery until something fails.
 
-        Returns the reason, or "" if discovery has closed the connection after an answer.
+        Returns the reason, or "" if the connection can't be used again after an answer.
         """
         connected = asyncio.get_running_loop().create_future()
         hedge_delay = self.schedule.hedge_delay(len(self.calls), at_once)
@@ -164,7 +201,8 @@
             full_list = self.needs_full_list
             wait = 0 if at_once or full_list else self.schedule.watch_wait()
             with self.time_limits(connection, wait, hedge_delay, task):
-                response = await self.call(connection, wait)
+                reader = self.call(connection, wait)
+                response = reader if isinstance(reader, ConnectionFailure) else await reader.response()
             if isinstance(response, ConnectionFailure):
                 return response.reason
             host_list = catalogue.decode_host_list(response.body) if response.status == 200 else None
@@ -176,13 +214,19 @@
                 )
             if full_list and not host_list.complete:
                 return "changes instead of the complete list"
-            await self.take_answer(host_list, task, at_once)
+            await asyncio.sleep(self.take_answer(host_list, task, at_once))
             at_once, hedge_delay = False, self.schedule.hedge_delay(1)
+            if reader.has_stray_bytes():
+                self.log_event("list answered twice", to=list(self.address))
+                return ""
             if not response.keep_alive:
                 return ""
 
-    async def take_answer(self, host_list: catalogue.HostList, task: asyncio.Task, at_once: bool) -> None:
-        """Use the first answer to any call: its connection continues the watch, other calls are cancelled."""
+    def take_answer(self, host_list: catalogue.HostList, task: asyncio.Task, at_once: bool) -> float:
+        """Use the first answer to any call: its connection continues the watch, other calls are cancelled.
+
+        Returns the pause before the next call, in seconds.
+        """
         others = [call for call in self.calls if call is not task]
         for call in others:
             call.cancel()
@@ -195,7 +239,7 @@
             # applied to a different list.
             self.needs_full_list = True
             self.log_event("list behind", version=host_list.version, ours=self.version)
-            return
+            return CHANGED_PAUSE_S
         newer, self.version, self.needs_full_list = (
             host_list.version != self.version,
             host_list.version,
@@ -214,17 +258,14 @@
         else:
             self.log_event("list unchanged", version=host_list.version)
         self.notify_contact()
-        if not at_once:
-            await asyncio.sleep(CHANGED_PAUSE_S if newer else UNCHANGED_PAUSE_S)
+        return CHANGED_PAUSE_S if newer or at_once else UNCHANGED_PAUSE_S
 
-    async def call(self, connection: Connection, wait: int) -> Message | ConnectionFailure:
-        """One call on this connection; the wait is in ticks."""
-        parser = Parser(responses=True, max_body=catalogue.MAX_BODY_BYTES)
+    def call(self, connection: Connection, wait: int) -> AnswerReader | ConnectionFailure:
+        """Send one call on this connection; the wait is in ticks."""
         version = None if self.needs_full_list else self.version
         request = catalogue.watch_request(
             f"{self.address[0]}:{self.address[1]}", version, wait * 1000 // self.timers.ticks_per_second
         )
-        done = asyncio.get_running_loop().create_future()
         self.calls_started += 1
         self.log_event(
             "list call",
@@ -236,26 +277,10 @@
         )
         if connection.closed:
             return ConnectionFailure(Stage.WRITING, "connection closed between two calls")
-
-        def on_data(data, _) -> None:
-            parser.feed(data)
-            if parser.result is not None and not done.done():
-                done.set_result(None)
-
-        def on_close(failure: ConnectionFailure) -> None:
-            parser.feed_eof()
-            if not done.done():
-                done.set_result(None if parser.result is not None else failure)
-
-        connection.start_reading(on_data, on_close)
-        if not done.done():
+        reader = AnswerReader(connection)
+        if not reader.done.done():
             connection.write((request,))
-        failure = await done
-        if failure is not None:
-            return failure
-        if not isinstance(parser.result, Message) or not parser.result.delimited:
-            return ConnectionFailure(Stage.ANSWERING, "no valid HTTP response")
-        return parser.result
+        return reader
 
     @contextmanager
     def time_limits(self, connection: Connection, wait: int, hedge_delay: int, task: asyncio.Task):
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -68,6 +68,25 @@
             await self.served(caller, host, 2)
         self.assertEqual(len(host.writers), 2)
 
+    async def test_a_copy_of_a_list_is_not_taken_for_the_answer_to_the_next_call(self):
+        # from then on each answer was taken for that of the call after its own, and each list asked for twice
+        await self.start_proxy(SocketHost())
+        for version in range(2, WARM_UP + 2):
+            self.discovery.publish(version)
+        for _ in range(WARM_UP + 1):
+            await self.discovery.received.get()
+        (writer,) = self.discovery.writers
+        writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
+        body = b'{"version": %d, "full": false, "servers": []}' % (WARM_UP + 2)
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        writer.write(answer)
+        writer.write(answer)
+        await asyncio.wait_for(self.discovery.received.get(), 2)
+        await asyncio.sleep(0.2)
+        lists = [line["version"] for line in self.log.lines if line["event"] == "list unchanged"]
+        self.assertEqual((lists, self.discovery.received.qsize()), ([], 0))
+        self.assertEqual(len(self.discovery.writers), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
