Fix: at distant hosts the rest of a kept connection ended before a copy could arrive

Need: a copy that a host's system holds back comes a round trip after the acknowledgement.

Change: the rest is longer by the round trip of the handshake (tcpi_rtt, as read for the lateness of connects already; nothing where a SYN was sent twice). On loopback this is some 0.05 ms. The test with a handshake of 60 ms failed without the change.

--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -81,6 +81,7 @@
         "paused",
         "connect_started",
         "connect_notice_delay",
+        "round_trip_ns",
     )
 
     def __init__(self, sock: socket.socket, buffers: BufferPool, descriptors: DescriptorBudget) -> None:
@@ -88,6 +89,7 @@
         self.closed = self.reading = self.paused = False
         self.on_data = self.on_close = self.on_connected = None
         self.connect_started = self.connect_notice_delay = 0
+        self.round_trip_ns = 0  # of the handshake; 0 if unknown, and for accepted connections
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         timestamps.enable(sock)
         self.stream = Stream(sock, self)
@@ -126,6 +128,7 @@
             return on_connected(ConnectionFailure(stage, str(error)))
         handshake_ns = timestamps.handshake_time(self.stream.socket)
         if handshake_ns is not None:
+            self.round_trip_ns = handshake_ns
             self.connect_notice_delay = max(0, time.monotonic_ns() - self.connect_started - handshake_ns)
         on_connected(None)
 
--- a/basalthook/transport/hostpool.py
+++ b/basalthook/transport/hostpool.py
@@ -101,7 +101,9 @@
         """Keep a connection that is no longer in use, until it is reused, closed or expired."""
         if connection.closed or not self.idle_timeout:
             return connection.close()
-        now, reuse_delay = time.monotonic(), REUSE_DELAY_S
+        now = time.monotonic()
+        # what the host holds back until the acknowledgement arrives a round trip after it
+        reuse_delay = REUSE_DELAY_S + connection.round_trip_ns / 1e9
         if not connection.acknowledge():
             reuse_delay += MAX_ACKNOWLEDGEMENT_DELAY_S
         self.idle_connections[connection] = IdleConnection(
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -5,6 +5,7 @@
 import unittest
 import unittest.mock
 
+from basalthook.transport import timestamps
 from basalthook.transport.connection import Connection
 from basalthook.transport.hostpool import REUSE_DELAY_S, UNEXPECTED_BYTES
 from tests.fake import SocketHost, message
@@ -68,6 +69,14 @@
             await self.served(caller, host, 2)
         self.assertEqual(len(host.writers), 2)
 
+    async def test_a_connection_to_a_distant_host_rests_for_a_round_trip_longer(self):
+        # a copy comes a round trip after the acknowledgement, which was after the rest
+        host = CopyingHost()
+        with unittest.mock.patch.object(timestamps, "handshake_time", return_value=60_000_000):
+            caller = await self.start_proxy(host)
+            await self.served(caller, host, 2)
+        self.assertEqual(len(host.writers), 2)
+
     async def test_a_copy_of_a_list_is_not_taken_for_the_answer_to_the_next_call(self):
         # from then on each answer was taken for that of the call after its own, and each list asked for twice
         await self.start_proxy(SocketHost())
