Log: what a body that got no memory had, and what the others held unused

Change: `no memory` says length, bytes received and unread in the kernel, the client's timeout, bytes held in all and unused, and how many wait.

--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -201,7 +201,7 @@
 
     def on_memory_timeout(self) -> None:
         """Roll back, as no memory was granted in time; nothing of the transaction has run."""
-        self.clients.rate_limited_log("no memory", held=self.clients.body_memory.in_use)
+        self.clients.log_no_memory(self)
         self.clients.timers.cancel(self.timer)
         self.timer, self.keep_alive, self.state = None, False, BUSY
         self.release_memory()
@@ -591,6 +591,21 @@
             self.all_closed = asyncio.get_running_loop().create_future()
             await asyncio.wait({self.all_closed}, timeout=seconds)
 
+    def log_no_memory(self, client: Client) -> None:
+        """Log a body that got no memory, and what the others hold: `unused` bytes have not arrived."""
+        received = sum(len(other.body) for other in self.open_clients if other.memory_held)
+        head = client.parser.streamed_head
+        self.rate_limited_log(
+            "no memory",
+            length=head.length,
+            received=len(client.body),
+            unread=client.connection.unread_bytes(),
+            timeout=next(iter(head.values("request-timeout")), None),
+            held=self.body_memory.in_use,
+            unused=max(0, self.body_memory.in_use - received),
+            waiting=len(self.body_memory.waiting),
+        )
+
     def health_response(self, keep_alive: bool) -> bytes:
         status, text = (
             (503, "not ready") if not self.ready else (503, "drained") if self.drained else (200, "ready")
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -1,9 +1,11 @@
 """One TCP connection: reads passed on as they arrive, buffered writes, and stages for reporting failures."""
 
 import errno
+import fcntl
 import select
 import socket
 import struct
+import termios
 import time
 from contextlib import suppress
 from enum import IntEnum
@@ -16,6 +18,7 @@
 from .descriptors import DescriptorBudget
 
 PEER_CLOSED = "ended by the peer"  # an orderly close: everything the peer sent has been read
+UNREAD_COUNT = struct.Struct("i")  # FIONREAD (tcp(7))
 LINGER_RESET = struct.pack("ii", 1, 0)  # struct linger: on, 0 s
 # Linux only; without it poll(2) still reports errors and hang-ups
 PEER_CLOSED_EVENT = getattr(select, "POLLRDHUP", 0)
@@ -251,6 +254,15 @@
             return False
         return True
 
+    def unread_bytes(self) -> int:
+        """Return how many received bytes wait in the kernel; 0 if that can't be told."""
+        if self.closed or self.stream.closed():
+            return 0
+        count = bytearray(UNREAD_COUNT.size)
+        with suppress(OSError):
+            fcntl.ioctl(self.stream.socket, termios.FIONREAD, count)
+        return UNREAD_COUNT.unpack(count)[0]
+
     def is_idle(self) -> bool:
         """Return whether the connection is open with nothing to read.
 
