Fix: while slow bodies held the memory, others were answered 4 s late

Cause, two things: a body waited 4 s for memory whatever its request's time, and none of that time ran, as it counts from the last byte read here; and memory was reserved for a body's whole length at its head, first come first served, for as long as it took to arrive.

Change: routing/request_body.py holds a body's bytes, memory and time: the time runs while it waits, and a wait ends after half of it (4 s at most) with Retry-After; at once where the queue wants more than there is. bodies/memory.py takes memory back while others wait: unused reservations of slow bodies (over 1 s, under 1 MB/s), of all that still come for up to 256 KiB; then slow bodies beyond half of the memory, the last begun first. Small reservations pass larger ones that wait. So slow clients alone keep at most half of the memory from others.

Two tests follow the new interface: the wait is cut by MAX_WAIT_TICKS in place of MEMORY_TIMEOUT_S, and the property of order holds for small and for large reservations apart, as small ones may pass large ones now; beside it stand a test of that and a property over bodies that come, wait, are evicted and released.

--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -112,7 +112,7 @@
             start_up.profiles,
             buffers,
             descriptors,
-            BodyMemory(start_up.max_body_bytes),
+            BodyMemory(start_up.max_body_bytes, timers),
             log.log_event,
         )
         self.metrics = MetricsLog(
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import Counter
 
-from ..bodies.memory import GROWTH_BYTES, BodyMemory
+from ..bodies.memory import BodyMemory
 from ..protocol import application, http1
 from ..protocol.application import TransactionRequest
 from ..protocol.http1 import Message, Parser, Rejection
@@ -22,6 +22,7 @@
     Transaction,
 )
 from .rate_limited_log import RateLimitedLog
+from .request_body import RequestBody
 
 # Longest time without progress on a request. It counts from connecting for the first request of a
 # connection, and from the first byte for the others.
@@ -29,7 +30,6 @@
 SLOW_READ_S = 0.8  # when connections run short, a request without a new byte for this long is closed first
 MAX_IDLE_S = 2.0  # of a connection, while there are more than `max_kept_alive_clients`
 MIN_PROGRESS_BYTES = 16 * 1024  # of a body, to restart the read timeout; a well-behaved client sends 64 kB/s
-MEMORY_TIMEOUT_S = 4.0  # longest wait of a long body for memory
 WRITE_TIMEOUT_S = 10.0  # longest time until a client has read its response
 LINGER_S = 1.0  # time that a rejected client has to read the reason
 LINGER_MAX_BYTES = 1024 * 1024  # read from it meanwhile; bounds the cost of a client that keeps sending
@@ -42,6 +42,7 @@
 # and the client has time to read it. IDLE: between two requests. BUSY: a request is being processed.
 # PIPELINED: bytes of the next request have arrived behind it.
 NEW, READING, LINGERING, IDLE, BUSY, PIPELINED = "new", "coming", "leaving", "idle", "busy", "ahead"
+MEMORY_RETRY_AFTER_TICKS = TICKS_PER_SECOND // 2  # told to a client whose body got no memory
 NEVER = 2**63  # ticks; later than any time of the clock
 DEADLINE_SLACK_TICKS = 200  # a response that is later than this past its deadline is reported as a defect
 
@@ -61,7 +62,6 @@
         "linger_bytes",
         "continue_sent",
         "progress_mark",
-        "memory_held",
         "body",
         "forwarder",
         "chunked",
@@ -70,13 +70,9 @@
     def __init__(self, clients: "Clients", connection: Connection) -> None:
         self.clients, self.connection, self.state = clients, connection, NEW
         self.parser = Parser(responses=False, field_names=application.PARSED_FIELDS, streaming=True)
-        # bytes: of the body when the read timeout was last restarted; of memory reserved for the body
-        self.progress_mark = self.memory_held = 0
-        self.body, self.forwarder, self.chunked = (
-            None,
-            None,
-            False,
-        )  # body: the received part of a long one
+        self.progress_mark = 0  # bytes of the body when the read timeout was last restarted
+        self.body: RequestBody | None = None  # a long one, until its request is answered
+        self.forwarder, self.chunked = None, False
         self.transaction: Transaction | None = None
         self.last_active = clients.clock.now()  # ticks; connected, read from, or answered
         self.keep_alive, self.continue_sent, self.linger_bytes = True, False, 0
@@ -102,9 +98,10 @@
             self.on_exception(error)
 
     def parse(self, data, unread_ns: int) -> None:
+        arrived_at = self.clients.clock.now() - -(-unread_ns // TICK_NS)
         self.parser.feed(data)
-        if self.parser.streamed_head is None or self.collect_body():
-            self.process_input(unread_ns)
+        if self.parser.streamed_head is None or self.collect_body(arrived_at):
+            self.process_input(arrived_at)
 
     def read_next(self) -> None:
         """Continue with bytes that came after the request just answered."""
@@ -116,7 +113,7 @@
                 self.connection.paused
                 and not self.parser.result
                 and self.state != LINGERING
-                and (self not in self.clients.body_memory.waiting)
+                and not (self.body is not None and self.body.is_waiting)
             ):
                 self.connection.start_reading(self.on_data, self.on_close)
         except Exception as error:  # must affect this connection only
@@ -126,11 +123,11 @@
         self.clients.log_event("fault", where="client", error=repr(error))
         self.on_close(None)
 
-    def process_input(self, unread_ns: int) -> None:
-        """Act on what the parser has found so far."""
+    def process_input(self, arrived_at: int) -> None:
+        """Act on what the parser has found so far; its last byte arrived at `arrived_at` (ticks)."""
         parsed, clients = self.parser.result, self.clients
         if parsed is None:
-            received = len(self.parser.body) + len(self.body or b"")
+            received = len(self.parser.body) + (len(self.body.data) if self.body else 0)
             if self.state != READING or (
                 self.parser.head
                 and (not self.progress_mark or received - self.progress_mark > MIN_PROGRESS_BYTES)
@@ -147,85 +144,103 @@
         clients.timers.cancel(self.timer)
         self.timer, self.state, self.keep_alive, self.progress_mark = None, BUSY, True, 0
         if isinstance(parsed, Message):
+            late = clients.clock.now() - arrived_at
             if self.body is not None:
-                parsed, self.body = parsed._replace(body=self.body), None
+                parsed = parsed._replace(body=self.body.data)
+                self.body.reservation.mark_complete()
+                arrived_at = self.body.request_received_at(arrived_at)
             if parsed.target == application.HEALTH_PATH:
                 self.keep_alive = parsed.keep_alive and not clients.drained
                 return self.write((clients.health_response(self.keep_alive),))
             else:
                 self.keep_alive = parsed.keep_alive
-                if not clients.admission.admit(clients.clock.now(), -(-unread_ns // TICK_NS)):
+                if not clients.admission.admit(clients.clock.now(), late):
                     return self.shed()
                 parsed = application.parse_transaction(parsed, clients.profiles)
         if isinstance(parsed, Rejection):
             return self.reject(parsed)
-        self.submit(parsed, unread_ns)
+        self.submit(parsed, arrived_at)
 
-    def collect_body(self) -> bool:
-        """Collect a long body. Memory is reserved before more is read; returns whether there is enough."""
-        body, length = self.parser.take_body(), self.parser.streamed_head.length
-        if self.body is None:
-            self.body = bytearray()
-        needed = (
-            length if length is not None else -(-(len(self.body) + len(body)) // GROWTH_BYTES) * GROWTH_BYTES
-        )
-        self.body += body
-        return needed <= self.memory_held or self.reserve_memory(needed - self.memory_held)
+    def collect_body(self, arrived_at: int) -> bool:
+        """Collect a long body; return whether there is memory for what has arrived.
 
-    def reserve_memory(self, count: int) -> bool:
+        Memory is reserved before more is read.
+        """
         memory = self.clients.body_memory
-        if self.memory_held + count > memory.capacity:
+        if self.body is None:
+            reservation = memory.begin(self.on_memory_granted, self.on_body_evicted)
+            self.body = RequestBody(reservation, self.parser.streamed_head.length)
+        body = self.body
+        body.add(self.parser.take_body(), arrived_at)
+        needed = body.reservation.needed(body.length)
+        if needed > memory.capacity:
             self.reject_body(Rejection(413, "body too long for the memory here"))
             return False
-        if memory.try_acquire(count):
-            self.memory_held += count
+        if body.reservation.reserve(needed):
             return True
+        self.wait_for_memory(arrived_at)
+        return False
+
+    def wait_for_memory(self, arrived_at: int) -> None:
+        """Read no more until there is memory, for a part of the request's time."""
+        clients, body = self.clients, self.body
+        request = application.parse_transaction(self.parser.streamed_head, clients.profiles)
+        if isinstance(request, Rejection):
+            return self.reject_body(request)
+        give_up_at = body.begin_wait(arrived_at, int(request.timeout * TICKS_PER_SECOND))
+        wait = min(give_up_at, clients.response_deadline) - clients.clock.now()
+        if wait <= 0 or clients.body_memory.is_overbooked():
+            return self.refuse_body("no memory in its time")
         self.state = BUSY  # this process makes it wait, so it must not be closed for having stopped sending
         self.connection.pause_reading()
-        self.clients.timers.cancel(self.timer)
-        self.timer = self.set_timer(MEMORY_TIMEOUT_S, self.on_memory_timeout)
-        memory.enqueue(self, count, lambda: self.on_memory_granted(count))
-        return False
+        clients.timers.cancel(self.timer)
+        self.timer = clients.timers.set(wait, self.refuse_body, "no memory in its time")
 
-    def on_memory_granted(self, count: int) -> None:
+    def on_memory_granted(self) -> None:
         try:
-            self.memory_held += count
+            now = self.clients.clock.now()
+            self.body.granted_at = now
             self.clients.timers.cancel(self.timer)
-            self.timer, self.progress_mark = self.set_timer(READ_TIMEOUT_S, self.on_timeout), len(self.body)
-            self.state, self.last_active = READING, self.clients.clock.now()
+            self.timer = self.set_timer(READ_TIMEOUT_S, self.on_timeout)
+            self.progress_mark = len(self.body.data)
+            self.state, self.last_active = READING, now
             if self.parser.result is not None:
-                return self.process_input(0)
+                return self.process_input(now)
             self.connection.start_reading(self.on_data, self.on_close)
         except Exception as error:  # must affect this connection only, not the one that freed the memory
             self.on_exception(error)
 
-    def on_memory_timeout(self) -> None:
-        """Roll back, as no memory was granted in time; nothing of the transaction has run."""
-        self.clients.log_no_memory(self)
-        self.clients.timers.cancel(self.timer)
-        self.timer, self.keep_alive, self.state = None, False, BUSY
-        self.release_memory()
-        self.write(
-            (
-                application.rollback_response(
-                    min(self.clients.max_retry_after, TICKS_PER_SECOND // 2) / TICKS_PER_SECOND, False
-                ),
-            )
-        )
+    def on_body_evicted(self) -> None:
+        try:
+            self.refuse_body("memory taken back")
+        except Exception as error:  # must affect this connection only, not the one that needs the memory
+            self.on_exception(error)
+
+    def refuse_body(self, reason: str) -> None:
+        """Roll back, as there is no memory for the body; nothing of the transaction has run."""
+        clients = self.clients
+        clients.log_no_memory(self, reason)
+        self.stop_receiving()
+        self.keep_alive = False
+        retry_after = min(clients.max_retry_after, MEMORY_RETRY_AFTER_TICKS)
+        self.write((application.rollback_response(retry_after / TICKS_PER_SECOND, False),))
 
     def reject_body(self, rejection: Rejection) -> None:
+        self.stop_receiving()
+        self.reject(rejection)
+
+    def stop_receiving(self) -> None:
+        """Read no more of a body that will not be used, and return its memory."""
         self.clients.timers.cancel(self.timer)
         self.timer, self.state = None, BUSY
-        self.release_memory()
+        self.release_body()
         self.connection.pause_reading()
-        self.reject(rejection)
 
-    def release_memory(self) -> None:
-        """Drop the body and release its memory, or the request for memory."""
-        held, self.memory_held, self.body, self.progress_mark = self.memory_held, 0, None, 0
-        self.clients.body_memory.withdraw(self)
-        if held:
-            self.clients.body_memory.release(held)
+    def release_body(self) -> None:
+        """Drop the body and return its memory."""
+        body, self.body, self.progress_mark = self.body, None, 0
+        if body is not None:
+            body.reservation.release()
 
     def shed(self) -> None:
         """Shed load: this process is behind, so the transaction is rolled back before it costs more.
@@ -245,13 +260,12 @@
         self.keep_alive = self.keep_alive and clients.allows_keep_alive()
         self.write((application.rollback_response(retry_after / TICKS_PER_SECOND, self.keep_alive),))
 
-    def submit(self, request: TransactionRequest, unread_ns: int) -> None:
-        """Pass the transaction to the dispatcher."""
+    def submit(self, request: TransactionRequest, received_at: int) -> None:
+        """Pass the transaction to the dispatcher; its time began at `received_at`."""
         clients = self.clients
         if request.id in clients.open_ids:  # else one client could get the response to another one's request
             return self.reject(Rejection(409, "this Request-Id is open already"))
         clients.open_ids.add(request.id)
-        received_at = clients.clock.now() - -(-unread_ns // TICK_NS)
         deadline = min(received_at + int(request.timeout * TICKS_PER_SECOND), clients.response_deadline)
         self.transaction = transaction = Transaction(
             request, received_at, deadline, self.respond, self.check_gone
@@ -264,7 +278,7 @@
     def finish_transaction(self) -> Transaction:
         """Clean up after the present transaction, which has its response or lost its client; return it."""
         transaction, self.transaction = self.transaction, None
-        self.release_memory()
+        self.release_body()
         self.clients.open_ids.discard(transaction.request.id)
         self.clients.timers.cancel(self.timer)
         self.timer = None
@@ -342,8 +356,7 @@
     def on_written(self) -> None:
         self.clients.timers.cancel(self.timer)
         self.timer = None
-        if self.memory_held:  # answered before it reached the dispatcher
-            self.release_memory()
+        self.release_body()  # if answered before it reached the dispatcher
         if not self.keep_alive:
             if (
                 self.connection.paused
@@ -576,7 +589,7 @@
     def close_client(self, client: Client) -> None:
         self.timers.cancel(client.timer)
         client.timer = None
-        client.release_memory()
+        client.release_body()
         client.connection.close()
         if (
             self.open_clients.pop(client, self) is None
@@ -591,19 +604,20 @@
             self.all_closed = asyncio.get_running_loop().create_future()
             await asyncio.wait({self.all_closed}, timeout=seconds)
 
-    def log_no_memory(self, client: Client) -> None:
+    def log_no_memory(self, client: Client, reason: str) -> None:
         """Log a body that got no memory, and what the others hold: `unused` bytes have not arrived."""
-        received = sum(len(other.body) for other in self.open_clients if other.memory_held)
-        head = client.parser.streamed_head
+        memory, body = self.body_memory, client.body
+        received = sum(reservation.received for reservation in memory.reservations)
         self.rate_limited_log(
             "no memory",
-            length=head.length,
-            received=len(client.body),
+            reason=reason,
+            length=body.length,
+            received=len(body.data),
             unread=client.connection.unread_bytes(),
-            timeout=next(iter(head.values("request-timeout")), None),
-            held=self.body_memory.in_use,
-            unused=max(0, self.body_memory.in_use - received),
-            waiting=len(self.body_memory.waiting),
+            timeout=next(iter(client.parser.streamed_head.values("request-timeout")), None),
+            held=memory.in_use,
+            unused=max(0, memory.in_use - received),
+            waiting=len(memory.waiting),
         )
 
     def health_response(self, keep_alive: bool) -> bytes:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -6,12 +6,14 @@
 import random
 import unittest
 import unittest.mock
+from functools import partial
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from basalthook.bodies.memory import BodyMemory
+from basalthook.bodies.memory import GROWTH_BYTES, SLOW_AFTER_S, BodyMemory
 from basalthook.protocol.http1 import Message, Parser
+from basalthook.transport.timers import Timers
 from tests.fake import OK, SILENT, SocketHost
 from tests.loopback import Loopback
 
@@ -22,6 +24,7 @@
     LONG,
 )
 TO_THE_END = b"HTTP/1.1 200 OK\r\n\r\n" + LONG
+UNIT = 64 * 1024  # of the memory budget's tests
 HEAD = b"POST /submit HTTP/1.1\r\nHost: s\r\nRequest-Id: %b\r\nRequest-Timeout: 2\r\n"
 SENT = b"Content-Length: %d\r\n\r\n" % len(LONG) + LONG
 
@@ -131,12 +134,77 @@
             self.assertEqual((await caller.read_response())[0], 200)
         begin(first, 3, 100_000)
         await self.wait_until(lambda: self.service.clients.body_memory.in_use)
-        with unittest.mock.patch("basalthook.routing.clients.MEMORY_TIMEOUT_S", 0.02):
+        with unittest.mock.patch("basalthook.routing.request_body.MAX_WAIT_TICKS", 200):
             begin(second, 4, 100_000)
             self.assertEqual((await second.read_response())[0], 503)
         await first.stop()
         await self.wait_until(lambda: not self.service.clients.body_memory.in_use)
 
+    async def fill_memory(self, capacity, received):
+        """Let a body that begins to arrive and then stops take all the memory; return its client."""
+        slow = await self.connect()
+        self.service.clients.body_memory.capacity = capacity
+        slow.writer.write(HEAD % b"slow" + b"Content-Length: %d\r\n\r\n" % capacity + LONG[:received])
+        memory = self.service.clients.body_memory
+        await self.wait_until(lambda: [r for r in memory.reservations if r.received == received])
+        return slow
+
+    async def test_a_body_that_gets_no_memory_is_refused_within_its_requests_time(self):
+        # it was refused after 4 s, whatever time its request had
+        caller = await self.start_proxy(SocketHost())
+        await self.fill_memory(400_000, 390_000)
+        begun = asyncio.get_running_loop().time()
+        caller.send_request("submit", timeout="0.6", body=b"b" * 70_000)
+        status, _, head = await caller.read_response()
+        self.assertEqual((status, "Retry-After" in head), (503, True))
+        self.assertLess(asyncio.get_running_loop().time() - begun, 0.6)
+        self.assertEqual(
+            [line["reason"] for line in self.log.lines if line["event"] == "no memory"],
+            ["no memory in its time"],
+        )
+
+    async def test_the_time_of_a_request_runs_while_its_body_waits_for_memory(self):
+        # what lay in the client's own system counted as sent after the wait: answered late by as long
+        caller = await self.start_proxy(SocketHost(SILENT))
+        slow = await self.fill_memory(600_000, 590_000)
+        begun = asyncio.get_running_loop().time()
+        caller.send_request("submit", timeout="1.2", body=b"b" * 500_000)
+        await self.wait_until(lambda: self.service.clients.body_memory.waiting)
+        self.assertEqual(caller.writer.transport.get_write_buffer_size(), 0)  # its last byte is written
+        await asyncio.sleep(0.4)
+        await slow.stop()
+        self.assertEqual((await caller.read_response())[0], 504)
+        self.assertLess(asyncio.get_running_loop().time() - begun, 1.4)
+        self.assertEqual(len(self.log.failed_attempts()), 1)
+
+    async def test_memory_reserved_for_a_body_that_has_not_arrived_serves_others(self):
+        # slow bodies held memory that they had not used, and others were refused
+        caller = await self.start_proxy(SocketHost())
+        slow = await self.fill_memory(len(LONG), 100_000)
+        begun = asyncio.get_running_loop().time()
+        self.assertEqual(await caller.status(profile="submit", timeout="0.6", body=b"b" * 70_000), 200)
+        self.assertLess(asyncio.get_running_loop().time() - begun, 0.6)
+        slow.writer.write(LONG[100_000:])
+        self.assertEqual((await slow.read_response())[0], 200)
+        self.assertEqual(self.service.clients.body_memory.in_use, 0)
+
+    async def test_while_others_wait_slow_bodies_keep_half_of_the_memory(self):
+        # slow clients kept all others out for as long as they sent
+        caller = await self.start_proxy(SocketHost())
+        slow = []
+        for n in range(4):
+            slow.append(await self.connect())
+            slow[-1].writer.write(HEAD % b"slow%d" % n + b"Content-Length: 200000\r\n\r\n" + LONG[:190_000])
+        memory = self.service.clients.body_memory
+        await self.wait_until(lambda: sum(r.received for r in memory.reservations) == 4 * 190_000)
+        memory.capacity = 4 * 200_000
+        await asyncio.sleep(SLOW_AFTER_S)
+        self.assertEqual(await caller.status(profile="submit", timeout="0.6", body=b"b" * 70_000), 200)
+        self.assertEqual((await slow[3].read_response())[0], 503)  # the one that began last
+        for client in slow[:3]:
+            client.writer.write(LONG[190_000:200_000])
+            self.assertEqual((await client.read_response())[0], 200)
+
     async def test_memory_of_a_body_that_admission_control_sheds_is_released(self):
         caller = await self.start_proxy(SocketHost())
         with unittest.mock.patch.object(self.service.clients.admission, "admit", return_value=False):
@@ -179,19 +247,87 @@
 
 
 class MemoryBudget(unittest.TestCase):
+    def setUp(self):
+        self.now = 0  # ticks of 0.1 ms
+
+    def memory(self, capacity):
+        timers = Timers(lambda: self.now, 10_000, lambda *_: unittest.mock.Mock())
+        return BodyMemory(capacity, timers)
+
+    @staticmethod
+    def begin(memory, on_granted=int, on_evicted=int):
+        return memory.begin(on_granted, on_evicted)
+
     @given(st.lists(st.integers(1, 60), max_size=20), st.randoms(use_true_random=False))
     def test_the_capacity_is_not_exceeded_and_requests_are_granted_in_order(self, requests, random_source):
-        memory, granted, served = BodyMemory(60), [], []
+        memory, granted, served = self.memory(60 * UNIT), [], []
+
+        def grant(n, reservation):
+            reservation.mark_complete()
+            granted.append(reservation)
+            served.append(n)
+
         for n, count in enumerate(requests):
-            if memory.try_acquire(count):
-                granted.append(count)
-                served.append(n)
-            else:
-                memory.enqueue(n, count, lambda n=n, count=count: (granted.append(count), served.append(n)))
-            self.assertEqual(memory.in_use, sum(granted))
-            self.assertLessEqual(memory.in_use, 60)
+            reservation = self.begin(memory)
+            reservation.on_granted = partial(grant, n, reservation)
+            if reservation.reserve(count * UNIT):
+                grant(n, reservation)
+            self.assertEqual(memory.in_use, sum(r.held for r in granted))
+            self.assertLessEqual(memory.in_use, 60 * UNIT)
             if granted and random_source.random() < 0.5:
-                memory.release(granted.pop(random_source.randrange(len(granted))))
+                granted.pop(random_source.randrange(len(granted))).release()
         while granted:
-            memory.release(granted.pop())
-        self.assertEqual((served, memory.in_use), (list(range(len(requests))), 0))
+            granted.pop().release()
+        small = [n for n, count in enumerate(requests) if count * UNIT <= GROWTH_BYTES]
+        for kind in (set(small), set(range(len(requests))) - set(small)):
+            self.assertEqual([n for n in served if n in kind], sorted(kind))
+        self.assertEqual((memory.in_use, memory.reservations, memory.waiting), (0, {}, {}))
+
+    def test_small_reservations_need_not_wait_behind_a_larger_one(self):
+        # a body longer than all free memory kept shorter ones out that would have fitted
+        memory = self.memory(60 * UNIT)
+        first, large, small = (self.begin(memory) for _ in range(3))
+        self.assertTrue(first.reserve(50 * UNIT))
+        first.mark_complete()
+        self.assertFalse(large.reserve(20 * UNIT))
+        self.assertTrue(small.reserve(2 * UNIT))
+        self.assertEqual(list(memory.waiting), [large])
+
+    def test_nobody_is_evicted_for_a_body_that_would_not_fit_even_then(self):
+        memory, evicted = self.memory(60 * UNIT), []
+        for n in range(10):
+            slow = self.begin(memory, on_evicted=partial(evicted.append, n))
+            self.assertTrue(slow.reserve(6 * UNIT))
+            slow.received = 6 * UNIT - 1
+        self.now = 30_000
+        self.assertFalse(self.begin(memory).reserve(40 * UNIT))
+        self.assertEqual(evicted, [])
+        self.assertFalse(self.begin(memory).reserve(31 * UNIT))
+        self.assertTrue(self.begin(memory).reserve(GROWTH_BYTES))
+        self.assertEqual(evicted, [9])
+
+    @given(st.lists(st.tuples(st.integers(0, 9), st.integers(1, 30), st.integers(0, 20)), max_size=60))
+    def test_what_is_held_adds_up_and_slow_bodies_never_keep_small_ones_out(self, steps):
+        memory, bodies = self.memory(60 * UNIT), {}
+        for number, units, ticks in steps:
+            self.now += ticks * 1_000
+            body = bodies.get(number)
+            if body is None:
+                body = bodies[number] = self.begin(memory, on_evicted=partial(bodies.pop, number))
+            if body.waiting_since is None and number in bodies:
+                body.received += units * UNIT // 8
+                body.reserve(body.needed(max(units * UNIT, body.received)))
+            if number in bodies and units == 30:
+                bodies.pop(number).release()
+            self.assertEqual(memory.in_use, sum(r.held for r in memory.reservations))
+            self.assertLessEqual(memory.in_use, 60 * UNIT)
+            self.assertEqual(set(memory.reservations), set(bodies.values()))
+        for body in list(memory.waiting):  # their owners don't wait for ever
+            body.on_evicted()
+            body.release()
+        self.now += 1_000_000  # all that are left are slow
+        small = self.begin(memory)
+        self.assertTrue(small.reserve(GROWTH_BYTES))
+        for body in [small, *bodies.values()]:
+            body.release()
+        self.assertEqual((memory.in_use, memory.reservations, memory.waiting), (0, {}, {}))
