Fix: a wait for memory was taken for a late process, and requests were shed for it

Cause: admission control is told how long a request lay unread by the kernel's stamps. A body that waits for memory is not read on purpose, so its wait of seconds was told as lateness: the body was shed as soon as it had its memory, and the mean of the waits shed others after it.

Change: only the time since its memory was granted counts as lateness (RequestBody.readable_from). The request's own time runs on as before.

--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -144,17 +144,19 @@
         clients.timers.cancel(self.timer)
         self.timer, self.state, self.keep_alive, self.progress_mark = None, BUSY, True, 0
         if isinstance(parsed, Message):
-            late = clients.clock.now() - arrived_at
+            readable_from = arrived_at
             if self.body is not None:
                 parsed = parsed._replace(body=self.body.data)
                 self.body.reservation.mark_complete()
+                readable_from = self.body.readable_from(arrived_at)
                 arrived_at = self.body.request_received_at(arrived_at)
             if parsed.target == application.HEALTH_PATH:
                 self.keep_alive = parsed.keep_alive and not clients.drained
                 return self.write((clients.health_response(self.keep_alive),))
             else:
                 self.keep_alive = parsed.keep_alive
-                if not clients.admission.admit(clients.clock.now(), late):
+                now = clients.clock.now()
+                if not clients.admission.admit(now, now - readable_from):
                     return self.shed()
                 parsed = application.parse_transaction(parsed, clients.profiles)
         if isinstance(parsed, Rejection):
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -13,6 +13,7 @@
 
 from basalthook.bodies.memory import GROWTH_BYTES, SLOW_AFTER_S, BodyMemory
 from basalthook.protocol.http1 import Message, Parser
+from basalthook.recovery.admission import EWMA_WEIGHT
 from basalthook.transport.timers import Timers
 from tests.fake import OK, SILENT, SocketHost
 from tests.loopback import Loopback
@@ -177,6 +178,19 @@
         self.assertLess(asyncio.get_running_loop().time() - begun, 1.4)
         self.assertEqual(len(self.log.failed_attempts()), 1)
 
+    async def test_a_wait_for_memory_is_not_taken_for_a_late_process(self):
+        # the body was shed once it had its memory, and requests after it as well
+        caller = await self.start_proxy(SocketHost())
+        slow = await self.fill_memory(400_000, 390_000)
+        caller.send_request("submit", timeout="2.0", body=b"b" * 70_000)
+        await self.wait_until(lambda: self.service.clients.body_memory.waiting)
+        await asyncio.sleep(0.8)
+        await slow.stop()
+        self.assertEqual((await caller.read_response())[0], 200)
+        admission = self.service.clients.admission
+        self.assertEqual(admission.shed_count, 0)
+        self.assertLess(admission.mean_wait, admission.service_goal * EWMA_WEIGHT / 2)
+
     async def test_memory_reserved_for_a_body_that_has_not_arrived_serves_others(self):
         # slow bodies held memory that they had not used, and others were refused
         caller = await self.start_proxy(SocketHost())
