Fix: a client that expects 100 Continue never got it after a wait for memory

Callers that send `Expect: 100-continue` with a long body while memory is short got 408 after 2.5 s.

Cause: the head reserves the memory; when it was granted after a wait the connection was read again, but 100 Continue is sent only as something is parsed. So the client waited for the proxy and the proxy for the client.

Change: a grant goes through the same step as received bytes, which sets the read timeout, notes progress and sends 100 Continue.

--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -203,12 +203,10 @@
             now = self.clients.clock.now()
             self.body.granted_at = now
             self.clients.timers.cancel(self.timer)
-            self.timer = self.set_timer(READ_TIMEOUT_S, self.on_timeout)
-            self.progress_mark = len(self.body.data)
-            self.state, self.last_active = READING, now
-            if self.parser.result is not None:
-                return self.process_input(now)
-            self.connection.start_reading(self.on_data, self.on_close)
+            self.timer = None
+            self.process_input(now)
+            if self.state == READING:
+                self.connection.start_reading(self.on_data, self.on_close)
         except Exception as error:  # must affect this connection only, not the one that freed the memory
             self.on_exception(error)
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -191,6 +191,17 @@
         self.assertEqual(admission.shed_count, 0)
         self.assertLess(admission.mean_wait, admission.service_goal * EWMA_WEIGHT / 2)
 
+    async def test_a_client_that_expects_100_continue_gets_it_after_a_wait_for_memory(self):
+        # client and proxy waited for each other until the client was sent away with 408
+        caller = await self.start_proxy(SocketHost())
+        slow = await self.fill_memory(400_000, 390_000)
+        caller.writer.write(HEAD % b"e" + b"Expect: 100-continue\r\nContent-Length: 70000\r\n\r\n")
+        await self.wait_until(lambda: self.service.clients.body_memory.waiting)
+        await slow.stop()
+        self.assertEqual(await caller.reader.readuntil(b"\r\n\r\n"), b"HTTP/1.1 100 Continue\r\n\r\n")
+        caller.writer.write(b"b" * 70_000)
+        self.assertEqual((await caller.read_response())[0], 200)
+
     async def test_memory_reserved_for_a_body_that_has_not_arrived_serves_others(self):
         # slow bodies held memory that they had not used, and others were refused
         caller = await self.start_proxy(SocketHost())
