Fix: bodies that wait for more memory than a new start-up file gives were kept waiting

A body that waits for more than all that is left then waited out its time for memory that could not come, with larger ones behind it; one that a raised bound had room for waited for another to finish.

Change: BodyMemory.set_capacity evicts those that can't fit any more and grants what fits.

--- a/basalthook/bodies/memory.py
+++ b/basalthook/bodies/memory.py
@@ -110,6 +110,12 @@
         """Return whether those that wait want more than the whole budget, so that one more has no chance."""
         return sum(reservation.missing for reservation in self.waiting) > self.capacity
 
+    def set_capacity(self, capacity: int) -> None:
+        """Change the budget; reservations that wait for more than all of it are evicted."""
+        self.capacity = capacity
+        self._evict([reservation for reservation in self.waiting if reservation.wanted > capacity])
+        self.grant_waiting()
+
     def reserve(self, reservation: Reservation, total: int) -> bool:
         """See `Reservation.reserve`."""
         reservation.wanted, reservation.waiting_since = total, self.timers.now()
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -272,7 +272,7 @@
         self.start_up = start_up._replace(**current)
         self.log.name = start_up.name
         self.descriptors.set_limit(self.descriptor_limit(self.start_up))
-        self.clients.body_memory.capacity = start_up.max_body_bytes
+        self.clients.body_memory.set_capacity(start_up.max_body_bytes)
         self.pool.set_timeouts(start_up.idle_timeout_s, start_up.connect_timeout_s)
         self.watch.set_address(start_up.discovery)
         self.log.log_event("file taken", discovery=list(start_up.discovery), needs_restart=changed)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -331,6 +331,30 @@
         self.assertTrue(self.begin(memory).reserve(GROWTH_BYTES))
         self.assertEqual(evicted, [9])
 
+    def test_a_body_that_waits_for_more_than_a_lowered_capacity_is_given_up_at_once(self):
+        # it waited out its time for memory that could not come, and others waited behind it
+        memory, evicted, granted = self.memory(60 * UNIT), [], []
+        first = self.begin(memory)
+        self.assertTrue(first.reserve(50 * UNIT))
+        first.mark_complete()
+        for count in (40, 20):
+            reservation = self.begin(memory, partial(granted.append, count), partial(evicted.append, count))
+            self.assertFalse(reservation.reserve(count * UNIT))
+        memory.set_capacity(30 * UNIT)
+        self.assertEqual((evicted, granted), ([40], []))
+        first.release()
+        self.assertEqual((evicted, granted), ([40], [20]))
+
+    def test_a_raised_capacity_is_granted_at_once(self):
+        # it was granted only when another body was finished
+        memory, granted = self.memory(10 * UNIT), []
+        first, second = self.begin(memory), self.begin(memory, partial(granted.append, 1))
+        self.assertTrue(first.reserve(10 * UNIT))
+        first.mark_complete()
+        self.assertFalse(second.reserve(5 * UNIT))
+        memory.set_capacity(20 * UNIT)
+        self.assertEqual(granted, [1])
+
     @given(st.lists(st.tuples(st.integers(0, 9), st.integers(1, 30), st.integers(0, 20)), max_size=60))
     def test_what_is_held_adds_up_and_slow_bodies_never_keep_small_ones_out(self, steps):
         memory, bodies = self.memory(60 * UNIT), {}
