Fix: a body that waited for memory at SIGTERM could be left without an answer

Need: a request that gives more time than the longest hard limit waits up to 4 s for memory; a process that ends closes its connections after that limit.

Change: at SIGTERM the waits are cut to the time by which all has to be answered (Clients.begin_shutdown, Client.limit_wait), as those that begin later are.

The new test (0.5 s of hard limit, 8 s of time) got no answer on the text before and 503 now; tests of bodies: 23 passed.

--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -285,10 +285,8 @@
             transactions=len(self.dispatcher.transactions),
             list_age_s=round(self.watch.seconds_since_answer(), 1),
         )
-        self.clients.ready = False
-        self.clients.response_deadline = self.clock.now() + int(
-            (self.start_up.max_hard_limit_s + SIGKILL_DELAY_S - ANSWER_MARGIN_S) * TICKS_PER_SECOND
-        )
+        time_left_s = self.start_up.max_hard_limit_s + SIGKILL_DELAY_S - ANSWER_MARGIN_S
+        self.clients.begin_shutdown(self.clock.now() + int(time_left_s * TICKS_PER_SECOND))
         if self.handover is not None:
             self.handover.end()
         if listener.inherited:
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -189,14 +189,19 @@
         request = application.parse_transaction(self.parser.streamed_head, clients.profiles)
         if isinstance(request, Rejection):
             return self.reject_body(request)
-        give_up_at = body.begin_wait(arrived_at, int(request.timeout * TICKS_PER_SECOND))
-        wait = min(give_up_at, clients.response_deadline) - clients.clock.now()
-        if wait <= 0 or clients.body_memory.is_overbooked():
+        body.begin_wait(arrived_at, int(request.timeout * TICKS_PER_SECOND))
+        if body.give_up_at <= clients.clock.now() or clients.body_memory.is_overbooked():
             return self.refuse_body("no memory in its time")
         self.state = BUSY  # this process makes it wait, so it must not be closed for having stopped sending
         self.connection.pause_reading()
+        self.limit_wait()
+
+    def limit_wait(self) -> None:
+        """Give up the body that waits after its part of the request's time, or before the process ends."""
+        clients = self.clients
+        wait = min(self.body.give_up_at, clients.response_deadline) - clients.clock.now()
         clients.timers.cancel(self.timer)
-        self.timer = clients.timers.set(wait, self.refuse_body, "no memory in its time")
+        self.timer = clients.timers.set(max(0, wait), self.refuse_body, "no memory in its time")
 
     def on_memory_granted(self) -> None:
         try:
@@ -570,6 +575,13 @@
             else None
         )
 
+    def begin_shutdown(self, response_deadline: int) -> None:
+        """Send clients away from now on; all requests have to be answered by this time, in ticks."""
+        self.ready, self.response_deadline = False, response_deadline
+        for client in list(self.open_clients):
+            if client.body is not None and client.body.is_waiting:
+                client.limit_wait()
+
     @property
     def drained(self) -> bool:
         return self.drain_timer is not None
--- a/basalthook/routing/request_body.py
+++ b/basalthook/routing/request_body.py
@@ -16,7 +16,7 @@
 class RequestBody:
     """The received part of a body; times are in ticks."""
 
-    __slots__ = ("data", "length", "reservation", "waiting_since", "granted_at")
+    __slots__ = ("data", "length", "reservation", "waiting_since", "granted_at", "give_up_at")
 
     def __init__(self, reservation: Reservation, length: int | None) -> None:
         """`length`: as announced, None if unknown."""
@@ -24,6 +24,7 @@
         self.data = bytearray()
         self.waiting_since: int | None = None  # its last byte may have been written from then on
         self.granted_at: int | None = None  # when memory was last granted after a wait
+        self.give_up_at = 0  # while it waits: when the request has waited for too long
 
     @property
     def is_waiting(self) -> bool:
@@ -37,15 +38,15 @@
         self.data += part
         self.reservation.received = len(self.data)
 
-    def begin_wait(self, arrived_at: int, time: int) -> int:
-        """Begin to wait for memory; return by when the request has to be given up.
+    def begin_wait(self, arrived_at: int, time: int) -> None:
+        """Begin to wait for memory.
 
         `arrived_at`: when the last of the received bytes arrived; `time`: the request's own.
         """
         if self.waiting_since is None:
             self.waiting_since = arrived_at
         self.granted_at = None
-        return self.waiting_since + min(int(time * MAX_WAIT_SHARE), MAX_WAIT_TICKS)
+        self.give_up_at = self.waiting_since + min(int(time * MAX_WAIT_SHARE), MAX_WAIT_TICKS)
 
     def request_received_at(self, arrived_at: int) -> int:
         """When the time of the request began, whose last byte arrived at `arrived_at`."""
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -15,7 +15,7 @@
 from basalthook.protocol.http1 import Message, Parser
 from basalthook.recovery.admission import EWMA_WEIGHT
 from basalthook.transport.timers import Timers
-from tests.fake import OK, SILENT, SocketHost
+from tests.fake import OK, SETTINGS, SILENT, SocketHost
 from tests.loopback import Loopback
 
 LONG = random.Random(5).randbytes(3_000_000)
@@ -202,6 +202,20 @@
         caller.writer.write(b"b" * 70_000)
         self.assertEqual((await caller.read_response())[0], 200)
 
+    async def test_a_body_that_waits_for_memory_at_sigterm_is_answered_before_the_end(self):
+        # with much time it waited on, and its connection was closed with no answer
+        profile = {**SETTINGS["profiles"][0], "name": "submit", "hard_limit_ns": 500_000_000}
+        caller = await self.start_proxy(SocketHost(), profiles=[profile])
+        memory = self.service.clients.body_memory
+        busy = memory.begin(int, int)
+        self.assertTrue(busy.reserve(memory.capacity))
+        busy.mark_complete()
+        caller.send_request("submit", timeout="8", body=b"b" * 70_000)
+        await self.wait_until(lambda: memory.waiting)
+        await self.service.end(self.listener)
+        self.assertEqual((await caller.read_response())[0], 503)
+        busy.release()
+
     async def test_memory_reserved_for_a_body_that_has_not_arrived_serves_others(self):
         # slow bodies held memory that they had not used, and others were refused
         caller = await self.start_proxy(SocketHost())
