Fix: the time of a request sent ahead began only with the answer before it

Callers that send their next request before the answer could get its own answer late by as long as the one before took: three requests of 0.6 s, sent at once to a silent host, were answered after 1.06 s in all, the third one shed. One that stayed in the kernel meanwhile counted as lateness of this process, so that others were shed (mean of the waits 7.3 ms after one).

Cause: bytes kept for the next request had no time of arrival, so its time began when it was parsed.

Change: routing/arrivals.py keeps when the bytes arrived that the parser holds; a request's time counts from its last byte. For admission control only what lay unread since reading was resumed is lateness (Client.reading_since, for waits for memory as well).

--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -12,6 +12,7 @@
 from ..transport.connection import Connection, ConnectionFailure
 from ..transport.descriptors import DescriptorBudget
 from ..transport.timers import Timers
+from .arrivals import Arrivals
 from .clock import TICK_NS, TICKS_PER_SECOND, Clock
 from .dispatcher import (
     ClientDisconnected,
@@ -56,6 +57,8 @@
         "state",
         "parser",
         "last_active",
+        "arrivals",
+        "reading_since",
         "timer",
         "transaction",
         "keep_alive",
@@ -75,6 +78,8 @@
         self.forwarder, self.chunked = None, False
         self.transaction: Transaction | None = None
         self.last_active = clients.clock.now()  # ticks; connected, read from, or answered
+        self.arrivals = Arrivals()
+        self.reading_since = self.last_active  # ticks; before, what had arrived was left unread on purpose
         self.keep_alive, self.continue_sent, self.linger_bytes = True, False, 0
         self.timer = self.set_timer(READ_TIMEOUT_S, self.on_timeout)  # also for clients that never send
 
@@ -87,28 +92,30 @@
     def on_data(self, data, unread_ns: int) -> None:
         """`unread_ns`: how long the data has waited in the kernel."""
         try:
+            if self.state == LINGERING:
+                return self.discard(len(data))
+            self.arrivals.add(len(data), self.clients.clock.now() - -(-unread_ns // TICK_NS))
             if self.state in (BUSY, PIPELINED):  # its next request: parsed once this one is answered
                 self.parser.unparsed += data
                 self.connection.pause_reading()
-            elif self.state == LINGERING:
-                self.discard(len(data))
             else:
-                self.parse(data, unread_ns)
+                self.parse(data)
         except Exception as error:  # must affect this connection only
             self.on_exception(error)
 
-    def parse(self, data, unread_ns: int) -> None:
-        arrived_at = self.clients.clock.now() - -(-unread_ns // TICK_NS)
+    def parse(self, data) -> None:
         self.parser.feed(data)
+        arrived_at = self.arrivals.of_last_parsed(len(self.parser.unparsed))
         if self.parser.streamed_head is None or self.collect_body(arrived_at):
             self.process_input(arrived_at)
 
     def read_next(self) -> None:
         """Continue with bytes that came after the request just answered."""
         try:
+            self.reading_since = self.clients.clock.now()
             if self.state == PIPELINED and not self.connection.closed:
                 self.state = IDLE
-                self.parse(b"", 0)
+                self.parse(b"")
             if (
                 self.connection.paused
                 and not self.parser.result
@@ -144,19 +151,17 @@
         clients.timers.cancel(self.timer)
         self.timer, self.state, self.keep_alive, self.progress_mark = None, BUSY, True, 0
         if isinstance(parsed, Message):
-            readable_from = arrived_at
+            late = clients.clock.now() - max(arrived_at, self.reading_since)
             if self.body is not None:
                 parsed = parsed._replace(body=self.body.data)
                 self.body.reservation.mark_complete()
-                readable_from = self.body.readable_from(arrived_at)
                 arrived_at = self.body.request_received_at(arrived_at)
             if parsed.target == application.HEALTH_PATH:
                 self.keep_alive = parsed.keep_alive and not clients.drained
                 return self.write((clients.health_response(self.keep_alive),))
             else:
                 self.keep_alive = parsed.keep_alive
-                now = clients.clock.now()
-                if not clients.admission.admit(now, now - readable_from):
+                if not clients.admission.admit(clients.clock.now(), late):
                     return self.shed()
                 parsed = application.parse_transaction(parsed, clients.profiles)
         if isinstance(parsed, Rejection):
@@ -206,7 +211,7 @@
     def on_memory_granted(self) -> None:
         try:
             now = self.clients.clock.now()
-            self.body.granted_at = now
+            self.body.granted_at = self.reading_since = now
             self.clients.timers.cancel(self.timer)
             self.timer = None
             self.process_input(now)
--- a/basalthook/routing/request_body.py
+++ b/basalthook/routing/request_body.py
@@ -51,7 +51,3 @@
     def request_received_at(self, arrived_at: int) -> int:
         """When the time of the request began, whose last byte arrived at `arrived_at`."""
         return arrived_at if self.waiting_since is None else min(arrived_at, self.waiting_since)
-
-    def readable_from(self, arrived_at: int) -> int:
-        """From when bytes that arrived at `arrived_at` could be read: not while memory was missing."""
-        return arrived_at if self.granted_at is None else max(arrived_at, self.granted_at)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -8,6 +8,7 @@
 
 from basalthook.policy import interface
 from basalthook.program.startup import decode
+from basalthook.recovery.admission import EWMA_WEIGHT
 from basalthook.routing.attempts import Attempt, AttemptRunner
 from basalthook.routing.host_registry import HostRegistry
 from basalthook.transport.buffers import BufferPool
@@ -340,6 +341,30 @@
         bodies = [self.hosts[0].received.get_nowait()[1] for _ in range(40)]
         self.assertEqual(bodies, [b"%d" % n for n in range(40)])
 
+    async def test_the_time_of_a_request_sent_ahead_runs_while_the_one_before_it_is_served(self):
+        # it began anew with the answer before, so that its own answer came late by as long
+        caller = await self.start_proxy(SocketHost(SILENT))
+        begun = asyncio.get_running_loop().time()
+        for _ in range(3):
+            caller.send_request("submit", timeout="0.6")
+        statuses = [(await caller.read_response())[0] for _ in range(3)]
+        self.assertLess(asyncio.get_running_loop().time() - begun, 0.9)
+        self.assertEqual((statuses[0], set(statuses[1:]) <= {503, 504}), (504, True))
+
+    async def test_requests_sent_ahead_are_not_taken_for_a_late_process(self):
+        # others were shed for the time that they had to wait for the answer before
+        caller = await self.start_proxy(SocketHost(SILENT, OK))
+        caller.send_request("submit")
+        await self.hosts[0].received.get()
+        for key in ("k2", "k3"):
+            caller.send_request("submit", key=key)
+            await asyncio.sleep(0.05)  # the second one stays in the kernel
+        await asyncio.sleep(0.3)
+        self.hosts[0].writers[0].write(OK)
+        self.assertEqual([(await caller.read_response())[0] for _ in range(3)], [200, 200, 200])
+        admission = self.service.clients.admission
+        self.assertLess(admission.mean_wait, admission.service_goal * EWMA_WEIGHT / 4)
+
     async def test_a_client_that_writes_before_its_response_is_paused_and_still_gets_it(self):
         caller = await self.start_proxy(SocketHost(SILENT))
         caller.send_request("submit")
