--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -79,7 +79,7 @@
         self.transaction: Transaction | None = None
         self.last_active = clients.clock.now()  # ticks; connected, read from, or answered
         self.arrivals = Arrivals()
-        self.reading_since = self.last_active  # ticks; before, what had arrived was left unread on purpose
+        self.reading_since = 0  # ticks; before, what had arrived was left unread on purpose
         self.keep_alive, self.continue_sent, self.linger_bytes = True, False, 0
         self.timer = self.set_timer(READ_TIMEOUT_S, self.on_timeout)  # also for clients that never send
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 import unittest
 import unittest.mock
 
@@ -365,6 +366,17 @@
         admission = self.service.clients.admission
         self.assertLess(admission.mean_wait, admission.service_goal * EWMA_WEIGHT / 4)
 
+    async def test_a_request_that_waited_to_be_accepted_shows_that_the_process_is_late(self):
+        # only what lay unread after its connection was accepted would count
+        await self.start_proxy(SocketHost())
+        caller = socket.create_connection(self.listener.address)
+        caller.sendall(b"GET /view HTTP/1.1\r\nHost: s\r\nRequest-Id: 1\r\nRequest-Timeout: 1\r\n\r\n")
+        time.sleep(0.2)  # nothing is accepted meanwhile
+        admission = self.service.clients.admission
+        await self.wait_until(lambda: admission.mean_wait)
+        caller.close()
+        self.assertGreater(admission.mean_wait, 1_500 * EWMA_WEIGHT)
+
     async def test_a_client_that_writes_before_its_response_is_paused_and_still_gets_it(self):
         caller = await self.start_proxy(SocketHost(SILENT))
         caller.send_request("submit")
