Fix: a slow body evicted in the moment it grew ended with an exception and no answer

Its client had been refused then, and went on as if it were to wait: AttributeError, `fault` in the log, connection closed.

Change: BodyMemory.reserve says so only if the reservation still stands, and the client goes on only with a body that it still has.

The new test on loopback failed with that exception on the commit before and passes now.

--- a/basalthook/bodies/memory.py
+++ b/basalthook/bodies/memory.py
@@ -100,7 +100,7 @@
         """Return the reservation of a new body, which holds nothing yet.
 
         `on_granted()` is called for a reservation that had to wait. `on_evicted()` is called when the body
-        has lost its memory; the reservation is released before.
+        has lost its memory, also while it reserves more; the reservation is released before.
         """
         reservation = Reservation(self, on_granted, on_evicted)
         self.reservations[reservation] = None
@@ -125,7 +125,7 @@
             self.retry_timer = self.timers.set(
                 int(RETRY_INTERVAL_S * self.timers.ticks_per_second), self._retry
             )
-        return reservation.waiting_since is None
+        return reservation in self.reservations and reservation not in self.waiting
 
     def release(self, reservation: Reservation) -> None:
         """See `Reservation.release`."""
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -185,7 +185,8 @@
             return False
         if body.reservation.reserve(needed):
             return True
-        self.wait_for_memory(arrived_at)
+        if self.body is body:  # else it was evicted and refused, for others that waited before it
+            self.wait_for_memory(arrived_at)
         return False
 
     def wait_for_memory(self, arrived_at: int) -> None:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -244,6 +244,27 @@
             client.writer.write(LONG[190_000:200_000])
             self.assertEqual((await client.read_response())[0], 200)
 
+    async def test_a_body_that_is_evicted_as_it_grows_is_refused_and_nothing_else(self):
+        # an exception closed its connection with no answer
+        caller = await self.start_proxy(SocketHost())
+        memory = self.service.clients.body_memory
+        memory.capacity = 3 * GROWTH_BYTES
+        chunk = b"%x\r\n%b\r\n" % (200_000, LONG[:200_000])
+        slow = [await self.connect() for _ in range(3)]
+        for n, client in enumerate(slow):
+            client.writer.write(HEAD % b"slow%d" % n + b"Transfer-Encoding: chunked\r\n\r\n" + chunk)
+            await self.wait_until(
+                lambda n=n: [r.received for r in memory.reservations] == [200_000] * (n + 1)
+            )
+        with unittest.mock.patch("basalthook.bodies.memory.RETRY_INTERVAL_S", 60):
+            await asyncio.sleep(SLOW_AFTER_S * 0.7)
+            caller.send_request("submit", body=b"b" * 70_000)
+            await self.wait_until(lambda: memory.waiting)
+            await asyncio.sleep(SLOW_AFTER_S * 0.5)
+            slow[2].writer.write(chunk)
+            self.assertEqual((await slow[2].read_response())[0], 503)
+            self.assertEqual((await caller.read_response())[0], 200)
+
     async def test_memory_of_a_body_that_admission_control_sheds_is_released(self):
         caller = await self.start_proxy(SocketHost())
         with unittest.mock.patch.object(self.service.clients.admission, "admit", return_value=False):
@@ -345,6 +366,18 @@
         self.assertTrue(self.begin(memory).reserve(GROWTH_BYTES))
         self.assertEqual(evicted, [9])
 
+    def test_a_body_that_is_evicted_while_it_reserves_more_does_not_get_it(self):
+        # it went on without memory: for one that waited before it, its own was taken back
+        memory, evicted, granted = self.memory(60 * UNIT), [], []
+        bodies = [self.begin(memory, on_evicted=partial(evicted.append, n)) for n in range(6)]
+        for body in bodies:
+            self.assertTrue(body.reserve(10 * UNIT))
+            body.received = 10 * UNIT
+        self.assertFalse(self.begin(memory, partial(granted.append, 6)).reserve(5 * UNIT))
+        self.now = 30_000  # all but the one that waits are slow
+        self.assertFalse(bodies[5].reserve(11 * UNIT))
+        self.assertEqual((evicted, granted, bodies[5].held), ([5], [6], 0))
+
     def test_a_body_that_waits_for_more_than_a_lowered_capacity_is_given_up_at_once(self):
         # it waited out its time for memory that could not come, and others waited behind it
         memory, evicted, granted = self.memory(60 * UNIT), [], []
