Memory for bodies: the retry timer and the order of grants each told once

No change of behaviour: the timer was set in two places with the same lines, and the loop over those that wait now names which it passes over and why.

--- a/basalthook/bodies/memory.py
+++ b/basalthook/bodies/memory.py
@@ -19,9 +19,7 @@
 SLOW_AFTER_S = 1.0
 SLOW_BYTES_PER_S = 1_000_000
 SLOW_SHARE = 0.5  # of the budget, that slow bodies may hold while others wait
-RETRY_INTERVAL_S = (
-    0.1  # between two attempts to find memory for those that wait: bodies become slow with time
-)
+RETRY_INTERVAL_S = 0.1  # between two looks for memory while some wait, as bodies become slow with time
 
 
 class Reservation:
@@ -121,10 +119,7 @@
         reservation.wanted, reservation.waiting_since = total, self.timers.now()
         self.waiting[reservation] = None
         self.grant_waiting(requester=reservation)
-        if self.waiting and self.retry_timer is None:
-            self.retry_timer = self.timers.set(
-                int(RETRY_INTERVAL_S * self.timers.ticks_per_second), self._retry
-            )
+        self._set_retry_timer()
         return reservation in self.reservations and reservation not in self.waiting
 
     def release(self, reservation: Reservation) -> None:
@@ -137,14 +132,17 @@
         """Grant what can be granted; the requester is not called back, as it sees the result itself."""
         granted, now = [], self.timers.now()
         for reservation in list(self.waiting):
-            is_first = reservation is next(iter(self.waiting), None)
-            if reservation not in self.waiting or not is_first and reservation.missing > GROWTH_BYTES:
+            if reservation not in self.waiting:  # evicted for one before it
+                continue
+            is_first = reservation is next(iter(self.waiting))
+            is_small = reservation.missing <= GROWTH_BYTES
+            if not is_first and not is_small:
                 continue
             if self._make_room(reservation):
                 self._take(reservation)
                 granted.append(reservation)
-            elif reservation.missing <= GROWTH_BYTES and not reservation.is_slow(now):
-                break
+            elif is_small and not reservation.is_slow(now):
+                break  # those behind it wait in order; for a slow one less is taken back, so they may fit
         for reservation in granted:
             # the callback of an earlier one may have released it
             if reservation is not requester and reservation in self.reservations:
@@ -225,7 +223,9 @@
     def _retry(self) -> None:
         self.retry_timer = None
         self.grant_waiting()
-        if self.waiting:
-            self.retry_timer = self.timers.set(
-                int(RETRY_INTERVAL_S * self.timers.ticks_per_second), self._retry
-            )
+        self._set_retry_timer()
+
+    def _set_retry_timer(self) -> None:
+        if self.waiting and self.retry_timer is None:
+            interval = int(RETRY_INTERVAL_S * self.timers.ticks_per_second)
+            self.retry_timer = self.timers.set(interval, self._retry)
