--- a/basalthook/lab/endpoints.py
+++ b/basalthook/lab/endpoints.py
@@ -29,6 +29,8 @@
 
     def connection_made(self, transport) -> None:
         super().connection_made(transport)
+        # asyncio sets it; without, the system holds back a small write until the one before is acknowledged
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 0)
         self.fleet.host_connections[self.host].add(self)
 
     def connection_lost(self, _) -> None:
@@ -182,7 +184,6 @@
         loop = asyncio.get_running_loop()
         for accepted in self.accept_waiting():
             accepted.setblocking(False)
-            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             task = loop.create_task(loop.connect_accepted_socket(self.make_protocol, accepted))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
