--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -13,7 +13,8 @@
 from ..recovery.admission import AdmissionControl
 from ..recovery.discovery_schedule import SILENCE_TIMEOUT, DiscoverySchedule
 from ..routing.attempts import AttemptRunner
-from ..routing.clients import IDLE, NEW, Clients
+from ..routing.client_connection import IDLE, NEW
+from ..routing.clients import Clients
 from ..routing.clock import TICKS_PER_SECOND, Clock
 from ..routing.dispatcher import Dispatcher
 from ..routing.host_registry import HostRegistry
--- /dev/null
+++ b/basalthook/routing/client_connection.py
@@ -0,0 +1,430 @@
+"""One connection from the application: reads requests, submits them, responds once to each."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..protocol import application, http1
+from ..protocol.application import TransactionRequest
+from ..protocol.http1 import Message, Parser, Rejection
+from ..transport.connection import Connection, ConnectionFailure
+from .arrivals import Arrivals
+from .clock import TICK_NS, TICKS_PER_SECOND
+from .dispatcher import ClientDisconnected, DeadlineMissed, RequestReceived, Response, Transaction
+from .request_body import RequestBody
+
+if TYPE_CHECKING:
+    from .clients import Clients
+
+# Longest time without progress on a request. It counts from connecting for the first request of a
+# connection, and from the first byte for the others.
+READ_TIMEOUT_S = 2.5
+MIN_PROGRESS_BYTES = 16 * 1024  # of a body, to restart the read timeout; a well-behaved client sends 64 kB/s
+WRITE_TIMEOUT_S = 10.0  # longest time until a client has read its response
+LINGER_S = 1.0  # time that a rejected client has to read the reason
+LINGER_MAX_BYTES = 1024 * 1024  # read from it meanwhile; bounds the cost of a client that keeps sending
+# States of a connection.
+# NEW: no byte has arrived. READING: part of a request has arrived. LINGERING: the last response is written,
+# and the client has time to read it. IDLE: between two requests. BUSY: a request is being processed.
+# PIPELINED: bytes of the next request have arrived behind it.
+NEW, READING, LINGERING, IDLE, BUSY, PIPELINED = "new", "coming", "leaving", "idle", "busy", "ahead"
+MEMORY_RETRY_AFTER_TICKS = TICKS_PER_SECOND // 2  # told to a client whose body got no memory
+DEADLINE_SLACK_TICKS = 200  # a response that is later than this past its deadline is reported as a defect
+
+
+class Client:
+    """A connection from the application; its state decides how bytes are handled and if it may be closed."""
+
+    __slots__ = (
+        "clients",
+        "connection",
+        "state",
+        "parser",
+        "last_active",
+        "arrivals",
+        "reading_since",
+        "timer",
+        "transaction",
+        "keep_alive",
+        "linger_bytes",
+        "continue_sent",
+        "progress_mark",
+        "body",
+        "forwarder",
+        "chunked",
+    )
+
+    def __init__(self, clients: Clients, connection: Connection) -> None:
+        self.clients, self.connection, self.state = clients, connection, NEW
+        self.parser = Parser(responses=False, field_names=application.PARSED_FIELDS, streaming=True)
+        self.progress_mark = 0  # bytes of the body when the read timeout was last restarted
+        self.body: RequestBody | None = None  # a long one, until its request is answered
+        self.forwarder, self.chunked = None, False
+        self.transaction: Transaction | None = None
+        self.last_active = clients.clock.now()  # ticks; connected, read from, or answered
+        self.arrivals = Arrivals()
+        self.reading_since = 0  # ticks; before, what had arrived was left unread on purpose
+        self.keep_alive, self.continue_sent, self.linger_bytes = True, False, 0
+        self.timer = self.set_timer(READ_TIMEOUT_S, self.on_timeout)  # also for clients that never send
+
+    def start(self) -> None:
+        self.connection.start_reading(self.on_data, self.on_close)
+
+    def set_timer(self, seconds: float, callback) -> list:
+        return self.clients.timers.set(int(seconds * TICKS_PER_SECOND), callback)
+
+    def on_data(self, data, unread_ns: int) -> None:
+        """`unread_ns`: how long the data has waited in the kernel."""
+        try:
+            if self.state == LINGERING:
+                return self.discard(len(data))
+            self.arrivals.add(len(data), self.clients.clock.now() - -(-unread_ns // TICK_NS))
+            if self.state in (BUSY, PIPELINED):  # its next request: parsed once this one is answered
+                self.parser.unparsed += data
+                self.connection.pause_reading()
+            else:
+                self.parse(data)
+        except Exception as error:  # must affect this connection only
+            self.on_exception(error)
+
+    def parse(self, data) -> None:
+        self.parser.feed(data)
+        arrived_at = self.arrivals.of_last_parsed(len(self.parser.unparsed))
+        if self.parser.streamed_head is None or self.collect_body(arrived_at):
+            self.process_input(arrived_at)
+
+    def read_next(self) -> None:
+        """Continue with bytes that came after the request just answered."""
+        try:
+            self.reading_since = self.clients.clock.now()
+            if self.state == PIPELINED and not self.connection.closed:
+                self.state = IDLE
+                self.parse(b"")
+            if (
+                self.connection.paused
+                and not self.parser.result
+                and self.state != LINGERING
+                and not (self.body is not None and self.body.is_waiting)
+            ):
+                self.connection.start_reading(self.on_data, self.on_close)
+        except Exception as error:  # must affect this connection only
+            self.on_exception(error)
+
+    def on_exception(self, error: Exception) -> None:
+        self.clients.log_event("fault", where="client", error=repr(error))
+        self.on_close(None)
+
+    def process_input(self, arrived_at: int) -> None:
+        """Act on what the parser has found so far; its last byte arrived at `arrived_at` (ticks)."""
+        parsed, clients = self.parser.result, self.clients
+        if parsed is None:
+            received = len(self.parser.body) + (len(self.body.data) if self.body else 0)
+            if self.state != READING or (
+                self.parser.head
+                and (not self.progress_mark or received - self.progress_mark > MIN_PROGRESS_BYTES)
+            ):
+                # progress: the first byte, the whole head, or enough of the body
+                clients.timers.cancel(self.timer)
+                self.timer = self.set_timer(READ_TIMEOUT_S, self.on_timeout)
+                self.progress_mark = max(1, received) if self.parser.head else 0
+            self.state, self.last_active = READING, clients.clock.now()
+            if self.parser.expects_continue and not self.continue_sent:
+                self.continue_sent = True
+                self.connection.write((http1.CONTINUE,))
+            return
+        clients.timers.cancel(self.timer)
+        self.timer, self.state, self.keep_alive, self.progress_mark = None, BUSY, True, 0
+        if isinstance(parsed, Message):
+            late = clients.clock.now() - max(arrived_at, self.reading_since)
+            if self.body is not None:
+                parsed = parsed._replace(body=self.body.data)
+                self.body.reservation.mark_complete()
+                arrived_at = self.body.request_received_at(arrived_at)
+            if parsed.target == application.HEALTH_PATH:
+                self.keep_alive = parsed.keep_alive and not clients.drained
+                return self.write((clients.health_response(self.keep_alive),))
+            else:
+                self.keep_alive = parsed.keep_alive
+                if not clients.admission.admit(clients.clock.now(), late):
+                    return self.shed()
+                parsed = application.parse_transaction(parsed, clients.profiles)
+        if isinstance(parsed, Rejection):
+            return self.reject(parsed)
+        self.submit(parsed, arrived_at)
+
+    def collect_body(self, arrived_at: int) -> bool:
+        """Collect a long body; return whether there is memory for what has arrived.
+
+        Memory is reserved before more is read.
+        """
+        memory = self.clients.body_memory
+        if self.body is None:
+            reservation = memory.begin(self.on_memory_granted, self.on_body_evicted)
+            self.body = RequestBody(reservation, self.parser.streamed_head.length)
+        body = self.body
+        body.add(self.parser.take_body(), arrived_at)
+        needed = body.reservation.needed(body.length)
+        if needed > memory.capacity:
+            self.reject_body(Rejection(413, "body too long for the memory here"))
+            return False
+        if body.reservation.reserve(needed):
+            return True
+        if self.body is body:  # else it was evicted and refused, for others that waited before it
+            self.wait_for_memory(arrived_at)
+        return False
+
+    def wait_for_memory(self, arrived_at: int) -> None:
+        """Read no more until there is memory, for a part of the request's time."""
+        clients, body = self.clients, self.body
+        request = application.parse_transaction(self.parser.streamed_head, clients.profiles)
+        if isinstance(request, Rejection):
+            return self.reject_body(request)
+        body.begin_wait(arrived_at, int(request.timeout * TICKS_PER_SECOND))
+        if body.give_up_at <= clients.clock.now() or clients.body_memory.is_overbooked():
+            return self.refuse_body("no memory in its time")
+        self.state = BUSY  # this process makes it wait, so it must not be closed for having stopped sending
+        self.connection.pause_reading()
+        self.limit_wait()
+
+    def limit_wait(self) -> None:
+        """Give up the body that waits after its part of the request's time, or before the process ends."""
+        clients = self.clients
+        wait = min(self.body.give_up_at, clients.response_deadline) - clients.clock.now()
+        clients.timers.cancel(self.timer)
+        self.timer = clients.timers.set(max(0, wait), self.refuse_body, "no memory in its time")
+
+    def on_memory_granted(self) -> None:
+        try:
+            now = self.clients.clock.now()
+            self.body.granted_at = self.reading_since = now
+            self.clients.timers.cancel(self.timer)
+            self.timer = None
+            self.process_input(now)
+            if self.state == READING:
+                self.connection.start_reading(self.on_data, self.on_close)
+        except Exception as error:  # must affect this connection only, not the one that freed the memory
+            self.on_exception(error)
+
+    def on_body_evicted(self) -> None:
+        try:
+            self.refuse_body("memory taken back")
+        except Exception as error:  # must affect this connection only, not the one that needs the memory
+            self.on_exception(error)
+
+    def refuse_body(self, reason: str) -> None:
+        """Roll back, as there is no memory for the body; nothing of the transaction has run."""
+        clients = self.clients
+        clients.log_no_memory(self, reason)
+        self.stop_receiving()
+        self.keep_alive = False
+        retry_after = min(clients.max_retry_after, MEMORY_RETRY_AFTER_TICKS)
+        self.write((application.rollback_response(retry_after / TICKS_PER_SECOND, False),))
+
+    def reject_body(self, rejection: Rejection) -> None:
+        self.stop_receiving()
+        self.reject(rejection)
+
+    def stop_receiving(self) -> None:
+        """Read no more of a body that will not be used, and return its memory."""
+        self.clients.timers.cancel(self.timer)
+        self.timer, self.state = None, BUSY
+        self.release_body()
+        self.connection.pause_reading()
+
+    def release_body(self) -> None:
+        """Drop the body and return its memory."""
+        body, self.body, self.progress_mark = self.body, None, 0
+        if body is not None:
+            body.reservation.release()
+
+    def shed(self) -> None:
+        """Shed load: this process is behind, so the transaction is rolled back before it costs more.
+
+        Nothing of it has run.
+        """
+        clients, retry_after = (
+            self.clients,
+            min(self.clients.max_retry_after, self.clients.admission.retry_after()),
+        )
+        clients.rate_limited_log(
+            "door",
+            share=round(clients.admission.shed_share(), 3),
+            mean_ms=clients.admission.mean_wait / 10,
+            turned_away=clients.admission.shed_count,
+        )
+        self.keep_alive = self.keep_alive and clients.allows_keep_alive()
+        self.write((application.rollback_response(retry_after / TICKS_PER_SECOND, self.keep_alive),))
+
+    def submit(self, request: TransactionRequest, received_at: int) -> None:
+        """Pass the transaction to the dispatcher; its time began at `received_at`."""
+        clients = self.clients
+        if request.id in clients.open_ids:  # else one client could get the response to another one's request
+            return self.reject(Rejection(409, "this Request-Id is open already"))
+        clients.open_ids.add(request.id)
+        deadline = min(received_at + int(request.timeout * TICKS_PER_SECOND), clients.response_deadline)
+        self.transaction = transaction = Transaction(
+            request, received_at, deadline, self.respond, self.check_gone
+        )
+        self.timer = clients.timers.set(
+            transaction.deadline - clients.clock.now() + DEADLINE_SLACK_TICKS, self.on_deadline_missed
+        )
+        clients.dispatcher.post(RequestReceived(transaction))
+
+    def finish_transaction(self) -> Transaction:
+        """Clean up after the present transaction, which has its response or lost its client; return it."""
+        transaction, self.transaction = self.transaction, None
+        self.release_body()
+        self.clients.open_ids.discard(transaction.request.id)
+        self.clients.timers.cancel(self.timer)
+        self.timer = None
+        return transaction
+
+    def respond(self, response: Response) -> None:
+        if self.transaction is None:  # the client has gone; ClientDisconnected is in the dispatcher's queue
+            return
+        try:
+            clients, transaction = self.clients, self.finish_transaction()
+            self.keep_alive = self.keep_alive and clients.allows_keep_alive()
+            clients.response_counts[response.kind] += 1
+            if response.kind != "committed":
+                clients.rate_limited_log(
+                    "answer",
+                    tx=transaction.request.id,
+                    kind=response.kind,
+                    hops=len(transaction.attempts),
+                    left_ms=(transaction.deadline - clients.clock.now()) / 10,
+                    come_back_ms=response.retry_after / 10,
+                    reason=response.reason,
+                )
+            if response.forwarder is not None:
+                return self.stream_response(response, transaction)
+            self.write(clients.encode_response(response, transaction, self.keep_alive))
+        except Exception as error:  # must affect this connection only
+            self.on_exception(error)
+
+    def stream_response(self, response: Response, transaction: Transaction) -> None:
+        """Pass on a long response as it arrives from the host."""
+        has_length, is_http_1_1 = (
+            response.message.length is not None,
+            transaction.request.message.minor_version > 0,
+        )
+        self.chunked = not has_length and is_http_1_1
+        self.keep_alive = self.keep_alive and (has_length or is_http_1_1)
+        self.forwarder = response.forwarder
+        head = application.streamed_response_head(response.message, self.keep_alive, self.chunked)
+        self.forwarder.start(self)
+        if self.connection.write((head,), self.forwarder.resume):
+            self.forwarder.resume()
+
+    def write_piece(self, data) -> bool:
+        """Write a piece of the body. Returns whether the kernel accepted it; if not, the forwarder waits."""
+        return self.connection.write(
+            application.encode_chunk(data) if self.chunked else (data,), self.forwarder.resume
+        )
+
+    def forwarding_finished(self, complete: bool) -> None:
+        """The long response is complete, or it broke off: then the connection is reset, to show that."""
+        self.forwarder = None
+        if self.connection.closed:
+            return self.clients.close_client(self)
+        if not complete:
+            self.clients.rate_limited_log("cut short")
+            self.connection.reset_on_close()
+            return self.clients.close_client(self)
+        self.write((application.LAST_CHUNK,) if self.chunked else ())
+
+    def on_deadline_missed(self) -> None:
+        self.clients.dispatcher.post(
+            DeadlineMissed(self.transaction)
+        )  # a response may be ahead of it in the queue
+
+    def write(self, parts: tuple[bytes, ...]) -> None:
+        """Write a response; then go on to the next request, or close."""
+        if self.connection.write(parts, self.on_written):
+            self.on_written()
+        elif not self.connection.closed:
+            self.timer = self.set_timer(WRITE_TIMEOUT_S, self.on_write_timeout)
+
+    def on_write_timeout(self) -> None:
+        self.on_close(None)  # the client does not read, so it can't be sent a reason
+
+    def on_written(self) -> None:
+        self.clients.timers.cancel(self.timer)
+        self.timer = None
+        self.release_body()  # if answered before it reached the dispatcher
+        if not self.keep_alive:
+            if (
+                self.connection.paused
+            ):  # closing with unread bytes would reset the connection and lose the response
+                return self.linger()
+            return self.clients.close_client(self)
+        self.parser.next_message()
+        self.continue_sent, self.state = False, PIPELINED if self.parser.unparsed else IDLE
+        self.clients.mark_idle(self)
+        if self.state == PIPELINED or self.connection.paused:
+            self.clients.timers.set(
+                0, self.read_next
+            )  # not called directly: many pipelined requests would nest too deep
+
+    def reject(self, rejection: Rejection) -> None:
+        """Reject bad input; the client gets time to read the reason before the connection is closed."""
+        self.clients.rate_limited_log("bad input", status=rejection.status, reason=rejection.reason)
+        self.keep_alive = False
+        if self.connection.write(
+            (application.text_response(rejection.status, rejection.reason, False),), self.linger
+        ):
+            self.linger()
+        elif not self.connection.closed:
+            self.timer = self.set_timer(WRITE_TIMEOUT_S, self.on_write_timeout)
+
+    def linger(self) -> None:
+        self.clients.timers.cancel(self.timer)
+        self.state, self.linger_bytes = LINGERING, LINGER_MAX_BYTES
+        self.timer = self.set_timer(LINGER_S, self.on_write_timeout)
+        self.connection.shutdown_write()
+        if self.connection.paused:
+            self.connection.start_reading(self.on_data, self.on_close)
+
+    def discard(self, count: int) -> None:
+        self.linger_bytes -= count
+        if self.linger_bytes <= 0 and not self.connection.paused:
+            self.connection.pause_reading()  # no more is read; the client still gets time to read the reason
+            self.clients.timers.cancel(self.timer)
+            self.timer = self.set_timer(LINGER_S, self.on_write_timeout)
+
+    def on_timeout(self) -> None:
+        """Close a connection whose client has stopped within a request, or has not begun one in time."""
+        if self.state == READING:
+            self.connection.write((application.text_response(408, "stopped half-way", False),))
+        self.clients.close_client(self)
+
+    def on_close(self, _: ConnectionFailure | None) -> None:
+        transaction, forwarder = self.transaction, self.forwarder
+        if transaction is not None:
+            self.finish_transaction()
+        if forwarder is not None:
+            self.connection.close()
+            forwarder.stop()
+        self.clients.close_client(self)
+        if transaction is not None:
+            self.clients.response_counts["client gone"] += 1
+            self.clients.rate_limited_log(
+                "client gone",
+                tx=transaction.request.id,
+                hops=len(transaction.attempts),
+                left_ms=(transaction.deadline - self.clients.clock.now()) / 10,
+            )
+            self.clients.dispatcher.post(ClientDisconnected(transaction))
+
+    def check_gone(self) -> bool:
+        """Whether the client has gone, which ends its transaction.
+
+        Asks the kernel, as unread bytes hide the end of a connection while reading is paused.
+        """
+        if self.connection.peer_closed():
+            self.on_close(None)
+            return True
+        return False
+
+    def close(self) -> None:
+        self.on_close(None)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -275,7 +275,7 @@
         )
 
     async def test_a_slow_body_is_accepted_and_one_that_stops_is_not(self):
-        with unittest.mock.patch("basalthook.routing.clients.READ_TIMEOUT_S", 0.2):
+        with unittest.mock.patch("basalthook.routing.client_connection.READ_TIMEOUT_S", 0.2):
             caller = await self.start_proxy(SocketHost())
             caller.writer.write(HEAD % b"s1" + b"Content-Length: 375000\r\n\r\n")
             for at in range(0, 375_000, 37_500):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -236,13 +236,13 @@
 
     async def test_a_client_that_stops_within_a_request_is_disconnected(self):
         caller = await self.start_proxy(SocketHost())
-        with unittest.mock.patch("basalthook.routing.clients.READ_TIMEOUT_S", 0.02):
+        with unittest.mock.patch("basalthook.routing.client_connection.READ_TIMEOUT_S", 0.02):
             caller.writer.write(b"GET /view HT")
             self.assertEqual((await caller.read_response())[0], 408)
             self.assertEqual(await caller.reader.read(), b"")
 
     async def test_a_silent_client_is_disconnected_and_a_slow_one_is_served(self):
-        with unittest.mock.patch("basalthook.routing.clients.READ_TIMEOUT_S", 0.05):
+        with unittest.mock.patch("basalthook.routing.client_connection.READ_TIMEOUT_S", 0.05):
             silent = await self.start_proxy(SocketHost())
             self.assertEqual(await silent.reader.read(), b"")
         slow = await self.connect()
