Test of the memory for bodies: giving up one that waits may evict another one

Cause: the test gives up all bodies that wait from a list made before the first of them; releasing one grants the next, which may evict another one on that list (its owner is told, once), and the test told it a second time. The program itself looks at the waiting ones anew each time.

Change: the test looks anew as well; the steps that failed are an explicit example. The checks are as they were, and all still made.

Before: the example fails with the old loop (KeyError). After: passes.

--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -8,7 +8,7 @@
 import unittest.mock
 from functools import partial
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from basalthook.bodies.memory import GROWTH_BYTES, SLOW_AFTER_S, BodyMemory
@@ -306,6 +306,31 @@
         )
 
 
+# steps of (body, units, ticks) after which giving up one body that waits evicts another one
+ONE_WAITING_BODY_EVICTS_ANOTHER = [
+    (0, 1, 0),
+    (0, 1, 0),
+    (0, 1, 0),
+    (0, 1, 0),
+    (0, 14, 0),
+    (0, 29, 0),
+    (1, 25, 0),
+    (3, 1, 0),
+    (3, 21, 0),
+    (8, 29, 0),
+    (9, 5, 0),
+    (0, 1, 8),
+    (0, 8, 2),
+    (1, 29, 0),
+    (0, 29, 0),
+    (1, 26, 0),
+    (1, 29, 0),
+    (2, 5, 1),
+    (1, 23, 0),
+    (0, 29, 7),
+]
+
+
 class MemoryBudget(unittest.TestCase):
     def setUp(self):
         self.now = 0  # ticks of 0.1 ms
@@ -403,6 +428,7 @@
         self.assertEqual(granted, [1])
 
     @given(st.lists(st.tuples(st.integers(0, 9), st.integers(1, 30), st.integers(0, 20)), max_size=60))
+    @example(ONE_WAITING_BODY_EVICTS_ANOTHER)
     def test_what_is_held_adds_up_and_slow_bodies_never_keep_small_ones_out(self, steps):
         memory, bodies = self.memory(60 * UNIT), {}
         for number, units, ticks in steps:
@@ -418,9 +444,10 @@
             self.assertEqual(memory.in_use, sum(r.held for r in memory.reservations))
             self.assertLessEqual(memory.in_use, 60 * UNIT)
             self.assertEqual(set(memory.reservations), set(bodies.values()))
-        for body in list(memory.waiting):  # their owners don't wait for ever
+        while memory.waiting:  # their owners don't wait for ever
+            body = next(iter(memory.waiting))
             body.on_evicted()
-            body.release()
+            body.release()  # may evict another one that waits
         self.now += 1_000_000  # all that are left are slow
         small = self.begin(memory)
         self.assertTrue(small.reserve(GROWTH_BYTES))
