Fix: a client that pipelined what is answered at once was read without end

What callers saw: beside one client that pipelines health checks at full speed and reads its answers, the process grew to 608.8 MB of 32 in 6 s. The same for all that is answered without an attempt (shed, not ready).

Cause: Client.read_next resumed reading while whole requests still lay in the parser. Each turn of the loop answered one of them and read up to four more buffers of 16 KiB. Class: reading is resumed without asking what is already held.

Change: it is not resumed while the connection is PIPELINED; read_next comes again once that request is answered.

--- a/basalthook/routing/client_connection.py
+++ b/basalthook/routing/client_connection.py
@@ -103,7 +103,7 @@
             if (
                 self.connection.paused
                 and not self.parser.result
-                and self.state != LINGERING
+                and self.state not in (LINGERING, PIPELINED)  # what is held comes before what is unread
                 and not (self.body is not None and self.body.is_waiting)
             ):
                 self.connection.start_reading(self.on_data, self.on_close)
