Fix: names that a client lists in Connection were compiled into a pattern each time

What callers saw: one client whose Connection field names 2,200 fields, new ones in each request, took the process to 57.7 MB of 32 and the others' median from 7 to 69 ms; thirty of them to 62.3 MB, and 178 of 540 requests of others were refused.

Cause: Message.field_lines_without compiled the listed names into a regular expression (some 50 ms), and both its cache and that of `re` kept them. Class: a cache or a pattern keyed by what a peer sends. Looked for others: patterns are now compiled for names from the program only; the policy's tables by key hold 2,000 entries, start times 8,192; profiles and log events are the program's own.

Change: the lines are filtered by a set of names, and a message may list 32 (431). A unit test holds the caches to the program's own names.

--- a/basalthook/protocol/http1.py
+++ b/basalthook/protocol/http1.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 MAX_HEAD_BYTES = 16 * 1024
+MAX_CONNECTION_OPTIONS = 32  # that the Connection fields of a message may list
 MAX_BODY_BYTES = 64 * 1024
 MAX_STREAMED_BODY_BYTES = 1024**3  # a message that announces a longer body is rejected
 MAX_INTERIM_RESPONSES = 64
@@ -28,6 +29,9 @@
 KEEP_ALIVE, CLOSE = "keep-alive", "close"
 
 
+# Compiling is slow and the results are kept, so these two are called with names from this program only.
+
+
 @lru_cache(maxsize=64)
 def compile_field_pattern(*names: str) -> re.Pattern[bytes]:
     """Return a pattern for all fields of these names, in a head of lines that each end with CRLF."""
@@ -72,10 +76,13 @@
 
     def field_lines_without(self, *names: str) -> bytes:
         """Return its field lines without these fields and those that its Connection field names."""
-        listed = (
-            self.connection_options() - {"", KEEP_ALIVE, CLOSE} if "connection" in self.parsed_fields else ()
+        lines = compile_field_line_pattern(*names).sub(b"", self.field_lines)
+        if "connection" not in self.parsed_fields:
+            return lines
+        listed = {o.encode("latin-1") for o in self.connection_options() - {"", KEEP_ALIVE, CLOSE}}
+        return b"".join(
+            line for line in lines.splitlines(keepends=True) if line.partition(b":")[0].lower() not in listed
         )
-        return compile_field_line_pattern(*names, *sorted(listed)).sub(b"", self.field_lines)
 
 
 class Rejection(NamedTuple):
@@ -204,6 +211,8 @@
             return self._reject(400, "bad Content-Length")
         keep_alive = version[1] != b"0"
         if "connection" in parsed_fields:
+            if sum(1 + value.count(",") for value in parsed_fields["connection"]) > MAX_CONNECTION_OPTIONS:
+                return self._reject(431, "too many connection options")
             connection_options = {
                 o.strip().lower() for v in parsed_fields["connection"] for o in v.split(",")
             }
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -8,7 +8,14 @@
 
 from basalthook.policy import interface
 from basalthook.protocol import application, catalogue, hosts, peer_messages
-from basalthook.protocol.http1 import MAX_HEAD_BYTES, Message, Parser, Rejection
+from basalthook.protocol.http1 import (
+    MAX_CONNECTION_OPTIONS,
+    MAX_HEAD_BYTES,
+    Message,
+    Parser,
+    Rejection,
+    compile_field_line_pattern,
+)
 
 POST = (
     b"POST /survey-submit/a?b=1 HTTP/1.1\r\nHost: svc\r\nRequest-Id: 7\r\nCookie: j=1; k=ab\r\n"
@@ -18,6 +25,8 @@
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=1\r\nhost\r\n1\r\n!\r\n0\r\nTrailer: 1\r\n\r\n"
 )
 
+LISTED = b"X-%d-3: y\r\nX-Kept: 1\r\n\r\n"
+
 
 def parse(data, responses=False, end=False):
     parser = Parser(responses)
@@ -130,6 +139,18 @@
                 parse(f"GET / HTTP/{line}\r\nHost: s\r\n{field}\r\n\r\n".encode()).keep_alive, keep
             )
 
+    def test_names_that_a_peer_lists_are_filtered_without_a_pattern_of_their_own(self):
+        before = compile_field_line_pattern.cache_info().currsize
+        for number in range(100):
+            listed = ", ".join(f"X-{number}-{n}" for n in range(8))
+            found = parse(f"GET / HTTP/1.1\r\nHost: s\r\nConnection: {listed}\r\n".encode() + LISTED % number)
+            self.assertEqual(found.field_lines_without("connection", "host"), b"X-Kept: 1\r\n")
+        self.assertLessEqual(compile_field_line_pattern.cache_info().currsize, before + 1)
+        many = ",".join(["x"] * (MAX_CONNECTION_OPTIONS + 1))
+        self.assertEqual(
+            parse(f"GET / HTTP/1.1\r\nHost: s\r\nConnection: {many}\r\n\r\n".encode()).status, 431
+        )
+
     def test_a_response_without_a_length_ends_with_its_connection_and_is_not_delimited(self):
         found = parse(b"HTTP/1.1 200 OK\r\n\r\npart", True, end=True)
         self.assertEqual((found.body, found.delimited, found.keep_alive), (b"part", False, False))
