Fix: a plain serve needed 29 of the least 32 MB before its first request

What callers saw: operators give a process 32 MB at least; it held 28.9 MB at ready, so 3 MB were left for all clients together.

Cause (resident memory by import): OpenSSL through asyncio, Tornado and hashlib 4.6 MB; http.client, email and tempfile for commands of operators that `serve` does not run 1.7 MB; curses through Tornado's log 0.5 MB.

The new test of test_program.py failed before. Nothing that a client or an operator sees changes.

--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -11,7 +11,6 @@
 from ..transport.event_loop import TimedSelector
 from ..transport.event_loop import run as run_loop
 from . import fleet_commands, operator_commands, startup
-from . import migrate as migration
 from .log import Log
 from .reload import EarlyHangup
 from .service import Service
@@ -114,6 +113,8 @@
     What was changed and what is left to decide goes to standard error. Exit code 0: done; 1: something is
     to be decided by hand; 2: nothing could be read or written.
     """
+    from . import migrate as migration  # imported only here: `serve` does not need it
+
     overrides = {"listen": listen, "settings.balancers": balancers, "settings.position": position}
     try:
         migrated = migration.migrate(startup.load(old), {p: v for p, v in overrides.items() if v is not None})
--- a/basalthook/program/fleet_commands.py
+++ b/basalthook/program/fleet_commands.py
@@ -1,14 +1,10 @@
 """Commands that show the fleet as one process sees it: members, verdicts on hosts, limits."""
 
-import http.client
-import json
-import sys
-from typing import NoReturn
-
 import click
+import orjson
 
 from ..console import admin_api
-from ..protocol import catalogue
+from .admin_client import call, fail
 
 ADDRESS_ARGUMENT = click.argument("address", metavar="HOST:PORT")
 SECONDS_OPTION = click.option(
@@ -21,36 +17,21 @@
 
 def fetch_rows(address: str, seconds: float, action: str) -> list[dict]:
     """The rows that the process returns at its admin address; exits with code 1 if there is no response."""
-    method, path = admin_api.request_line(action)
-    try:
-        host_name, port = catalogue.parse_address(address)
-        connection = http.client.HTTPConnection(host_name, port, timeout=seconds)
-        connection.request(method, path)
-        response = connection.getresponse()
-        text = response.read().decode()
-        connection.close()
-    except ValueError as error:
-        raise click.UsageError(str(error)) from None
-    except (OSError, http.client.HTTPException) as error:
-        fail(f"no answer from {address}: {error}")
-    if response.status != 200:
-        fail(text.strip())
-    return [json.loads(line) for line in text.splitlines() if line]
-
-
-def fail(reason: str) -> NoReturn:
-    """Prints the reason as one line and exits with code 1."""
-    click.echo(f"basalthook: {reason}", err=True)
-    sys.exit(1)
+    answer = call(address, seconds, *admin_api.request_line(action))
+    if answer.status != 200:
+        fail(answer.text)
+    return [orjson.loads(line) for line in answer.text.splitlines() if line]
 
 
 def print_rows(rows: list[dict], plain: bool, title: str, columns: tuple[str, ...], cells) -> None:
     """Prints rows as a table, or as lines of JSON if `plain`. `cells(row)`: the row's table cells."""
     if plain:
+        import json  # imported only here, as is `rich`
+
         for row in rows:
             click.echo(json.dumps(row))
         return
-    from rich.console import Console  # imported only here
+    from rich.console import Console
     from rich.table import Table
 
     table = Table(*columns, title=title)
--- a/basalthook/program/operator_commands.py
+++ b/basalthook/program/operator_commands.py
@@ -1,13 +1,12 @@
 """Commands for operators; each is one call to the admin address of a running client proxy."""
 
-import http.client
 import sys
 from typing import NoReturn
 
 import click
 
 from ..console import admin_api
-from ..protocol import catalogue
+from . import admin_client
 
 CONSOLE_OPTION = click.option(
     "--console",
@@ -24,20 +23,9 @@
 
 def send_request(address: str, seconds: float, method: str, path: str) -> NoReturn:
     """Prints the response. Exit code 0: success; 1: refused or no response."""
-    try:
-        host_name, port = catalogue.parse_address(address)
-        connection = http.client.HTTPConnection(host_name, port, timeout=seconds)
-        connection.request(method, path)
-        response = connection.getresponse()
-        text = response.read().decode().strip()
-        connection.close()
-    except ValueError as error:
-        raise click.UsageError(str(error)) from None
-    except (OSError, http.client.HTTPException) as error:
-        click.echo(f"basalthook: no answer from {address}: {error}", err=True)
-        sys.exit(1)
-    click.echo(text)
-    sys.exit(0 if 200 <= response.status < 300 else 1)
+    answer = admin_client.call(address, seconds, method, path)
+    click.echo(answer.text)
+    sys.exit(0 if 200 <= answer.status < 300 else 1)
 
 
 def send_command(address: str, seconds: float, action: str, host: str = "") -> NoReturn:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -79,6 +79,23 @@
         self.assertEqual((await self.line(process, "ended"))["unanswered"], 0)
         self.assertEqual(await process.wait(), 0)
 
+    async def test_serve_loads_neither_tls_nor_what_only_other_commands_use(self):
+        process, caller = await self.serve()
+        self.assertEqual(await caller.status(), 200)
+        maps = Path(f"/proc/{process.pid}/maps").read_text()
+        self.assertNotIn("libssl", maps)
+        self.assertNotIn("libcrypto", maps)
+        script = (
+            "import sys; sys.argv[1:] = ['serve', '--help']; import runpy\n"
+            "try: runpy.run_module('basalthook', run_name='__main__')\n"
+            "except SystemExit: print(sorted({'ssl', 'email', 'http.client', 'tempfile'} & set(sys.modules)))"
+        )
+        checked = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", script, stdout=asyncio.subprocess.PIPE, cwd=ROOT
+        )
+        self.assertEqual((await checked.stdout.read()).decode().splitlines()[-1], "[]")
+        await checked.wait()
+
     async def test_signals_up_to_the_end_do_not_change_the_exit_code(self):
         process, _ = await self.serve()
         process.terminate()
