Fix: heads, short bodies and unread answers of hundreds of clients were counted nowhere

What callers saw: a process told 32 MB reached 49.1 MB beside 330 clients that send 60,000 of 65,000 bytes and stop, 48.6 with bodies at 20 kB a second, 34.7 with answers that are read slowly, 32.8 with bodies of 3 MB that stop. It is killed for that.

Cause: only bodies over 64 KiB had a budget. A head, a shorter body, what is sent ahead and an answer not read yet are small for one client and were multiplied by up to 672. Class: a bound for each peer and none for all of them.

Change: what is held for peers has an account each (bodies/account.py): long bodies, now from 4 KiB; requests; responses. The parts come from what limits.memory_mb leaves after the program and the connections. If an account is exceeded all the same, the connections that hold most end: requests that have not come whole (408, with time to read it), answers that are not read (reset).

--- a/basalthook/bodies/memory.py
+++ b/basalthook/bodies/memory.py
@@ -89,7 +89,7 @@
 
     def __init__(self, capacity: int, timers: Timers) -> None:
         self.capacity, self.timers = capacity, timers
-        self.in_use = 0
+        self.in_use = self.peak = 0
         self.reservations: dict[Reservation, None] = {}  # open ones, in order of their beginning
         self.waiting: dict[Reservation, None] = {}  # in order of arrival
         self.retry_timer = None  # set while reservations wait
@@ -150,6 +150,7 @@
 
     def _take(self, reservation: Reservation) -> None:
         self.in_use += reservation.missing
+        self.peak = max(self.peak, self.in_use)
         reservation.held = reservation.wanted
         del self.waiting[reservation]
         reservation.began_at += self.timers.now() - reservation.waiting_since
--- a/basalthook/program/metrics_log.py
+++ b/basalthook/program/metrics_log.py
@@ -5,8 +5,10 @@
 from ..routing.dispatcher import Dispatcher
 from ..routing.watch import Watch
 from ..transport.timers import Timers
+from . import process_memory
 
 INTERVAL_S = 10.0
+KIB = 1024
 
 
 class MetricsLog:
@@ -42,5 +44,25 @@
             attempts=dict(self.attempts.outcome_counts),
             attempts_not_begun=dict(self.attempts.refusal_counts),
             kept_connections_ended=dict(self.attempts.pool.early_closes),
+            memory=self.memory(),
         )
         self.begin()
+
+    def memory(self) -> dict:
+        """Memory of the process in MiB, and the KiB held for peers by owner: at present, at most, allowed."""
+        clients, resident = self.clients, process_memory.resident_mib()
+        owners = {
+            "bodies": clients.body_memory,
+            "requests": clients.request_memory,
+            "responses": clients.response_memory,
+        }
+        return {
+            "resident_mb": None if resident is None else round(resident, 1),
+            "peak_mb": round(process_memory.peak_mib(), 1),
+            **{
+                owner: [account.in_use // KIB, account.peak // KIB, account.capacity // KIB]
+                for owner, account in owners.items()
+            },
+            "bodies_waiting": len(clients.body_memory.waiting),
+            "closed_for_it": dict(clients.evicted),
+        }
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -5,6 +5,7 @@
 import signal
 from random import Random
 
+from ..bodies.account import MemoryAccount
 from ..bodies.memory import BodyMemory
 from ..console.admin_server import MAX_CONNECTIONS, AdminServer
 from ..handover.handover import Handover, HandoverCallbacks
@@ -14,7 +15,7 @@
 from ..recovery.discovery_schedule import SILENCE_TIMEOUT, DiscoverySchedule
 from ..routing.attempts import AttemptRunner
 from ..routing.client_connection import IDLE, NEW
-from ..routing.clients import Clients
+from ..routing.clients import ClientMemory, Clients
 from ..routing.clock import TICKS_PER_SECOND, Clock
 from ..routing.dispatcher import Dispatcher
 from ..routing.host_registry import HostRegistry
@@ -91,7 +92,14 @@
         self.pool = HostPool(
             buffers, descriptors, timers, start_up.idle_timeout_s, start_up.connect_timeout_s
         )
-        self.attempts = AttemptRunner(self.pool, clock, timers, registry, self.dispatcher, log.log_event)
+        self.memory = memory = ClientMemory(
+            BodyMemory(start_up.memory.bodies, timers),
+            MemoryAccount(start_up.memory.requests),
+            MemoryAccount(start_up.memory.responses),
+        )
+        self.attempts = AttemptRunner(
+            self.pool, clock, timers, registry, self.dispatcher, memory.responses, log.log_event
+        )
         schedule = DiscoverySchedule(start_up.agreed, self.dispatcher.policy.rng)
         self.watch = Watch(
             start_up.discovery,
@@ -113,7 +121,7 @@
             start_up.profiles,
             buffers,
             descriptors,
-            BodyMemory(start_up.max_body_bytes, timers),
+            memory,
             log.log_event,
         )
         self.metrics = MetricsLog(
@@ -273,7 +281,9 @@
         self.start_up = start_up._replace(**current)
         self.log.name = start_up.name
         self.descriptors.set_limit(self.descriptor_limit(self.start_up))
-        self.clients.body_memory.set_capacity(start_up.max_body_bytes)
+        self.memory.bodies.set_capacity(start_up.memory.bodies)
+        self.memory.requests.capacity = start_up.memory.requests
+        self.memory.responses.capacity = start_up.memory.responses
         self.pool.set_timeouts(start_up.idle_timeout_s, start_up.connect_timeout_s)
         self.watch.set_address(start_up.discovery)
         self.log.log_event("file taken", discovery=list(start_up.discovery), needs_restart=changed)
--- a/basalthook/program/startup.py
+++ b/basalthook/program/startup.py
@@ -12,6 +12,30 @@
 from ..protocol import catalogue
 
 
+class MemoryLimits(NamedTuple):
+    """How many bytes may be held for clients, by kind."""
+
+    bodies: int  # long bodies of requests
+    requests: int  # heads, short bodies, and what is sent ahead of an answer
+    responses: int  # collected from hosts, and not yet read by clients
+
+
+DEFAULT_MEMORY_MB = 64  # the limit of the process if none is configured
+PROGRAM_MEMORY_MB = 24  # of it, for the program itself
+CONNECTION_BYTES = 4 * 1024  # that an open connection takes without any data
+MAX_CONNECTIONS_SHARE = 0.5  # of the rest, for connections
+MIN_PEER_MEMORY_MB = 2  # for peers, however little is left
+# Of what is left. The remaining tenth is for what is not counted: the log's queue, fragments.
+BODIES_SHARE, REQUESTS_SHARE, RESPONSES_SHARE = 0.6, 0.1, 0.2
+
+
+def memory_limits(memory_mb: int, sockets: int) -> MemoryLimits:
+    """Divide the memory of a process that may have so many open connections."""
+    left = max(MIN_PEER_MEMORY_MB, memory_mb - PROGRAM_MEMORY_MB) * 2**20
+    left -= min(sockets * CONNECTION_BYTES, left * MAX_CONNECTIONS_SHARE)
+    return MemoryLimits(int(left * BODIES_SHARE), int(left * REQUESTS_SHARE), int(left * RESPONSES_SHARE))
+
+
 class StartUp(NamedTuple):
     """The decoded configuration."""
 
@@ -20,7 +44,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int  # limit on file descriptors
-    max_body_bytes: int  # of all long request bodies held at a time
+    memory: MemoryLimits
     agreed: interface.PolicySettings
     profiles: dict[str, int]
     connect_timeout_s: float
@@ -33,11 +57,6 @@
     fleet: object = None  # the decoded fleet file, if there is one
 
 
-# The memory limit if none is configured; the part of it that the program itself needs; the share of the rest
-# that is for request bodies.
-DEFAULT_MEMORY_MB, PROGRAM_MEMORY_MB, BODY_MEMORY_SHARE = 64, 28, 0.7
-
-
 MEMBER_NAME = re.compile(r"[!-~]{1,64}")  # printable ASCII, as other members read it in datagrams
 
 
@@ -106,7 +125,8 @@
     if known_hosts is None:
         raise ValueError("'known' is not a list of hosts")
     descriptor_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    memory = int(document.get("limits", {}).get("memory_mb") or DEFAULT_MEMORY_MB)
+    memory_mb = int(document.get("limits", {}).get("memory_mb") or DEFAULT_MEMORY_MB)
+    sockets = min(descriptor_limit, int(document.get("limits", {}).get("sockets") or descriptor_limit))
     seed = document.get("seed", 0)
     console = document.get("console") or environ.get("RELAY_CONSOLE")
     return StartUp(
@@ -116,8 +136,8 @@
         ),  # 0: any port
         discovery=catalogue.parse_address(document.get("discovery") or environ["RELAY_DISCOVERY"]),
         seed=int(seed, 16) if isinstance(seed, str) else int(seed),
-        sockets=min(descriptor_limit, int(document.get("limits", {}).get("sockets") or descriptor_limit)),
-        max_body_bytes=int(max(4, memory - PROGRAM_MEMORY_MB) * 2**20 * BODY_MEMORY_SHARE),
+        sockets=sockets,
+        memory=memory_limits(memory_mb, sockets),
         agreed=policy_settings,
         profiles=terms.profile_indices(settings),
         connect_timeout_s=allowed["connect_timeout_ns"] / 1e9,
--- a/basalthook/protocol/http1.py
+++ b/basalthook/protocol/http1.py
@@ -27,6 +27,8 @@
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
 NO_BODY_STATUSES = {204, 304}
 FRAMING_FIELDS = ("connection", "content-length", "expect", "host", "transfer-encoding")
+HEAD_FIELD_LINES = 3  # in Parser.head
+PARSED_VALUE_BYTES = 64  # that one extracted value takes in memory, besides its text
 KEEP_ALIVE, CLOSE = "keep-alive", "close"
 
 
@@ -71,6 +73,11 @@
         """Return the first value of this field, or None."""
         return next(iter(self.values(name)), None)
 
+    def size(self) -> int:
+        """Return about how many bytes of memory it takes."""
+        values = sum(map(len, self.parsed_fields.values()))
+        return len(self.field_lines) + len(self.target) + values * PARSED_VALUE_BYTES
+
     def connection_options(self) -> set[str]:
         """Return the options of its Connection fields, in lower case."""
         return {o.strip().lower() for v in self.parsed_fields.get("connection", ()) for o in v.split(",")}
@@ -134,6 +141,10 @@
         # an unbound function: a bound one would be a reference cycle that retains the body
         self.state = Parser._head
 
+    def held_bytes(self) -> int:
+        """Return how many bytes are held of messages that are not complete, and of those behind them."""
+        return len(self.unparsed) + len(self.body) + (len(self.head[HEAD_FIELD_LINES]) if self.head else 0)
+
     def drop_input(self) -> None:
         """Drop all bytes that are held, after a result behind which nothing will be parsed."""
         self.unparsed, self.body, self.head = bytearray(), bytearray(), None
--- a/basalthook/routing/attempts.py
+++ b/basalthook/routing/attempts.py
@@ -6,10 +6,11 @@
 
 from collections import Counter
 
+from ..bodies.account import MemoryAccount
 from ..bodies.forwarder import ResponseForwarder
 from ..policy import interface
 from ..protocol import hosts
-from ..protocol.http1 import Message, Parser, Rejection
+from ..protocol.http1 import MAX_BODY_BYTES, Message, Parser, Rejection
 from ..transport.connection import PEER_CLOSED, Connection, ConnectionFailure, Stage
 from ..transport.hostpool import HostPool
 from ..transport.timers import Timers
@@ -21,6 +22,7 @@
 # A response without a stated length is buffered up to this size. A longer one is streamed, so that the
 # first bytes from a slow host need not wait for the rest.
 MAX_BUFFERED_BYTES = 4 * 1024
+MAX_READ_BYTES = 16 * 1024  # of a response in one read
 MAX_SUCCESS_LINES_PER_S = 50  # log lines on attempts that succeeded
 
 
@@ -43,6 +45,7 @@
         "refusal",
         "timer",
         "finished",
+        "held",
     )
 
     def __init__(
@@ -68,6 +71,7 @@
         self.response_parser: Parser | None = None
         self.refusal: str | None = None  # why it was not sent
         self.timer = None
+        self.held = 0  # bytes of the response, as the account knows them
 
     def stop(self, outcome: str) -> None:
         """End the attempt with this outcome; its connection is closed, not returned to the pool."""
@@ -113,8 +117,10 @@
             self.release_connection()
             return self.finish(None)
         self.stage = Stage.WRITING
+        connection.read_size = runner.read_size
         self.response_parser = Parser(
             responses=True,
+            max_body=max(MAX_BUFFERED_BYTES, runner.response_memory.read_size(MAX_BODY_BYTES)),
             field_names=hosts.PARSED_FIELDS,
             streaming=True,
             max_undelimited_body=MAX_BUFFERED_BYTES,
@@ -135,6 +141,7 @@
         """`unread_ns`: how long the data has waited in the kernel."""
         try:
             self.response_parser.feed(data)
+            self.held = self.runner.response_memory.change(self.held, self.response_parser.held_bytes())
             if self.stage == Stage.WRITTEN:
                 self.stage = Stage.ANSWERING
             result, head = self.response_parser.result, self.response_parser.streamed_head
@@ -160,6 +167,7 @@
         if head.status != 200 or self.stage != Stage.ANSWERING:
             return self.finish(head._replace(keep_alive=False), unread)  # only the status matters
         self.finished, runner, pool = True, self.runner, self.runner.pool
+        self.held = runner.response_memory.change(self.held, 0)
         runner.timers.cancel(self.timer)
         connection, self.connection, pool_key = self.connection, None, self.entry.pool_key
         unread += connection.connect_notice_delay // TICK_NS if not self.reused else 0
@@ -187,6 +195,7 @@
             return
         self.finished = True
         runner, connection = self.runner, self.connection
+        self.held = runner.response_memory.change(self.held, 0)
         runner.timers.cancel(self.timer)
         if connection is not None:
             unread += connection.connect_notice_delay // TICK_NS if not self.reused else 0
@@ -250,14 +259,20 @@
         timers: Timers,
         registry: HostRegistry,
         dispatcher: Dispatcher,
+        response_memory: MemoryAccount,
         log_event,
     ) -> None:
+        self.response_memory = response_memory
         self.pool, self.clock, self.timers, self.registry = pool, clock, timers, registry
         self.dispatcher, self.log_event = dispatcher, log_event
         self.rate_limited_log = RateLimitedLog(log_event, clock, MAX_SUCCESS_LINES_PER_S)
         self.outcome_counts: Counter[str] = Counter()  # of finished attempts
         self.refusal_counts: Counter[str] = Counter()  # by reason: attempts that were decided on but not sent
 
+    def read_size(self) -> int:
+        """How many bytes the next read from a host may take."""
+        return self.response_memory.read_size(MAX_READ_BYTES)
+
     def begin(
         self,
         transaction: Transaction,
--- a/basalthook/routing/client_connection.py
+++ b/basalthook/routing/client_connection.py
@@ -19,6 +19,9 @@
 # Longest time without progress on a request. It counts from connecting for the first request of a
 # connection, and from the first byte for the others.
 READ_TIMEOUT_S = 2.5
+MAX_READ_BYTES = 16 * 1024  # in one read; those of the pool of buffers are of this size
+# A longer body is collected in memory that is reserved for it (`RequestBody`).
+MAX_SHORT_BODY_BYTES = 4 * 1024
 MIN_PROGRESS_BYTES = 16 * 1024  # of a body, to restart the read timeout; a well-behaved client sends 64 kB/s
 WRITE_TIMEOUT_S = 10.0  # longest time until a client has read its response
 LINGER_S = 1.0  # time that a rejected client has to read the reason
@@ -52,11 +55,19 @@
         "body",
         "forwarder",
         "chunked",
+        "request_bytes",
+        "response_bytes",
     )
 
     def __init__(self, clients: Clients, connection: Connection) -> None:
         self.clients, self.connection, self.state = clients, connection, NEW
-        self.parser = Parser(responses=False, field_names=application.PARSED_FIELDS, streaming=True)
+        self.parser = Parser(
+            responses=False,
+            max_body=MAX_SHORT_BODY_BYTES,
+            field_names=application.PARSED_FIELDS,
+            streaming=True,
+        )
+        self.request_bytes = self.response_bytes = 0  # as the accounts know them
         self.progress_mark = 0  # bytes of the body when the read timeout was last restarted
         self.body: RequestBody | None = None  # a long one, until its request is answered
         self.forwarder, self.chunked = None, False
@@ -68,6 +79,7 @@
         self.timer = self.set_timer(READ_TIMEOUT_S, self.on_timeout)  # also for clients that never send
 
     def start(self) -> None:
+        self.connection.read_size = self.read_size
         self.connection.start_reading(self.on_data, self.on_close)
 
     def set_timer(self, seconds: float, callback) -> list:
@@ -84,9 +96,38 @@
                 self.connection.pause_reading()
             else:
                 self.parse(data)
+            self.account_request()
         except Exception as error:  # must affect this connection only
             self.on_exception(error)
 
+    def read_size(self) -> int:
+        """How many bytes the next read may take; those of a long body have their memory already."""
+        if self.body is not None or self.state == LINGERING:
+            return MAX_READ_BYTES
+        return self.clients.request_memory.read_size(MAX_READ_BYTES)
+
+    def account_request(self) -> None:
+        """Report what is held of requests, without the bodies that have reserved memory."""
+        held = 0
+        if not self.connection.closed:
+            held = self.parser.held_bytes()
+            if self.transaction is not None:
+                held += self.transaction.request.message.size()
+        if held != self.request_bytes:
+            grown = held > self.request_bytes
+            self.request_bytes = self.clients.request_memory.change(self.request_bytes, held)
+            if grown and self.clients.request_memory.is_exceeded():
+                self.clients.free_request_memory()
+
+    def account_response(self) -> None:
+        """Report what is held of responses until the client reads it."""
+        held = 0 if self.connection.closed else self.connection.unsent
+        if held != self.response_bytes:
+            grown = held > self.response_bytes
+            self.response_bytes = self.clients.response_memory.change(self.response_bytes, held)
+            if grown and self.clients.response_memory.is_exceeded():
+                self.clients.free_response_memory()
+
     def parse(self, data) -> None:
         self.parser.feed(data)
         arrived_at = self.arrivals.of_last_parsed(len(self.parser.unparsed))
@@ -107,6 +148,7 @@
                 and not (self.body is not None and self.body.is_waiting)
             ):
                 self.connection.start_reading(self.on_data, self.on_close)
+            self.account_request()
         except Exception as error:  # must affect this connection only
             self.on_exception(error)
 
@@ -224,11 +266,17 @@
         self.stop_receiving()
         self.reject(rejection)
 
+    def give_up_request(self) -> None:
+        """End a request that has not come whole, as others need the memory."""
+        self.reject_body(Rejection(408, "not whole, and no memory to wait for the rest"))
+
     def stop_receiving(self) -> None:
         """Read no more of a body that will not be used, and return its memory."""
         self.clients.timers.cancel(self.timer)
         self.timer, self.state = None, BUSY
         self.release_body()
+        self.parser.drop_input()
+        self.account_request()
         self.connection.pause_reading()
 
     def release_body(self) -> None:
@@ -318,9 +366,17 @@
 
     def write_piece(self, data) -> bool:
         """Write a piece of the body. Returns whether the kernel accepted it; if not, the forwarder waits."""
-        return self.connection.write(
-            application.encode_chunk(data) if self.chunked else (data,), self.forwarder.resume
+        accepted = self.connection.write(
+            application.encode_chunk(data) if self.chunked else (data,), self.on_piece_written
         )
+        if not accepted:
+            self.account_response()
+        return accepted
+
+    def on_piece_written(self) -> None:
+        self.account_response()
+        if self.forwarder is not None:
+            self.forwarder.resume()
 
     def forwarding_finished(self, complete: bool) -> None:
         """The long response is complete, or it broke off: then the connection is reset, to show that."""
@@ -344,6 +400,7 @@
             self.on_written()
         elif not self.connection.closed:
             self.timer = self.set_timer(WRITE_TIMEOUT_S, self.on_write_timeout)
+            self.account_response()
 
     def on_write_timeout(self) -> None:
         self.on_close(None)  # the client does not read, so it can't be sent a reason
@@ -351,6 +408,7 @@
     def on_written(self) -> None:
         self.clients.timers.cancel(self.timer)
         self.timer = None
+        self.account_response()
         self.release_body()  # if answered before it reached the dispatcher
         if not self.keep_alive:
             if (
@@ -360,6 +418,7 @@
             return self.clients.close_client(self)
         self.parser.next_message()
         self.continue_sent, self.state = False, PIPELINED if self.parser.unparsed else IDLE
+        self.account_request()
         self.clients.mark_idle(self)
         if self.state == PIPELINED or self.connection.paused:
             self.clients.timers.set(
@@ -380,6 +439,7 @@
     def linger(self) -> None:
         self.clients.timers.cancel(self.timer)
         self.parser.drop_input()
+        self.account_request()
         self.state, self.linger_bytes = LINGERING, LINGER_MAX_BYTES
         self.timer = self.set_timer(LINGER_S, self.on_write_timeout)
         self.connection.shutdown_write()
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections import Counter
+from typing import NamedTuple
 
+from ..bodies.account import MemoryAccount
 from ..bodies.memory import BodyMemory
 from ..protocol import application
 from ..recovery.admission import AdmissionControl
@@ -24,6 +26,14 @@
 NEVER = 2**63  # ticks; later than any time of the clock
 
 
+class ClientMemory(NamedTuple):
+    """The memory that is held for clients, by kind."""
+
+    bodies: BodyMemory  # long bodies of requests
+    requests: MemoryAccount  # heads, short bodies, and what is sent ahead of an answer
+    responses: MemoryAccount  # collected from hosts, and not yet read by clients
+
+
 class Clients:
     """All connections from the application, and the limits that they share."""
 
@@ -36,11 +46,14 @@
         profiles: dict[str, int],
         buffers: BufferPool,
         descriptors: DescriptorBudget,
-        body_memory: BodyMemory,
+        memory: ClientMemory,
         log_event,
     ) -> None:
         self.dispatcher, self.clock, self.timers, self.admission = dispatcher, clock, timers, admission
-        self.profiles, self.body_memory, self.log_event = profiles, body_memory, log_event
+        self.profiles, self.log_event = profiles, log_event
+        self.body_memory, self.request_memory = memory.bodies, memory.requests
+        self.response_memory = memory.responses
+        self.evicted: Counter[str] = Counter()  # connections closed for lack of memory, by account
         self.buffers, self.descriptors = buffers, descriptors
         descriptors.reclaimers.append(lambda: self.close_idle(1))
         self.response_deadline = NEVER  # ticks; set at shutdown: all must be answered by then
@@ -89,6 +102,31 @@
                 excess -= self.close_idle(excess, (state,), min_idle)
         return excess <= 0
 
+    def free_request_memory(self) -> None:
+        """End requests that have not come whole, those that hold the most first, until memory suffices."""
+        while self.request_memory.is_exceeded():
+            largest = max(
+                (client for client in self.open_clients if client.state == READING),
+                key=lambda client: client.request_bytes,
+                default=None,
+            )
+            if largest is None or not largest.request_bytes:
+                return
+            self.evicted["requests"] += 1
+            self.rate_limited_log("memory freed", of="requests", bytes=largest.request_bytes)
+            largest.give_up_request()
+
+    def free_response_memory(self) -> None:
+        """Close connections whose clients don't read, those that hold the most first, if memory lacks."""
+        while self.response_memory.is_exceeded():
+            largest = max(self.open_clients, key=lambda client: client.response_bytes, default=None)
+            if largest is None or not largest.response_bytes:
+                return
+            self.evicted["responses"] += 1
+            self.rate_limited_log("memory freed", of="responses", bytes=largest.response_bytes)
+            largest.connection.reset_on_close()
+            largest.close()
+
     def close_idle(self, max_count: int | None = None, states: tuple = (IDLE,), min_idle: float = 0.0) -> int:
         """Close connections in these states, longest idle first, unless they have bytes to read.
 
@@ -187,6 +225,8 @@
         client.timer = None
         client.release_body()
         client.connection.close()
+        client.account_request()
+        client.account_response()
         if (
             self.open_clients.pop(client, self) is None
             and not self.open_clients
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -7,6 +7,7 @@
 import struct
 import termios
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from enum import IntEnum
 from typing import NamedTuple
@@ -82,6 +83,8 @@
         "stream",
         "reading",
         "paused",
+        "read_size",
+        "unsent",
         "connect_started",
         "connect_notice_delay",
         "round_trip_ns",
@@ -92,6 +95,9 @@
         self.closed = self.reading = self.paused = False
         self.on_data = self.on_close = self.on_connected = None
         self.connect_started = self.connect_notice_delay = 0
+        # bytes that the next read may take, as a function; by default a whole buffer
+        self.read_size: Callable[[], int] | None = None
+        self.unsent = 0  # bytes of the last write that this process still holds
         self.round_trip_ns = 0  # of the handshake; 0 if unknown, and for accepted connections
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         timestamps.enable(sock)
@@ -168,12 +174,14 @@
         for _ in range(MAX_READS_PER_ITERATION):
             if self.closed or self.on_data is None:
                 return
+            limit = self.buffers.size if self.read_size is None else self.read_size()
             buffer = self.buffers.acquire()
             try:
                 try:
-                    count, ancillary, _, _ = self.stream.socket.recvmsg_into(
-                        [buffer], timestamps.ANCILLARY_BYTES
-                    )
+                    with memoryview(buffer) as view, view[:limit] as target:
+                        count, ancillary, _, _ = self.stream.socket.recvmsg_into(
+                            [target], timestamps.ANCILLARY_BYTES
+                        )
                 except BlockingIOError:
                     return
                 except OSError as error:
@@ -185,7 +193,7 @@
                 self.buffers.release(buffer)
             if not count:
                 return self.fail(PEER_CLOSED)
-            if count < self.buffers.size:
+            if count < limit:
                 return
 
     def write(self, parts: tuple[bytes, ...], on_written=None) -> bool:
@@ -220,12 +228,18 @@
             return False
         if unsent and self.paused:
             self.pause_reading()  # while waiting to write, the stream listens for reads again
-        if unsent and on_written is not None:
-            written.add_done_callback(
-                lambda done: None if done.cancelled() or done.exception() else on_written()
-            )
+        if unsent:
+            self.unsent = sum(map(len, unsent))
+            written.add_done_callback(lambda done: self._write_ended(done, on_written))
         return not unsent
 
+    def _write_ended(self, done, on_written) -> None:
+        if done.cancelled() or done.exception():
+            return
+        self.unsent = 0
+        if on_written is not None:
+            on_written()
+
     def pause_reading(self) -> None:
         """Stop reading, so that TCP flow control stops the peer from sending."""
         self.on_data, self.paused, loop = None, True, self.stream.io_loop
@@ -304,7 +318,7 @@
         if self.closed:
             return
         self.closed = True
-        self.on_data = self.on_close = self.on_connected = None
+        self.on_data = self.on_close = self.on_connected = self.read_size = None
         self.descriptors.release()
         self.descriptors.outgoing_fds.discard(self.stream.socket.fileno() if self.stream.socket else -1)
         self.stream.set_close_callback(None)
