Fix: the kernel took megabytes for each client that does not read

What callers saw: beside 330 clients that read answers of 8 MB at 2 kB a second, 501 of 540 requests of others were refused and the process took over 1 GB of answers from its hosts in the first second, most of it into the kernel's buffers, which may count in an operator's memory limit too.

Cause: SO_SNDBUF and SO_RCVBUF were left to the system, which lets each socket grow by itself (4 MB to send, 6 MB to receive by default). Class: a buffer whose size a peer decides.

Change: 64 KiB in each direction at clients, set on the listening socket, which accepted ones inherit, and 256 KiB at hosts (transport/socket_buffers.py).

Attempts whose answer is passed on as it comes are logged like others (`attempt`, `length`).

Found on the way, not mended: hosts that answer late for 0.4 s were rested for 10 s, all of them, as each late answer doubles the rest (policy/hosts.py, weigh); nothing was sent meanwhile.

--- a/basalthook/routing/attempts.py
+++ b/basalthook/routing/attempts.py
@@ -176,6 +176,7 @@
         )
         elapsed = max(0, runner.clock.now() - unread - self.begun_at)
         runner.outcome_counts[interface.COMMITTED] += 1
+        self.log_success(elapsed, length=head.length)
         runner.dispatcher.post(
             AttemptResult(
                 self.transaction, self.index, self.host, interface.COMMITTED, elapsed, unread, head, forwarder
@@ -184,6 +185,19 @@
         if forwarder.client is None:  # the transaction was closed already, so no client has taken it over
             forwarder.stop()
 
+    def log_success(self, elapsed: int, **fields) -> None:
+        """Log a response that is final; `length` is that of one that is passed on as it comes."""
+        self.runner.rate_limited_log(
+            "attempt",
+            tx=self.transaction.request.id,
+            number=self.index,
+            endpoint=self.entry.id,
+            outcome="succeeded",
+            reused=self.reused,
+            ms=elapsed / 10,
+            **fields,
+        )
+
     def release_connection(self) -> None:
         """Return the connection to the pool; from now on, stopping this attempt must not close it."""
         connection, self.connection = self.connection, None
@@ -213,15 +227,7 @@
         elapsed = max(0, runner.clock.now() - unread - self.begun_at)
         runner.outcome_counts[outcome] += 1
         if outcome == interface.COMMITTED:
-            runner.rate_limited_log(
-                "attempt",
-                tx=self.transaction.request.id,
-                number=self.index,
-                endpoint=self.entry.id,
-                outcome="succeeded",
-                reused=self.reused,
-                ms=elapsed / 10,
-            )
+            self.log_success(elapsed)
         else:
             reason = (self.refusal or "") if result is None or message else result.reason
             runner.log_event(
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -14,7 +14,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from . import timestamps
+from . import socket_buffers, timestamps
 from .buffers import BufferPool
 from .descriptors import DescriptorBudget
 
@@ -111,6 +111,7 @@
             sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
         except OSError as error:
             return ConnectionFailure(Stage.UNTRIED, str(error))
+        socket_buffers.limit(sock, socket_buffers.HOST_BUFFER_BYTES)
         descriptors.outgoing_fds.add(sock.fileno())
         return cls(sock, buffers, descriptors)
 
--- a/basalthook/transport/listener.py
+++ b/basalthook/transport/listener.py
@@ -7,7 +7,7 @@
 
 from tornado.netutil import bind_sockets
 
-from . import timestamps
+from . import socket_buffers, timestamps
 
 BACKLOG = 1024
 MAX_ACCEPTS_PER_ITERATION = 128  # connections accepted before the loop serves other events
@@ -71,6 +71,7 @@
         self.inherited, self.log_event = inherited is not None, log_event
         self.socket = inherited if self.inherited else open_listening_socket(address)
         timestamps.enable(self.socket)
+        socket_buffers.limit(self.socket, socket_buffers.CLIENT_BUFFER_BYTES)  # accepted ones inherit it
         self.address, self.on_accept = self.socket.getsockname()[:2], on_accept
         self.accepting = self.paused = False
         self.loop: asyncio.AbstractEventLoop | None = None
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,6 +1,7 @@
 """Memory held for peers, by account: what is counted, and who gives way when there is not enough."""
 
 import asyncio
+import socket
 import unittest
 
 from hypothesis import given
@@ -9,6 +10,7 @@
 from basalthook.bodies.account import MIN_READ_BYTES, READ_SHARE, MemoryAccount
 from basalthook.program import process_memory
 from basalthook.program.startup import DEFAULT_MEMORY_MB, PROGRAM_MEMORY_MB, memory_limits
+from basalthook.transport import socket_buffers
 from tests.fake import OK, SILENT, SocketHost
 from tests.loopback import Loopback
 
@@ -76,6 +78,22 @@
             self.assertEqual((await caller.read_response())[0], 200)
         await self.wait_until(lambda: not account.in_use)
 
+    async def test_the_buffers_of_the_kernel_are_bounded_at_clients_and_hosts(self):
+        caller = await self.start_proxy(SocketHost(SILENT))
+        caller.send_request()
+        await self.hosts[0].received.get()
+        (client,) = self.service.clients.open_clients
+        (attempt,) = next(iter(self.service.dispatcher.transactions.values())).attempts
+        for connection, size in (
+            (client.connection, socket_buffers.CLIENT_BUFFER_BYTES),
+            (attempt.connection, socket_buffers.HOST_BUFFER_BYTES),
+        ):
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                set_size = connection.stream.socket.getsockopt(socket.SOL_SOCKET, option)
+                self.assertLessEqual(set_size, 2 * size)  # the kernel doubles it
+        self.hosts[0].writers[0].write(OK)
+        self.assertEqual((await caller.read_response())[0], 200)
+
     async def test_of_answers_that_are_not_read_the_largest_gives_way(self):
         slow = await self.start_proxy(SocketHost(LONG_ANSWER))
         account = self.service.memory.responses
