Fix: what a client's bytes cost was not bounded, and the others waited for it

What callers saw: beside 330 clients with bodies in chunks of one byte, 512 of 540 requests of others had no answer in 3 s; beside 330 that are rejected and come again, 82 were refused and the median was 184 ms; beside one that sends empty lines 33 ms instead of 7.

Cause: a turn of the loop read up to 64 KiB of each connection, whatever these bytes cost (5 us a byte-long chunk here, 11 ms a buffer of them), and accepted up to 128 connections with what they had sent. Class: work bounded by bytes, not by what the bytes cost.

Change: the time that each connection takes is measured (transport/ processor_time.py). One that takes over a twentieth of a core, or 2 ms without an answer, shares 5 ms of a turn with all others like it; the selector leaves out all but eight of these, in turn. A read is as long as a millisecond's work, 2 KiB while the cost isn't known. New connections have 5 ms of a turn. The rest of a long answer comes after other hosts' answers. Short chunks are parsed in one loop (1.5 us each). And connections that say nothing or stop half way no longer count as idle ones: beside a crowd of them each answer ended its client's connection, so that the client waited in the backlog behind them.

Lab: a process for each stand-in host, which were late as one.

--- a/basalthook/lab/overload.py
+++ b/basalthook/lab/overload.py
@@ -205,9 +205,12 @@
     async def start(self) -> None:
         """Start discovery, the hosts and the proxy; return once it is ready."""
         discovery = await asyncio.get_running_loop().create_server(Discovery, loopback.ADDRESS, 0)
-        hosts = await start_module("basalthook.lab.plain_hosts", str(HOSTS), stdout=asyncio.subprocess.PIPE)
-        self.children.append(hosts)
-        addresses = [(await hosts.stdout.readline()).decode().strip() for _ in range(HOSTS)]
+        addresses = []
+        for _ in range(HOSTS):
+            host = await start_module("basalthook.lab.plain_hosts", stdout=asyncio.subprocess.PIPE)
+            self.children.append(host)
+            line = await asyncio.wait_for(host.stdout.readline(), READY_TIMEOUT_S)
+            addresses.append(line.decode().strip())
         self.write_start_up(addresses, discovery.sockets[0].getsockname()[1])
         with open(self.folder / "stderr", "wb") as stderr:
             self.proxy = await start_module(
--- a/basalthook/lab/plain_hosts.py
+++ b/basalthook/lab/plain_hosts.py
@@ -1,10 +1,9 @@
-"""Hosts that answer after a fixed time. A process of its own: `python -m` this module.
+"""A host that answers after a fixed time. A process of its own: `python -m` this module.
 
-`/name/N` is answered with N bytes. The addresses are written to standard output, one a line.
+`/name/N` is answered with N bytes. The address is written to standard output.
 """
 
 import asyncio
-import sys
 
 from . import loopback
 from .messages import MessageProtocol
@@ -51,15 +50,14 @@
             self.write_more()
 
 
-async def serve(hosts: int) -> None:
+async def serve() -> None:
     """Serve until the process is ended."""
     loop = asyncio.get_running_loop()
-    for _ in range(hosts):
-        server = await loop.create_server(PlainHost, loopback.ADDRESS, 0, backlog=512)
-        host, port = server.sockets[0].getsockname()[:2]
-        print(f"{host}:{port}", flush=True)
+    server = await loop.create_server(PlainHost, loopback.ADDRESS, 0, backlog=512)
+    host, port = server.sockets[0].getsockname()[:2]
+    print(f"{host}:{port}", flush=True)
     await loop.create_future()
 
 
 if __name__ == "__main__":
-    asyncio.run(serve(int(sys.argv[1])))
+    asyncio.run(serve())
--- a/basalthook/program/metrics_log.py
+++ b/basalthook/program/metrics_log.py
@@ -45,6 +45,7 @@
             attempts_not_begun=dict(self.attempts.refusal_counts),
             kept_connections_ended=dict(self.attempts.pool.early_closes),
             memory=self.memory(),
+            delayed_reads=self.clients.processor_time.delayed_reads,
         )
         self.begin()
 
--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -27,6 +27,7 @@
 from ..transport.event_loop import TimedSelector
 from ..transport.hostpool import HostPool
 from ..transport.listener import Listener
+from ..transport.processor_time import ProcessorTime
 from ..transport.timers import Timers
 from .log import Log
 from .metrics_log import MetricsLog
@@ -97,8 +98,16 @@
             MemoryAccount(start_up.memory.requests),
             MemoryAccount(start_up.memory.responses),
         )
+        processor_time = ProcessorTime()
         self.attempts = AttemptRunner(
-            self.pool, clock, timers, registry, self.dispatcher, memory.responses, log.log_event
+            self.pool,
+            clock,
+            timers,
+            registry,
+            self.dispatcher,
+            memory.responses,
+            processor_time,
+            log.log_event,
         )
         schedule = DiscoverySchedule(start_up.agreed, self.dispatcher.policy.rng)
         self.watch = Watch(
@@ -122,8 +131,11 @@
             buffers,
             descriptors,
             memory,
+            processor_time,
             log.log_event,
         )
+        if selector:
+            selector.delayed_fds = processor_time.delayed_fds
         self.metrics = MetricsLog(
             self.dispatcher, self.clients, self.attempts, self.watch, timers, log.log_event
         )
--- a/basalthook/protocol/http1.py
+++ b/basalthook/protocol/http1.py
@@ -5,6 +5,7 @@
 extracts the fields that are needed. All other fields are passed on as received.
 """
 
+import math
 import re
 from functools import lru_cache
 from typing import NamedTuple
@@ -24,6 +25,7 @@
 TRAILER = re.compile(TOKEN + rb":[\t\x20-\x7e\x80-\xff]*")
 BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
 LENGTH = re.compile(r"[0-9]{1,18}")
+SHORT_CHUNK_SIZE = re.compile(rb"([1-9A-Fa-f][0-9A-Fa-f]?)\r\n")
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
 NO_BODY_STATUSES = {204, 304}
 FRAMING_FIELDS = ("connection", "content-length", "expect", "host", "transfer-encoding")
@@ -281,7 +283,22 @@
         self._consume(len(self.unparsed))
         return False
 
+    def _consume_short_chunks(self) -> None:
+        """Consume the short chunks that have come whole: one by one they cost most of a body's parsing."""
+        unparsed, at, length = self.unparsed, 0, len(self.unparsed)
+        body = self.body
+        most = math.inf if self.streamed_head is not None else self.max_undelimited_body
+        while match := SHORT_CHUNK_SIZE.match(unparsed, at):
+            begin, size = match.end(), int(match[1], 16)
+            end = begin + size
+            if end + 2 > length or unparsed[end : end + 2] != b"\r\n" or len(body) + size > most:
+                break
+            body += unparsed[begin:end]
+            at = end + 2
+        del unparsed[:at]
+
     def _chunk_size(self) -> bool:
+        self._consume_short_chunks()
         line = self._line()
         if line is None:
             return self.result is not None
--- a/basalthook/routing/attempts.py
+++ b/basalthook/routing/attempts.py
@@ -13,6 +13,7 @@
 from ..protocol.http1 import MAX_BODY_BYTES, Message, Parser, Rejection
 from ..transport.connection import PEER_CLOSED, Connection, ConnectionFailure, Stage
 from ..transport.hostpool import HostPool
+from ..transport.processor_time import ProcessorTime, Usage
 from ..transport.timers import Timers
 from .clock import TICK_NS, TICKS_PER_SECOND, Clock
 from .dispatcher import AttemptResult, Dispatcher, Transaction
@@ -171,6 +172,7 @@
         runner.timers.cancel(self.timer)
         connection, self.connection, pool_key = self.connection, None, self.entry.pool_key
         unread += connection.connect_notice_delay // TICK_NS if not self.reused else 0
+        connection.set_bulk(Usage(runner.processor_time))
         forwarder = ResponseForwarder(
             connection, self.response_parser, runner.timers, lambda idle: pool.release(idle, pool_key)
         )
@@ -266,9 +268,10 @@
         registry: HostRegistry,
         dispatcher: Dispatcher,
         response_memory: MemoryAccount,
+        processor_time: ProcessorTime,
         log_event,
     ) -> None:
-        self.response_memory = response_memory
+        self.response_memory, self.processor_time = response_memory, processor_time
         self.pool, self.clock, self.timers, self.registry = pool, clock, timers, registry
         self.dispatcher, self.log_event = dispatcher, log_event
         self.rate_limited_log = RateLimitedLog(log_event, clock, MAX_SUCCESS_LINES_PER_S)
--- a/basalthook/routing/client_connection.py
+++ b/basalthook/routing/client_connection.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from ..protocol import application, http1
 from ..protocol.application import TransactionRequest
 from ..protocol.http1 import Message, Parser, Rejection
 from ..transport.connection import Connection, ConnectionFailure
+from ..transport.processor_time import Usage
 from .arrivals import Arrivals
 from .clock import TICK_NS, TICKS_PER_SECOND
 from .dispatcher import ClientDisconnected, DeadlineMissed, RequestReceived, Response, Transaction
@@ -19,6 +21,8 @@
 # Longest time without progress on a request. It counts from connecting for the first request of a
 # connection, and from the first byte for the others.
 READ_TIMEOUT_S = 2.5
+# until a connection that costs much is asked again for what it has sent ahead
+PIPELINE_DELAY_TICKS = TICKS_PER_SECOND // 1_000
 MAX_READ_BYTES = 16 * 1024  # in one read; those of the pool of buffers are of this size
 # A longer body is collected in memory that is reserved for it (`RequestBody`).
 MAX_SHORT_BODY_BYTES = 4 * 1024
@@ -80,6 +84,7 @@
 
     def start(self) -> None:
         self.connection.read_size = self.read_size
+        self.connection.usage = Usage(self.clients.processor_time)
         self.connection.start_reading(self.on_data, self.on_close)
 
     def set_timer(self, seconds: float, callback) -> list:
@@ -102,9 +107,10 @@
 
     def read_size(self) -> int:
         """How many bytes the next read may take; those of a long body have their memory already."""
-        if self.body is not None or self.state == LINGERING:
+        if self.state == LINGERING:
             return MAX_READ_BYTES
-        return self.clients.request_memory.read_size(MAX_READ_BYTES)
+        most = min(MAX_READ_BYTES, self.connection.usage.read_bytes)
+        return most if self.body is not None else self.clients.request_memory.read_size(most)
 
     def account_request(self) -> None:
         """Report what is held of requests, without the bodies that have reserved memory."""
@@ -137,10 +143,15 @@
     def read_next(self) -> None:
         """Continue with bytes that came after the request just answered."""
         try:
-            self.reading_since = self.clients.clock.now()
             if self.state == PIPELINED and not self.connection.closed:
-                self.state = IDLE
+                if not self.connection.usage.may_run():
+                    self.clients.timers.set(PIPELINE_DELAY_TICKS, self.read_next)
+                    return
+                self.reading_since = self.clients.clock.now()
+                started_ns, self.state = time.monotonic_ns(), IDLE
                 self.parse(b"")
+                self.connection.usage.add(started_ns, 0)
+            self.reading_since = self.clients.clock.now()
             if (
                 self.connection.paused
                 and not self.parser.result
@@ -294,6 +305,7 @@
             self.clients,
             min(self.clients.max_retry_after, self.clients.admission.retry_after()),
         )
+        self.connection.usage.answered()
         clients.rate_limited_log(
             "door",
             share=round(clients.admission.shed_share(), 3),
@@ -332,6 +344,7 @@
             return
         try:
             clients, transaction = self.clients, self.finish_transaction()
+            self.connection.usage.answered()
             self.keep_alive = self.keep_alive and clients.allows_keep_alive()
             clients.response_counts[response.kind] += 1
             if response.kind != "committed":
@@ -438,6 +451,7 @@
 
     def linger(self) -> None:
         self.clients.timers.cancel(self.timer)
+        self.connection.usage.is_over = True
         self.parser.drop_input()
         self.account_request()
         self.state, self.linger_bytes = LINGERING, LINGER_MAX_BYTES
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -11,8 +11,9 @@
 from ..transport.buffers import BufferPool
 from ..transport.connection import Connection
 from ..transport.descriptors import DescriptorBudget
+from ..transport.processor_time import ProcessorTime
 from ..transport.timers import Timers
-from .client_connection import IDLE, LINGERING, NEW, READING, Client
+from .client_connection import BUSY, IDLE, LINGERING, NEW, READING, Client
 from .clock import TICKS_PER_SECOND, Clock
 from .dispatcher import Dispatcher, Response, Transaction
 from .rate_limited_log import RateLimitedLog
@@ -47,6 +48,7 @@
         buffers: BufferPool,
         descriptors: DescriptorBudget,
         memory: ClientMemory,
+        processor_time: ProcessorTime,
         log_event,
     ) -> None:
         self.dispatcher, self.clock, self.timers, self.admission = dispatcher, clock, timers, admission
@@ -55,6 +57,7 @@
         self.response_memory = memory.responses
         self.evicted: Counter[str] = Counter()  # connections closed for lack of memory, by account
         self.buffers, self.descriptors = buffers, descriptors
+        self.processor_time = processor_time
         descriptors.reclaimers.append(lambda: self.close_idle(1))
         self.response_deadline = NEVER  # ticks; set at shutdown: all must be answered by then
         self.ready, self.max_retry_after = False, dispatcher.settings.max_retry_after
@@ -177,10 +180,14 @@
 
     def allows_keep_alive(self) -> bool:
         """Whether a connection may stay open after its response."""
+        return self.ready and not self.drained and not self.are_too_many_idle()
+
+    def are_too_many_idle(self) -> bool:
+        """Whether there are enough idle connections; those that stop half way or say nothing are none."""
+        most = self.descriptors.max_kept_alive_clients
         return (
-            self.ready
-            and not self.drained
-            and len(self.open_clients) <= self.descriptors.max_kept_alive_clients
+            len(self.open_clients) > most
+            and sum(client.state in (IDLE, BUSY) for client in self.open_clients) > most
         )
 
     def set_drained(self, drained: bool) -> None:
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -17,6 +17,7 @@
 from . import socket_buffers, timestamps
 from .buffers import BufferPool
 from .descriptors import DescriptorBudget
+from .processor_time import Usage
 
 PEER_CLOSED = "ended by the peer"  # an orderly close: everything the peer sent has been read
 UNREAD_COUNT = struct.Struct("i")  # FIONREAD (tcp(7))
@@ -84,6 +85,7 @@
         "reading",
         "paused",
         "read_size",
+        "usage",
         "unsent",
         "connect_started",
         "connect_notice_delay",
@@ -97,6 +99,7 @@
         self.connect_started = self.connect_notice_delay = 0
         # bytes that the next read may take, as a function; by default a whole buffer
         self.read_size: Callable[[], int] | None = None
+        self.usage: Usage | None = None  # of the processor, if that is bounded
         self.unsent = 0  # bytes of the last write that this process still holds
         self.round_trip_ns = 0  # of the handshake; 0 if unknown, and for accepted connections
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -115,6 +118,13 @@
         descriptors.outgoing_fds.add(sock.fileno())
         return cls(sock, buffers, descriptors)
 
+    def set_bulk(self, usage: Usage | None) -> None:
+        """Read this connection, which this process opened, after others from now on; None: before them."""
+        self.usage = usage
+        if not self.closed:
+            fd, prompt_fds = self.stream.socket.fileno(), self.descriptors.outgoing_fds
+            prompt_fds.add(fd) if usage is None else prompt_fds.discard(fd)
+
     def connect(self, address: tuple[str, int], on_connected) -> None:
         """Start connecting; `on_connected` is called later with None on success, or with a ConnectionFailure.
 
@@ -172,9 +182,12 @@
 
     def receive(self) -> None:
         """Read available bytes, up to `MAX_READS_PER_ITERATION` buffers; the loop calls again for more."""
+        usage = self.usage
         for _ in range(MAX_READS_PER_ITERATION):
             if self.closed or self.on_data is None:
                 return
+            if usage is not None and not usage.may_run():
+                return usage.delay(self.stream.socket.fileno())
             limit = self.buffers.size if self.read_size is None else self.read_size()
             buffer = self.buffers.acquire()
             try:
@@ -188,8 +201,11 @@
                 except OSError as error:
                     return self.fail(str(error))
                 if count:
+                    started_ns = time.monotonic_ns()
                     with memoryview(buffer) as view, view[:count] as data:
                         self.on_data(data, timestamps.receive_delay(ancillary) if ancillary else 0)
+                    if usage is not None:
+                        usage.add(started_ns, count)
             finally:
                 self.buffers.release(buffer)
             if not count:
@@ -321,7 +337,10 @@
         self.closed = True
         self.on_data = self.on_close = self.on_connected = self.read_size = None
         self.descriptors.release()
-        self.descriptors.outgoing_fds.discard(self.stream.socket.fileno() if self.stream.socket else -1)
+        fd = self.stream.socket.fileno() if self.stream.socket else -1
+        self.descriptors.outgoing_fds.discard(fd)
+        if self.usage is not None:
+            self.usage.processor_time.delayed_fds.discard(fd)
         self.stream.set_close_callback(None)
         self.stream.close()
         self.stream.connection = None  # breaks the reference cycle
--- a/basalthook/transport/hostpool.py
+++ b/basalthook/transport/hostpool.py
@@ -101,6 +101,8 @@
         """Keep a connection that is no longer in use, until it is reused, closed or expired."""
         if connection.closed or not self.idle_timeout:
             return connection.close()
+        if connection.usage is not None:
+            connection.set_bulk(None)
         now = time.monotonic()
         # what the host holds back until the acknowledgement arrives a round trip after it
         reuse_delay = REUSE_DELAY_S + connection.round_trip_ns / 1e9
--- a/basalthook/transport/listener.py
+++ b/basalthook/transport/listener.py
@@ -11,6 +11,7 @@
 
 BACKLOG = 1024
 MAX_ACCEPTS_PER_ITERATION = 128  # connections accepted before the loop serves other events
+MAX_ACCEPT_TIME_S = 0.005  # spent on these, what they have sent already included
 MAX_FAILURES_PER_ITERATION = 4  # consecutive failures before accepting pauses
 RETRY_DELAY_S = 0.01  # pause after a connection could not be accepted; doubled with each further pause
 MAX_RETRY_DELAY_S = 0.2
@@ -84,7 +85,10 @@
         self.loop.add_reader(self.socket, self._accept_ready)
 
     def _accept_ready(self) -> None:
+        until = time.monotonic() + MAX_ACCEPT_TIME_S
         for _ in range(MAX_ACCEPTS_PER_ITERATION):
+            if time.monotonic() >= until:
+                return
             try:
                 sock, _ = self.socket.accept()
             except BlockingIOError:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -164,6 +164,26 @@
                     parser.feed(data[at : at + 7])
             self.assertEqual(parser.result.status, 431)
 
+    def test_chunks_of_any_size_parse_alike_in_one_piece_and_in_many(self):
+        source = random.Random(11)
+        for max_body in (100, 64 * 1024):  # streamed, and collected
+            for _ in range(50):
+                chunks = [source.randbytes(source.choice((1, 2, 9, 16, 255, 256))) for _ in range(20)]
+                data = b"".join(b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks)
+                data = (
+                    b"GET / HTTP/1.1\r\nHost: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + data
+                    + b"0\r\n\r\nGET"
+                )
+                for step in (len(data), source.randrange(1, 40)):
+                    parser, body = Parser(False, max_body=max_body, streaming=True), bytearray()
+                    for at in range(0, len(data), step):
+                        parser.feed(data[at : at + step])
+                        if parser.streamed_head is not None:
+                            body += parser.take_body()
+                    body += parser.result.body
+                    self.assertEqual((bytes(body), bytes(parser.unparsed)), (b"".join(chunks), b"GET"))
+
     def test_a_response_without_a_length_ends_with_its_connection_and_is_not_delimited(self):
         found = parse(b"HTTP/1.1 200 OK\r\n\r\npart", True, end=True)
         self.assertEqual((found.body, found.delimited, found.keep_alive), (b"part", False, False))
