Fix: a log that nobody reads held ids of 16 KiB from peers, 8,192 of them

What operators would see: no case on record; found by looking for what else grows with what peers send. With the log's reader stopped its queue held up to 8,192 events, each with a Request-Id of up to 16 KiB: over 100 MB.

Cause: the queue was bounded by events, not by their size. Class: as the ids, a bound that counts things whose size a peer decides.

Change: 2,048 events, and 512 characters of each text in them.

--- a/basalthook/program/log.py
+++ b/basalthook/program/log.py
@@ -8,7 +8,8 @@
 
 import orjson
 
-MAX_QUEUED_EVENTS = 8192  # more are dropped and counted
+MAX_QUEUED_EVENTS = 2048  # more are dropped and counted
+MAX_TEXT_CHARACTERS = 512  # of a field; some come from peers, which may send 16 KiB
 WRITE_INTERVAL_S = 0.05  # events are written in batches: a wake-up for each event costs more
 
 
@@ -36,6 +37,9 @@
             return
         if self.dropped:
             fields["dropped"], self.dropped = self.dropped, 0
+        for name, value in fields.items():
+            if type(value) is str and len(value) > MAX_TEXT_CHARACTERS:
+                fields[name] = value[:MAX_TEXT_CHARACTERS]
         self.queue.append((time.time(), self.name, event, fields))
 
     def close(self, seconds: float = 0.3) -> None:
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -30,6 +30,21 @@
         self.assertIn("udc80", lines[0]["path"])
         self.assertEqual(lines[2]["n"], 1)
 
+    def test_a_log_that_nobody_reads_holds_little_of_what_peers_sent(self):
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        with patch("sys.stdout") as stdout:
+            stdout.fileno.return_value = writing
+            log = Log("p0")
+            for number in range(20_000):
+                log.log_event("attempt", tx=f"{number}" + "x" * 15_000)
+            held = sum(len(fields["tx"]) for _, _, _, fields in log.queue)
+            self.assertLessEqual(held, 1_100_000)
+            self.assertGreater(log.dropped, 10_000)
+            os.set_blocking(writing, False)
+            log.close()
+        os.close(writing)
+
 
 if __name__ == "__main__":
     unittest.main()
