Fix: an unsafe request ran twice when its id came again after its client had left

What callers saw: a client leaves after its unsafe request was forwarded, and the id comes again 50 ms later on a new connection: it ran at a second host. The same at an upgrade, when the id came to the successor while the old process had it in hand.

Cause: an id was known only while its transaction had no answer (`open_ids`), in one process. Class: what may have an effect was remembered for as long as somebody waited for it, not for as long as it may have the effect.

Change: routing/request_ids.py notes the id of a request that is unsafe or keyed at its first byte to a host, for 60 s, in a table of 128 KiB (8,192 ids; the oldest of a bucket gives way). It is forgotten if no host can have begun it. One that comes again is a 409. Where two processes of one proxy share a folder the table is a file there, allocated at once and mapped: a lookup costs no call, and the first byte asks it too (`request id used`).

A safe request may come again, and one that every host turned away.

--- a/basalthook/handover/handover.py
+++ b/basalthook/handover/handover.py
@@ -75,6 +75,9 @@
         if error:
             self.log_error(error)
             return fallback, None
+        error = self.dispatcher.request_ids.share(self.process_registry.request_ids_path)
+        if error:
+            self.log_error(error)
         serving = self.process_registry.serving_process()
         if isinstance(serving, BadRecord):
             self.log_error(serving.reason)
--- a/basalthook/handover/process_registry.py
+++ b/basalthook/handover/process_registry.py
@@ -19,6 +19,7 @@
     def __init__(self, folder: str, name: str) -> None:
         self.path_prefix = os.path.join(folder, "basalthook-" + quote(name, safe="")[:100])
         self.overrides_path, self.state_path = self.path_prefix + ".orders", self.path_prefix + ".known"
+        self.request_ids_path = self.path_prefix + ".ids"
         self.serving_path = self.path_prefix + ".serving"  # holds the id of the process that serves
         self.own_id, self.lock_fd = "", -1
 
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -22,6 +22,7 @@
 # Why an attempt decided on earlier may no longer begin; checked right before its first byte.
 REQUEST_OVER, OUT_OF_TIME, REPEAT_NOT_ALLOWED = "request over", "out of time", "repeat not allowed"
 ENDPOINT_LEAVING, PLACEMENT, CLIENT_GONE = "endpoint leaving", "placement", "client gone"
+REQUEST_ID_USED = "request id used"  # by another process of this proxy
 
 # Peer reports on a host: one proxy met a fault (sent to the host's aggregator); many did (sent to all).
 FAULT_SEEN, FAULT_CONFIRMED = "met fault", "at fault"
--- a/basalthook/routing/client_connection.py
+++ b/basalthook/routing/client_connection.py
@@ -14,8 +14,8 @@
 from .clock import TICK_NS, TICKS_PER_SECOND
 from .dispatcher import (
     ClientDisconnected,
-    CloseHidden,
     DeadlineMissed,
+    GivenUp,
     RequestReceived,
     Response,
     Transaction,
@@ -342,6 +342,9 @@
         clients = self.clients
         if request.id in clients.open_ids:  # else one client could get the response to another one's request
             return self.reject(Rejection(409, "this Request-Id is open already"))
+        dispatcher = clients.dispatcher
+        if dispatcher.must_run_once(request.profile) and request.id in dispatcher.request_ids:
+            return self.reject(Rejection(409, "this Request-Id has been forwarded already"))
         clients.open_ids.add(request.id)
         deadline = min(received_at + int(request.timeout * TICKS_PER_SECOND), clients.response_deadline)
         self.transaction = transaction = Transaction(
@@ -528,7 +531,7 @@
             return True
         if self.may_hide_close():
             self.keep_alive = False
-            self.clients.dispatcher.post(CloseHidden(transaction))
+            self.clients.dispatcher.post(GivenUp(transaction, "more is sent ahead than is read"))
             return True
         return False
 
--- a/basalthook/routing/clock.py
+++ b/basalthook/routing/clock.py
@@ -11,6 +11,11 @@
     def __init__(self) -> None:
         self.wall_offset_ns = wall_ns() - monotonic_ns()
 
+    @staticmethod
+    def monotonic_ns() -> int:
+        """Nanoseconds of the system's monotonic clock, the same in all processes of one boot."""
+        return monotonic_ns()
+
     def now(self) -> int:
         """Ticks since the Unix epoch."""
         return (monotonic_ns() + self.wall_offset_ns) // TICK_NS
--- a/basalthook/routing/dispatcher.py
+++ b/basalthook/routing/dispatcher.py
@@ -13,6 +13,7 @@
 from ..transport.timers import Timers
 from .clock import TICK_NS, Clock
 from .host_registry import HostRegistry
+from .request_ids import RequestIds
 
 MAX_LOGGED_IDS = 16  # host ids in a log line, for each kind of change
 # of attempts that can't have had an effect
@@ -43,6 +44,7 @@
         "attempts",
         "closed",
         "has_run",
+        "id_noted",
     )
 
     def __init__(
@@ -56,6 +58,7 @@
         self.request, self.received_at, self.deadline, self.deliver = request, received_at, deadline, deliver
         self.client_gone = client_gone
         self.number, self.closed = -1, False
+        self.id_noted = False  # among the forwarded ids
         self.has_run = False  # an attempt that has ended may have had an effect
         self.attempts = []  # in order of their start; None once an attempt has finished
 
@@ -84,10 +87,12 @@
     transaction: Transaction
 
 
-class CloseHidden(NamedTuple):
-    """The client has sent so much ahead that its close would not be seen: nothing more is sent for it."""
+class GivenUp(NamedTuple):
+    """Nothing more may be sent for a transaction, for a reason that the policy does not know."""
 
     transaction: Transaction
+    reason: str
+    may_have_run: bool = False  # even if no attempt of this transaction has
 
 
 class DeadlineMissed(NamedTuple):
@@ -157,6 +162,7 @@
         self.read_lag_ns = read_lag_ns
         # the event handler is the policy itself, or a component that wraps it
         self.policy = self.event_handler = Proxy(settings, seed, clock.now())
+        self.request_ids = RequestIds(clock.monotonic_ns)
         self.queue: deque = deque()
         self.processing, self.next_number = False, 0
         self.transactions: dict[int, Transaction] = {}
@@ -231,10 +237,10 @@
             self.log_event("fault", where="owner", error="no answer in time")
             self.end_transaction(item.transaction, Response("abandoned", reason="no answer in time"))
 
-    def on_close_hidden(self, item: CloseHidden) -> None:
-        transaction = item.transaction
-        kind = "abandoned" if transaction.may_have_run() else "rolled back"
-        self.end_transaction(transaction, Response(kind, reason="more is sent ahead than is read"))
+    def on_given_up(self, item: GivenUp) -> None:
+        may_have_run = item.may_have_run or item.transaction.may_have_run()
+        kind = "abandoned" if may_have_run else "rolled back"
+        self.end_transaction(item.transaction, Response(kind, reason=item.reason))
 
     def end_transaction(self, transaction: Transaction, response: Response | None) -> None:
         if not transaction.closed:
@@ -279,7 +285,7 @@
     ITEM_HANDLERS = {
         RequestReceived: on_request_received,
         ClientDisconnected: on_client_disconnected,
-        CloseHidden: on_close_hidden,
+        GivenUp: on_given_up,
         DeadlineMissed: on_deadline_missed,
         AttemptResult: on_attempt_result,
         DiscoveryUpdate: on_discovery_update,
@@ -293,6 +299,8 @@
     def forget_if_finished(self, transaction: Transaction) -> None:
         if transaction.closed and not any(transaction.attempts):
             self.transactions.pop(transaction.number, None)
+            if transaction.id_noted and not transaction.has_run:
+                self.request_ids.forget(transaction.request.id)
 
     # ---- effects
 
@@ -321,7 +329,23 @@
             return interface.ENDPOINT_LEAVING
         if transaction.client_gone():
             return interface.CLIENT_GONE
-        return self.policy.start_refusal(self.clock.now(), transaction.number, host)
+        refusal = self.policy.start_refusal(self.clock.now(), transaction.number, host)
+        return refusal or self.note_id(transaction)
+
+    def must_run_once(self, profile: int) -> bool:
+        """Whether a request of this profile may have a second effect if it is sent again."""
+        return self.settings.profiles[profile].kind != interface.IDEMPOTENT
+
+    def note_id(self, transaction: Transaction) -> str | None:
+        """Note that the request is about to be forwarded; why it may not be, as it has been elsewhere."""
+        if transaction.id_noted or not self.must_run_once(transaction.request.profile):
+            return None
+        if transaction.request.id in self.request_ids:
+            self.post(GivenUp(transaction, interface.REQUEST_ID_USED, may_have_run=True))
+            return interface.REQUEST_ID_USED
+        self.request_ids.note(transaction.request.id)
+        transaction.id_noted = True
+        return None
 
     def roll_back(self, effect: interface.RollBack) -> None:
         self.respond(effect.tx, Response("rolled back", None, effect.retry_after, reason=effect.reason))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -243,6 +243,31 @@
         if caller is not None:
             await caller.stop()
 
+    async def test_an_unsafe_request_of_the_old_process_does_not_run_again_at_its_successor(self):
+        for host in self.hosts:
+            host.replies = [SILENT]
+        old, request = await self.start(), b"POST /submit HTTP/1.1\r\nHost: s\r\nRequest-Id: once\r\n"
+        request += b"Request-Timeout: 2.0\r\nContent-Length: 0\r\n\r\n"
+        for leaves in (True, False):
+            first = await Caller().connect(self.address)
+            first.writer.write(request.replace(b"once", b"once%d" % leaves))
+            while not sum(host.received.qsize() for host in self.hosts):
+                await asyncio.sleep(0.01)
+            for host in self.hosts:
+                while host.received.qsize():
+                    host.received.get_nowait()
+            if leaves:
+                await first.stop()
+        self.addAsyncCleanup(first.stop)
+        await self.start()
+        await self.line(old, "succeeded")
+        for leaves in (True, False):
+            again = await Caller().connect(self.address)
+            again.writer.write(request.replace(b"once", b"once%d" % leaves))
+            self.assertEqual((await again.read_response())[0], 409)
+            await again.stop()
+        self.assertEqual(sum(host.received.qsize() for host in self.hosts), 0)
+
     async def test_upgrades_under_load_refuse_reset_and_lose_nothing(self):
         process, until, answers = await self.start(), asyncio.Event(), []
         load = [asyncio.create_task(self.send_requests(until, answers)) for _ in range(4)]
--- a/tests/test_leaving_clients.py
+++ b/tests/test_leaving_clients.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import contextlib
+import os
 import socket
+import tempfile
+import unittest
 
-from tests.fake import OK, SocketHost
+from basalthook.routing.request_ids import BUCKETS, MEMORY_NS, SLOTS, TABLE_BYTES, RequestIds
+from tests.fake import OK, SILENT, SocketHost
 from tests.loopback import Loopback
 
 TURNED_AWAY = b"HTTP/1.1 503 X\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
@@ -89,3 +93,86 @@
         self.assertEqual(ids, ["r0"])  # whether the client is still there can't be told
         self.assertIn(b"503", answers.split(b"\r\n")[0])
         self.assertIn(b"Connection: close", answers)
+
+
+class IdsThatComeAgain(Loopback):
+    async def send_and_leave(self, reply, method="POST"):
+        """A client sends a request and leaves once a host has it."""
+        await self.start_proxy(SocketHost(reply), SocketHost(reply))
+        first = await self.connect()
+        first.writer.write(request(0, method))
+        await self.wait_until(lambda: self.count_attempts() == 1)
+        await first.stop()
+        await asyncio.sleep(0.05)
+
+    def count_attempts(self):
+        return sum(host.received.qsize() for host in self.hosts)
+
+    async def send_again(self, method="POST"):
+        again = await self.connect()
+        again.writer.write(request(0, method))
+        return (await again.read_response())[0]
+
+    async def test_an_unsafe_request_runs_once_though_its_id_comes_again_after_its_client_left(self):
+        await self.send_and_leave(SILENT)
+        self.assertEqual((await self.send_again(), self.count_attempts()), (409, 1))
+
+    async def test_a_safe_request_may_come_again(self):
+        await self.send_and_leave(SILENT, "GET")
+        for host in self.hosts:
+            host.replies = [OK]
+        self.assertEqual((await self.send_again("GET"), self.count_attempts()), (200, 2))
+
+    async def test_an_unsafe_request_that_no_host_began_may_come_again(self):
+        caller = await self.start_proxy(SocketHost(TURNED_AWAY), SocketHost(TURNED_AWAY))
+        caller.writer.write(request(0, "POST"))
+        self.assertEqual((await caller.read_response())[0], 503)
+        for host in self.hosts:
+            host.replies = [OK]
+        statuses = [503]
+        while statuses[-1] == 503:  # until a safe request has shown that the hosts' backoff is over
+            await asyncio.sleep(0.1)
+            await (await self.connect()).status()
+            statuses.append(await self.send_again())
+        self.assertEqual(statuses[-1], 200)
+
+
+class ForwardedIds(unittest.TestCase):
+    def setUp(self):
+        self.now = MEMORY_NS
+
+    def ids(self):
+        return RequestIds(lambda: self.now)
+
+    def test_ids_are_known_for_their_time_unless_no_host_began_them(self):
+        ids = self.ids()
+        for name in ("a", "b", "\u00ff" * 16_000):
+            ids.note(name)
+            self.assertIn(name, ids)
+        ids.forget("b")
+        self.assertNotIn("b", ids)
+        self.now += MEMORY_NS
+        self.assertNotIn("a", ids)
+
+    def test_the_table_does_not_grow_and_keeps_the_newest(self):
+        ids = self.ids()
+        for number in range(4 * BUCKETS * SLOTS):
+            self.now += 1
+            ids.note(f"id{number}")
+        self.assertEqual(len(ids.table), TABLE_BYTES)
+        newest = range(4 * BUCKETS * SLOTS - BUCKETS, 4 * BUCKETS * SLOTS)
+        self.assertTrue(all(f"id{number}" in ids for number in newest))
+
+    def test_processes_share_a_file_and_a_folder_that_is_none_is_an_error(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "ids")
+            one, other = self.ids(), self.ids()
+            self.assertEqual((one.share(path), other.share(path)), ("", ""))
+            one.note("a")
+            self.assertIn("a", other)
+            other.forget("a")
+            self.assertNotIn("a", one)
+            alone = self.ids()
+            self.assertIn("cannot open", alone.share(os.path.join(folder, "none", "ids")))
+            alone.note("b")
+            self.assertIn("b", alone)
