Fix: a long answer that its host still wrote was cut off at SIGTERM

What callers saw: an answer of 100 kB, 5 kB each 0.2 s, was reset 2.7 s after SIGTERM though nobody had killed the process: 14 of its 20 pieces came.

Cause: the process ends when no transaction has an answer due: 0.7 s and the longest deadline after SIGTERM. An answer that is passed on counts as given from its head on, so nothing waited for it. Class: work that was handed on has left the list that the end waits for.

--- a/basalthook/program/service.py
+++ b/basalthook/program/service.py
@@ -43,6 +43,7 @@
 ADMISSION_SEED_MASK = 0xD008
 SIGKILL_DELAY_S = 0.7  # SIGKILL follows SIGTERM no sooner than the longest hard limit plus this
 ANSWER_MARGIN_S = 0.2  # all is answered this long before SIGKILL, as SIGTERM may be handled late
+LONG_ANSWER_TIMEOUT_S = 60.0  # for answers that are being passed on, after all others are given
 MIN_IDLE_S = 0.3  # idle this long, a connection is unlikely to have a request on its way
 READ_PERIOD_S = 0.1  # time for requests to arrive on the connections accepted last
 
@@ -322,6 +323,7 @@
             await asyncio.sleep(READ_PERIOD_S)
         self.clients.close_idle(states=(NEW, IDLE))
         await self.clients.wait_until_closed(self.start_up.max_hard_limit_s)
+        await self.clients.wait_for_long_answers(LONG_ANSWER_TIMEOUT_S)
         self.close()
 
     async def drain_clients(self) -> None:
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -24,6 +24,7 @@
 DRAIN_NEW_DELAY_S = 1.0  # while drained, a connection without a first byte is closed after this time
 DRAIN_SWEEP_INTERVAL_S = 0.2
 MAX_LOG_LINES_PER_S = 20  # of each event on bad input or a response that is no commit; others are counted
+LONG_ANSWER_POLL_S = 0.05
 NEVER = 2**63  # ticks; later than any time of the clock
 
 
@@ -247,6 +248,15 @@
             self.all_closed = asyncio.get_running_loop().create_future()
             await asyncio.wait({self.all_closed}, timeout=seconds)
 
+    async def wait_for_long_answers(self, seconds: float) -> None:
+        """Wait until no answer is being passed on any more, `seconds` at most.
+
+        Each of them goes on for as long as its host and its client make progress.
+        """
+        until = self.clock.now() + int(seconds * TICKS_PER_SECOND)
+        while self.clock.now() < until and any(client.forwarder for client in self.open_clients):
+            await asyncio.sleep(LONG_ANSWER_POLL_S)
+
     def log_no_memory(self, client: Client, reason: str) -> None:
         """Log a body that got no memory, and what the others hold: `unused` bytes have not arrived."""
         memory, body = self.body_memory, client.body
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -96,6 +96,34 @@
         self.assertEqual((await checked.stdout.read()).decode().splitlines()[-1], "[]")
         await checked.wait()
 
+    async def test_at_sigterm_a_long_answer_that_its_host_writes_slowly_is_not_cut_off(self):
+        self.host.replies = [SILENT]
+        process, caller = await self.serve()
+        piece, pieces = b"x" * 5_000, 20
+        for framing in (b"Content-Length: %d" % (len(piece) * pieces), b"Transfer-Encoding: chunked"):
+            if b"chunked" in framing:
+                piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+            caller = await Caller().connect(caller.writer.get_extra_info("peername"))
+            self.addAsyncCleanup(caller.stop)
+            caller.send_request("submit")
+            await self.host.received.get()
+            self.host.writers[-1].write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n")
+            self.tasks = [*getattr(self, "tasks", []), asyncio.create_task(self.write_slowly(piece, pieces))]
+            self.readers = [*getattr(self, "readers", []), asyncio.create_task(caller.reader.read())]
+        await asyncio.sleep(0.3)
+        process.terminate()
+        for reader in self.readers:
+            self.assertEqual((await reader).count(b"x" * 5_000), 20)
+        self.assertEqual(await asyncio.wait_for(process.wait(), 5), 0)
+
+    async def write_slowly(self, piece, pieces):
+        """Write over longer than the process would wait at its end for answers that have not begun."""
+        writer = self.host.writers[-1]
+        for _ in range(pieces):
+            await asyncio.sleep(0.2)
+            writer.write(piece)
+        writer.write(b"0\r\n\r\n" if piece.endswith(b"\r\n") else b"")
+
     async def test_signals_up_to_the_end_do_not_change_the_exit_code(self):
         process, _ = await self.serve()
         process.terminate()
