Fix: a connection to the old process at an address was used for the new one

What callers saw: found by reading, then shown: a connection still coming up when its host restarted, moved, or lost its address to another host, got the request all the same; kept connections were used across a restart, and one in use across it was kept afterwards.

Cause: kept connections were keyed by id and address, and the check before the first byte asked whether the host is ready, not whether it is still the one that the connection was opened to. A list that names another host at the address of one it does not name left both ready. Class: identity by address.

Change: a host's life is its id, address and start. Kept connections are keyed by it and end when it changes; the first byte asks for it (`endpoint leaving`); a connection whose host has changed meanwhile is closed and not kept. A host whose address another one has now, and that the same list does not name as started later, is no longer ready.

Read and found keyed by identity already: what a predecessor hands over (id and start), the processes of an upgrade (random id and lock), facts of members (name and life).

--- a/basalthook/routing/attempts.py
+++ b/basalthook/routing/attempts.py
@@ -107,7 +107,7 @@
     def send(self) -> None:
         runner, connection = self.runner, self.connection
         # checked again right before the first byte: conditions may have changed since the policy's decision
-        refusal = runner.dispatcher.refusal(self.transaction, self.host)
+        refusal = runner.dispatcher.refusal(self.transaction, self.host, self.entry)
         if refusal is not None:
             runner.refusal_counts[refusal] += 1
         if self.finished:  # the check found that the client has gone
@@ -167,15 +167,13 @@
         """A long response has begun: it is final for the transaction, and streams on without this attempt."""
         if head.status != 200 or self.stage != Stage.ANSWERING:
             return self.finish(head._replace(keep_alive=False), unread)  # only the status matters
-        self.finished, runner, pool = True, self.runner, self.runner.pool
+        self.finished, runner = True, self.runner
         self.held = runner.response_memory.change(self.held, 0)
         runner.timers.cancel(self.timer)
-        connection, self.connection, pool_key = self.connection, None, self.entry.pool_key
+        connection, self.connection = self.connection, None
         unread += connection.connect_notice_delay // TICK_NS if not self.reused else 0
         connection.set_bulk(Usage(runner.processor_time))
-        forwarder = ResponseForwarder(
-            connection, self.response_parser, runner.timers, lambda idle: pool.release(idle, pool_key)
-        )
+        forwarder = ResponseForwarder(connection, self.response_parser, runner.timers, self.keep_connection)
         elapsed = max(0, runner.clock.now() - unread - self.begun_at)
         runner.outcome_counts[interface.COMMITTED] += 1
         self.log_success(elapsed, length=head.length)
@@ -203,7 +201,14 @@
     def release_connection(self) -> None:
         """Return the connection to the pool; from now on, stopping this attempt must not close it."""
         connection, self.connection = self.connection, None
-        self.runner.pool.release(connection, self.entry.pool_key)
+        self.keep_connection(connection)
+
+    def keep_connection(self, connection: Connection) -> None:
+        """Return a connection to the pool, unless its host has left, moved or restarted since."""
+        if self.runner.registry.is_same_life(self.host, self.entry):
+            self.runner.pool.release(connection, self.entry.pool_key)
+        else:
+            connection.close()
 
     def finish(self, result: Message | ConnectionFailure | Rejection | None, unread: int = 0) -> None:
         """`unread`: ticks that the response waited here before it was read, which are not the host's."""
--- a/basalthook/routing/dispatcher.py
+++ b/basalthook/routing/dispatcher.py
@@ -12,7 +12,7 @@
 from ..transport.connection import Stage
 from ..transport.timers import Timers
 from .clock import TICK_NS, Clock
-from .host_registry import HostRegistry
+from .host_registry import HostRegistry, RegistryEntry
 from .request_ids import RequestIds
 
 MAX_LOGGED_IDS = 16  # host ids in a log line, for each kind of change
@@ -321,11 +321,14 @@
             )
         )
 
-    def refusal(self, transaction: Transaction, host: int) -> str | None:
-        """Why an attempt decided earlier may not send its first byte now; None if it may."""
+    def refusal(self, transaction: Transaction, host: int, entry: RegistryEntry) -> str | None:
+        """Why an attempt decided earlier may not send its first byte now; None if it may.
+
+        `entry`: of the host, when its connection was opened.
+        """
         if transaction.closed:
             return interface.REQUEST_OVER
-        if not self.registry.is_ready(host):
+        if not self.registry.is_same_life(host, entry):
             return interface.ENDPOINT_LEAVING
         if transaction.client_gone():
             return interface.CLIENT_GONE
--- a/basalthook/routing/host_registry.py
+++ b/basalthook/routing/host_registry.py
@@ -22,9 +22,9 @@
     def pool_key(self) -> tuple:
         """Key of the pooled connections to this host.
 
-        Neither a new host at an old address nor a host that has moved inherits connections.
+        Neither a new host at an old address, nor one that has moved or restarted, inherits connections.
         """
-        return self.id, self.address
+        return self.id, self.address, self.discovered.started_ns
 
 
 class HostRegistry:
@@ -48,8 +48,9 @@
     def apply_host_list(self, host_list: HostList, from_discovery: bool) -> interface.HostListReceived:
         """Update the registry from a list, and convert the list to the policy's event."""
         self.changes = {}
+        replaced = self._replaced_hosts(host_list.records)
         event = interface.HostListReceived(
-            tuple(self._update_entry(record) for record in host_list.records),
+            tuple(self._update_entry(record) for record in (*host_list.records, *replaced)),
             host_list.complete,
             from_discovery,
         )
@@ -57,11 +58,37 @@
         removed = {self.numbers_by_id[record.id] for record in host_list.records if record.removed}
         if host_list.complete:
             removed |= self.entries.keys() - named
+        removed |= {self.numbers_by_id[record.id] for record in replaced}
         self._drop(n for n in removed if not (self.use_unlisted and self.entries[n].ready))
         if from_discovery and self.start_times is not None:
             self.start_times.list_received()
         return event
 
+    def _replaced_hosts(self, records: tuple[HostRecord, ...]) -> list[HostRecord]:
+        """The records, as no longer ready, of hosts at whose addresses these records have another host.
+
+        A host that the same list names as ready stays, unless the other one has started later.
+        """
+        newcomers = {}
+        for record in records:
+            known = self.entries.get(self.numbers_by_id.get(record.id, -1))
+            if record.ready and (known is None or known.address != record.address):
+                newcomers[record.address] = record
+        if not newcomers:
+            return []
+        named = {record.id: record for record in records}
+        replaced = []
+        for entry in self.entries.values():
+            newcomer = newcomers.get(entry.address)
+            if newcomer is None or newcomer.id == entry.id or not entry.ready:
+                continue
+            latest = named.get(entry.id, entry.discovered)
+            if latest.address != entry.address:  # it has moved
+                continue
+            if entry.id not in named or latest.ready and latest.started_ns < newcomer.started_ns:
+                replaced.append(latest._replace(ready=False, draining=True))
+        return replaced
+
     def reapply_overrides(self, hosts: set[str]) -> interface.HostListReceived:
         """The list entries of these hosts with the present operator overrides applied."""
         numbers = [self.numbers_by_id[host] for host in sorted(hosts) if host in self.numbers_by_id]
@@ -103,6 +130,10 @@
     def is_ready(self, number: int) -> bool:
         return number in self.entries and self.entries[number].ready
 
+    def is_same_life(self, number: int, entry: RegistryEntry) -> bool:
+        """Whether the host is ready and still the one of this earlier entry, at its address."""
+        return self.is_ready(number) and self.entries[number].pool_key == entry.pool_key
+
     def _update_entry(self, discovered: HostRecord) -> interface.HostEntry:
         """Update the entry of a host from its record, and return the record as the policy's list entry."""
         record = self.overrides.apply_to(discovered)
@@ -116,7 +147,10 @@
         )  # hashed once: lists may come often
         ready = record.ready or record.removed and self.use_unlisted and bool(previous and previous.ready)
         self._note_change(previous, record, ready)
-        self.entries[number] = RegistryEntry(record.id, record.address, ready, id_hash, discovered)
+        entry = RegistryEntry(record.id, record.address, ready, id_hash, discovered)
+        self.entries[number] = entry
+        if previous is not None and previous.pool_key != entry.pool_key:
+            self.on_host_left(previous.pool_key)
         started_ns = (
             self.start_times.start_time(record.id, record.started_ns)
             if self.start_times
