--- a/basalthook/lab/command.py
+++ b/basalthook/lab/command.py
@@ -40,7 +40,9 @@
     return report(loaded, result, console, output_path)
 
 
-def run_soak(first: int, count: int, minutes: float | None, output_path: str | None) -> bool:
+def run_soak(
+    first: int, count: int, minutes: float | None, output_path: str | None, costly: bool = False
+) -> bool:
     """Runs the random scenarios of these seeds one after the other and prints a line for each.
 
     `minutes`: no scenario starts after this time; `output_path`: a file for one JSON object with all results.
@@ -50,7 +52,7 @@
     for seed in range(first, first + count):
         if deadline is not None and time.monotonic() >= deadline:
             break
-        outcomes.append(run_soak_scenario(seed, console))
+        outcomes.append(run_soak_scenario(seed, console, costly))
     failed_seeds = [outcome["seed"] for outcome in outcomes if not outcome["kept"]]
     console.print(
         f"{len(outcomes) - len(failed_seeds)} of {len(outcomes)} days kept all rules; broken: {failed_seeds}",
@@ -60,13 +62,13 @@
     return not failed_seeds
 
 
-def run_soak_scenario(seed: int, console: Console) -> dict:
+def run_soak_scenario(seed: int, console: Console, costly: bool = False) -> dict:
     """Runs the random scenario of a seed and prints its outcome.
 
     After a failure it also prints how to repeat it and a timeline.
     """
     rigs: list[processes.Rig] = []
-    result = processes.run_scenario(soak.draw_scenario(seed), rigs)
+    result = processes.run_scenario(soak.draw_scenario(seed, costly), rigs)
     verdict, passed = result.verdict, result.verdict.passed and not result.faults
     answers = sum(verdict.answers.values())
     console.print(
@@ -75,7 +77,8 @@
     )
     lines = []
     if not passed:
-        repeat_command = f"python -m basalthook lab soak --first {seed} --count 1"
+        option = " --costly" if costly else ""
+        repeat_command = f"python -m basalthook lab soak --first {seed} --count 1{option}"
         console.print(f"  {verdict.rules}, {verdict.first_violation}, {result.faults[:2]}", highlight=False)
         console.print(f"  again: {repeat_command}", highlight=False)
     if verdict.first_violation is not None:
--- a/basalthook/lab/faults.py
+++ b/basalthook/lab/faults.py
@@ -179,6 +179,19 @@
         fleet.start_proxy(proxy, self.forgets)
 
 
+class CostlyClients(ProxyFault, tag="costly_clients"):
+    """Clients that cost the proxy memory or processor time, beside the others: module `costly_clients`."""
+
+    behaviour: str
+    connections: Count
+
+    def apply(self, fleet, proxy):
+        fleet.start_costly_clients(proxy, self.behaviour, self.connections, self.lasts)
+
+    def revert(self, fleet, proxy):
+        """They end by themselves."""
+
+
 class StopProxy(ProxyFault, tag="stop_proxy"):
     """SIGSTOP, then SIGCONT."""
 
@@ -370,6 +383,7 @@
     | Cut
     | Lossy
     | KillProxy
+    | CostlyClients
     | StopProxy
     | ClockFault
     | Watches
@@ -383,7 +397,8 @@
     | Lists
 )
 PROCESS_ONLY_FAULTS = (  # not supported at other depths
-    Watches
+    CostlyClients
+    | Watches
     | Reconfigure
     | DiscoveryFault
     | Terminate
--- a/basalthook/lab/overload.py
+++ b/basalthook/lab/overload.py
@@ -18,6 +18,7 @@
 from . import loopback
 from .costly_clients import BEHAVIOURS
 from .messages import MessageProtocol
+from .process_memory import memory_of
 from .processes import prepare_child
 from .scenario import HostKind, Load, Profile, Scenario
 from .start import proxy_settings
@@ -144,20 +145,6 @@
         return status
 
 
-def memory_of(process_id: int) -> dict[str, float]:
-    """Return the resident memory of a process in MiB, by the names of proc(5); empty if it has ended."""
-    try:
-        text = Path(f"/proc/{process_id}/status").read_text()
-    except OSError:
-        return {}
-    lines = (line.split() for line in text.splitlines())
-    return {
-        words[0].rstrip(":"): int(words[1]) / 1024
-        for words in lines
-        if words[0] in ("VmRSS:", "VmHWM:", "RssAnon:", "RssFile:")
-    }
-
-
 async def start_module(module: str, *arguments: str, **options) -> asyncio.subprocess.Process:
     """Start a module of this package in a process that ends with this one."""
     return await asyncio.create_subprocess_exec(
--- a/basalthook/lab/processes.py
+++ b/basalthook/lab/processes.py
@@ -23,6 +23,7 @@
 from . import overrun, syscalls
 from .faults import ClockFault, LongWay, Maintain, StopProxy, Vanish
 from .load import Clients
+from .process_memory import memory_of
 from .relays import Relays
 from .result import Result, build_result, mean_and_max
 from .scenario import Scenario, ScenarioError, fault_events
@@ -65,6 +66,7 @@
         self.readers: set[asyncio.Task] = (
             set()
         )  # tasks that read a log; each is removed when its process ends
+        self.others: list[asyncio.subprocess.Process] = []  # of costly clients
         self.stopped: set[int] = set()  # proxies stopped by SIGSTOP
         self.faults: list[dict] = []  # faults that proxies logged, and unexpected exits and output
         # when the scenario begins: nanoseconds of the monotonic clock, seconds of the rig's clock
@@ -90,7 +92,7 @@
             "console": "127.0.0.1:0",
             "discovery": self.discovery_addresses[proxy],
             "seed": self.scenario.seed * 1000 + proxy,
-            "limits": {"sockets": SOCKET_LIMIT},
+            "limits": {"sockets": SOCKET_LIMIT, "memory_mb": self.scenario.memory_mb},
             "known": self.host_list(range(self.scenario.host_count), True, proxy),
             "settings": settings,
         }
@@ -205,10 +207,39 @@
             client.transport.close()
         self.clients.idle_connections[proxy].clear()
 
+    def start_costly_clients(self, proxy: int, behaviour: str, connections: int, lasts: float) -> None:
+        if self.addresses[proxy] is not None:
+            self.run_in_background(self.run_costly_clients(proxy, behaviour, connections, lasts))
+
+    async def run_costly_clients(self, proxy: int, behaviour: str, connections: int, lasts: float) -> None:
+        """Runs them in a process of their own, which ends by itself or with the lab."""
+        arguments = (behaviour, *self.addresses[proxy], connections, lasts, self.scenario.seed)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "basalthook.lab.costly_clients",
+            *map(str, arguments),
+            env={**os.environ, "PYTHONPATH": str(Path(__file__).parents[2])},
+            stdin=asyncio.subprocess.DEVNULL,
+            preexec_fn=prepare_child,
+        )
+        self.others.append(process)
+        await process.wait()
+
+    def check_memory(self, proxy: int) -> None:
+        """Records a proxy that has passed the memory it was told; call it before the process ends."""
+        process, limit = self.running[proxy], self.scenario.memory_mb
+        if limit is None or process is None or process.returncode is not None:
+            return
+        peak_mb = memory_of(process.pid).get("VmHWM", 0.0)
+        if peak_mb > limit:
+            self.faults.append({"proxy": proxy, "peak_mb": round(peak_mb, 1), "told_mb": limit})
+
     # ---- faults of proxies
 
     def kill_proxy(self, proxy: int) -> None:
         self.waive_open_transactions(proxy)
+        self.check_memory(proxy)
         if self.running[proxy] is not None:
             send_signal(self.running[proxy], signal.SIGKILL)
             self.running[proxy] = None
@@ -218,6 +249,7 @@
         process, loop = self.running[proxy], asyncio.get_running_loop()
         if process is None or process.returncode is not None:
             return
+        self.check_memory(proxy)
         send_signal(process, signal.SIGTERM)
         loop.call_later(NEW_CONNECTIONS_S, self.addresses.__setitem__, proxy, None)
         longest = max(profile.hard_limit for profile in self.scenario.load.profiles)
@@ -282,6 +314,10 @@
 
     async def end(self) -> None:
         """Ends all processes, and records what they wrote to stderr as faults."""
+        for proxy in range(self.scenario.proxies):
+            self.check_memory(proxy)
+        for process in self.others:
+            send_signal(process, signal.SIGKILL)
         for process in self.running:
             send_signal(process, signal.SIGCONT)
             send_signal(process, signal.SIGTERM)
--- a/basalthook/lab/scenario.py
+++ b/basalthook/lab/scenario.py
@@ -132,6 +132,7 @@
     seed: Annotated[int, msgspec.Meta(ge=0)] = 1
     connect_timeout: Positive = 0.25
     keepalive: Positive = 30.0
+    memory_mb: Count | None = None  # setting of the proxies, and a bound; at depth `processes` only
     system_calls: Chances | None = None  # failing in every proxy; at depth `processes` only
 
     def rate_at(self, at: float) -> float:
--- a/basalthook/lab/soak.py
+++ b/basalthook/lab/soak.py
@@ -2,7 +2,10 @@
 
 from random import Random
 
+import msgspec
+
 from . import faults
+from .costly_clients import BEHAVIOURS
 from .scenario import Discovery, HostKind, Load, Profile, Rules, Scenario
 from .syscalls import Chances
 
@@ -11,11 +14,29 @@
 HOSTS, PROXIES = 8, 4
 LATE_ANSWER_S = 0.5  # past a deadline, in which an answer breaks no rule but doesn't count as served
 WALL_CLOCK_OFFSETS_S = (-3600.0, -5.0, 5.0, 3600.0)  # of proxies against the machine's clock
+MEMORY_MB = 64  # told to proxies beside costly clients
+# all but those whose requests go on to hosts, of which the judge knows nothing
+COSTLY_BEHAVIOURS = sorted(
+    set(BEHAVIOURS) - {"unread-answers", "long-unread-answers", "pipelined-keys", "trickled-bodies"}
+)
 RESTART_DELAY_S = 4.5  # from SIGTERM to the next start; past the earliest SIGKILL
 
 
-def draw_scenario(seed: int) -> Scenario:
-    """Draws the scenario of this seed; any change to the order of draws in this module changes it."""
+def draw_scenario(seed: int, costly: bool = False) -> Scenario:
+    """Draws the scenario of this seed; any change to the order of draws in this module changes it.
+
+    `costly`: costly clients connect to some of the proxies besides, which are told how much memory they have.
+    """
+    scenario = _draw_scenario(seed)
+    if not costly:
+        return scenario
+    rng = Random(f"costly clients of soak {seed}")
+    return msgspec.structs.replace(
+        scenario, memory_mb=MEMORY_MB, faults=scenario.faults + costly_clients(rng)
+    )
+
+
+def _draw_scenario(seed: int) -> Scenario:
     rng, further_rng = Random(f"soak {seed}"), Random(f"further faults of soak {seed}")
     deadline = rng.choice((0.8, 1.5, 3.0))
     profiles = [
@@ -71,6 +92,20 @@
     )
 
 
+def costly_clients(rng: Random) -> list:
+    """One or two kinds of costly clients, each at one proxy; none of their requests reaches a host."""
+    return [
+        faults.CostlyClients(
+            at=rng.uniform(0, FAULT_SECONDS),
+            lasts=rng.uniform(2.0, 6.0),
+            proxies=[rng.randrange(PROXIES)],
+            behaviour=behaviour,
+            connections=1 if BEHAVIOURS[behaviour].connections == 1 else rng.randint(50, 300),
+        )
+        for behaviour in rng.sample(COSTLY_BEHAVIOURS, rng.randint(1, 2))
+    ]
+
+
 def base_faults(rng: Random) -> list:
     """Faults of discovery, hosts and proxies, and wall clocks that are wrong from the start."""
     drawn_faults = []
--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -192,14 +192,15 @@
 @click.option("--count", type=click.IntRange(1, 1000), default=50, show_default=True, help="Number of seeds.")
 @click.option("--minutes", type=click.FloatRange(0, min_open=True), help="Start no day after this time.")
 @click.option("--json", "out", type=click.Path(dir_okay=False), help="Also write the results to this file.")
-def lab_soak(first: int, count: int, minutes: float | None, out: str | None) -> None:
+@click.option("--costly", is_flag=True, help="Add clients that cost memory or processor time.")
+def lab_soak(first: int, count: int, minutes: float | None, out: str | None, costly: bool) -> None:
     """Run short days of many faults at once on real processes, one drawn from each seed.
 
     For a day that breaks a rule, prints the command that repeats it and the timeline of the first violation.
 
     Exit code 0: all rules held; 3: one broke.
     """
-    run_in_lab(lambda command: command.run_soak(first, count, minutes, out))
+    run_in_lab(lambda command: command.run_soak(first, count, minutes, out, costly))
 
 
 def run_in_lab(start) -> NoReturn:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,12 @@
                 result = processes.run_scenario(soak.draw_scenario(seed))
                 self.assertEqual((result.faults, result.verdict.first_violation), ([], None))
 
+    def test_all_rules_hold_and_the_memory_is_kept_beside_costly_clients(self):
+        for seed in (7, 11):
+            with self.subTest(seed=seed):
+                result = processes.run_scenario(soak.draw_scenario(seed, costly=True))
+                self.assertEqual((result.faults, result.verdict.first_violation), ([], None))
+
 
 if __name__ == "__main__":
     unittest.main()
