--- a/basalthook/program/lean_imports.py
+++ b/basalthook/program/lean_imports.py
@@ -15,6 +15,8 @@
 def import_network_libraries() -> None:
     """Import asyncio and Tornado's streams without the optional modules; no TLS is possible afterwards."""
     missing = [name for name in OPTIONAL_MODULES if name not in sys.modules]
+    if "_hashlib" in missing and not has_builtin_hashes():
+        missing.remove("_hashlib")
     for name in missing:
         sys.modules[name] = None  # an import of it raises ImportError
     try:
@@ -29,6 +31,24 @@
             del sys.modules[name]
 
 
+def has_builtin_hashes() -> bool:
+    """Whether `hashlib` finds all that it always offers without OpenSSL; else it would log errors."""
+    try:
+        import _blake2  # noqa: F401
+        import _md5  # noqa: F401
+        import _sha1  # noqa: F401
+        import _sha3  # noqa: F401
+
+        if sys.version_info < (3, 12):
+            import _sha256  # noqa: F401
+            import _sha512  # noqa: F401
+        else:
+            import _sha2  # noqa: F401
+    except ImportError:
+        return False
+    return True
+
+
 def tls_names() -> ModuleType:
     """Return the names of `ssl` that Tornado uses in annotations and isinstance checks; nothing is one."""
     module = ModuleType("ssl", "Stands for ssl in a process without TLS.")
--- a/basalthook/routing/client_connection.py
+++ b/basalthook/routing/client_connection.py
@@ -520,9 +520,16 @@
         Asks the kernel, as unread bytes hide the end of a connection while reading is paused. With many of
         them the end itself can't arrive.
         """
+        if self.connection.peer_closed():
+            self.on_close(None)
+            return True
+        return self.may_hide_close() and self.check_behind_unread_bytes()
+
+    def check_behind_unread_bytes(self) -> bool:
+        """`check_gone` where the close may be behind bytes that were not read: only reading more can tell."""
         transaction = self.transaction
-        if self.may_hide_close():  # only reading more can tell
-            self.resume_reading()
+        self.resume_reading()
+        if not self.connection.closed:
             self.connection.receive()
         if self.transaction is not transaction:  # the end was read
             return True
