Fix: a close behind bytes that came once reading had paused could be taken for none

Found by reading the diff: if all had been read when reading paused, the later check took the connection for one whose close would be seen, however much came since. Change: only the time at which the client was surely there counts.

The new test plays such a client (64 KiB ahead, a pause, 600 kB, a close). It passes with the text before as well, so the fault is not shown by it; it stays as a guard.

--- a/basalthook/routing/client_connection.py
+++ b/basalthook/routing/client_connection.py
@@ -544,10 +544,9 @@
 
     def may_hide_close(self) -> bool:
         """Whether the client may have closed a while ago, behind bytes for which there is no room here."""
-        connection = self.connection
-        if connection.drained or time.monotonic_ns() - connection.known_open_ns <= MAX_HIDDEN_CLOSE_NS:
+        if time.monotonic_ns() - self.connection.known_open_ns <= MAX_HIDDEN_CLOSE_NS:
             return False
-        return connection.unread_bytes() > MAX_UNREAD_BYTES
+        return self.connection.unread_bytes() > MAX_UNREAD_BYTES
 
     def close(self) -> None:
         self.on_close(None)
--- a/tests/test_leaving_clients.py
+++ b/tests/test_leaving_clients.py
@@ -7,6 +7,7 @@
 import tempfile
 import unittest
 
+from basalthook.routing.client_connection import READ_AHEAD_BYTES
 from basalthook.routing.request_ids import BUCKETS, MEMORY_NS, SLOTS, TABLE_BYTES, RequestIds
 from tests.fake import OK, SILENT, SocketHost
 from tests.loopback import Loopback
@@ -42,8 +43,11 @@
 
 
 class ClosesBehindUnreadBytes(Loopback):
-    async def attempts_after_leaving(self, ahead, leaves=True):
-        """The ids that hosts got; the client leaves while the first host keeps its request waiting."""
+    async def attempts_after_leaving(self, ahead, leaves=True, later=()):
+        """The ids that hosts got; the client leaves while the first host keeps its request waiting.
+
+        `later`: what it sends piece by piece before it leaves.
+        """
         hosts = LateHost(), LateHost()
         hosts[0].first_seen = hosts[1].first_seen = asyncio.Event()
         await self.start_proxy(*hosts)
@@ -54,7 +58,12 @@
         await loop.sock_connect(sock, self.listener.address)
         sending = asyncio.create_task(loop.sock_sendall(sock, request(0) + b"".join(ahead)))
         await hosts[0].first_seen.wait()
-        await asyncio.sleep(LEAVES_AFTER_S)
+        await asyncio.sleep(LEAVES_AFTER_S / 2)
+        for piece in later:
+            await sending
+            sending = asyncio.create_task(loop.sock_sendall(sock, piece))
+            await asyncio.sleep(LEAVES_AFTER_S / 8)
+        await asyncio.sleep(LEAVES_AFTER_S / 4)
         self.assertTrue(sending.done(), "the test's own kernel buffer is too small")
         answers = b""
         if leaves:
@@ -83,6 +92,16 @@
         ids, _ = await self.attempts_after_leaving([request(n, "POST", b"x" * 60_000) for n in range(1, 10)])
         self.assertEqual(ids, ["r0"])
 
+    async def test_nothing_is_sent_for_a_client_that_left_behind_bytes_that_came_once_reading_had_paused(
+        self,
+    ):
+        ahead = [request(n, "POST", b"x" * 1_000) for n in range(1, 70)]
+        piece = READ_AHEAD_BYTES - len(ahead[0])  # one request less than what pauses reading
+        whole = b"".join(ahead)
+        later = whole[piece : piece + 2 * len(ahead[0])], whole * 8
+        ids, _ = await self.attempts_after_leaving([whole[:piece]], later=later)
+        self.assertEqual(ids, ["r0"])
+
     async def test_a_client_that_stays_gets_an_answer_to_each_request_sent_ahead(self):
         ids, answers = await self.attempts_after_leaving([request(n) for n in range(1, 40)], leaves=False)
         self.assertEqual((answers.count(b"200 OK"), len(set(ids))), (40, 40))
