--- a/basalthook/program/log.py
+++ b/basalthook/program/log.py
@@ -10,6 +10,7 @@
 
 MAX_QUEUED_EVENTS = 2048  # more are dropped and counted
 MAX_TEXT_CHARACTERS = 512  # of a field; some come from peers, which may send 16 KiB
+MAX_BATCH_EVENTS = 256  # written in one call
 WRITE_INTERVAL_S = 0.05  # events are written in batches: a wake-up for each event costs more
 
 
@@ -48,11 +49,13 @@
         self.writer.join(seconds)
 
     def _write(self) -> None:
-        target, ending = sys.stdout.fileno(), False
+        target, ending, lines = sys.stdout.fileno(), False, []
         while not ending:
-            ending = self.stopped.wait(WRITE_INTERVAL_S)
+            # without a pause while a whole batch waits; the last batch is written after `close`
+            pause = 0 if len(lines) == MAX_BATCH_EVENTS else WRITE_INTERVAL_S
+            ending = self.stopped.wait(pause) and len(self.queue) <= MAX_BATCH_EVENTS
             lines = []
-            while self.queue:
+            while self.queue and len(lines) < MAX_BATCH_EVENTS:
                 at, name, event, fields = self.queue[0]
                 lines.append(to_json({"at": round(at, 4), "proxy": name, "event": event, **fields}))
                 self.queue.popleft()
