Test: the first byte's own check of a hidden close is asked for by its reason

Cause: in a check of test_first_byte.py for the reason `client gone`, counted at the first byte, gave way to one for the moment in which the leaving is seen, and no other test asked for the reason; test_leaving_clients.py recorded the counts and never looked at them.

Change: the two tests of clients that leave behind requests of 1 kB and of 60 kB ask for exactly one attempt held back for `client gone`.

--- a/tests/test_leaving_clients.py
+++ b/tests/test_leaving_clients.py
@@ -7,6 +7,7 @@
 import tempfile
 import unittest
 
+from basalthook.policy import interface
 from basalthook.routing.client_connection import READ_AHEAD_BYTES
 from basalthook.routing.request_ids import BUCKETS, MEMORY_NS, SLOTS, TABLE_BYTES, RequestIds
 from tests.fake import OK, SILENT, SocketHost
@@ -86,11 +87,11 @@
 
     async def test_nothing_is_sent_for_a_client_that_left_behind_requests_of_1_kb(self):
         ids, _ = await self.attempts_after_leaving([request(n, "POST", b"x" * 1_000) for n in range(1, 500)])
-        self.assertEqual(ids, ["r0"])
+        self.assertEqual((ids, self.unsent), (["r0"], {interface.CLIENT_GONE: 1}))
 
     async def test_nothing_is_sent_for_a_client_that_left_behind_requests_of_60_kb(self):
         ids, _ = await self.attempts_after_leaving([request(n, "POST", b"x" * 60_000) for n in range(1, 10)])
-        self.assertEqual(ids, ["r0"])
+        self.assertEqual((ids, self.unsent), (["r0"], {interface.CLIENT_GONE: 1}))
 
     async def test_nothing_is_sent_for_a_client_that_left_behind_bytes_that_came_once_reading_had_paused(
         self,
