Review rig: clients read chunked answers

Need: a random play of faults against the program (not kept) got long answers in chunks and misread them. Change: the client of rig2.py reads chunked bodies. No case uses it yet; all scripts give the same results.

--- a/review/rig2.py
+++ b/review/rig2.py
@@ -283,11 +283,22 @@
         self.head = int(first.split(" ")[1])
         status, length = int(first.split(" ")[1]), int(fields.get("content-length", 0))
         try:
-            body = await (read(self.reader, length) if read else self.reader.readexactly(length))
+            if "transfer-encoding" in fields:
+                body = await self.read_chunks()
+            else:
+                body = await (read(self.reader, length) if read else self.reader.readexactly(length))
         except (asyncio.IncompleteReadError, ConnectionError) as error:
             return Answer(status, getattr(error, "partial", b""), fields, f"broke off: {error!r}")
         return Answer(status, body, fields)
 
+    async def read_chunks(self) -> bytes:
+        parts = []
+        while size := int(await self.reader.readuntil(b"\r\n"), 16):
+            parts.append(await self.reader.readexactly(size))
+            await self.reader.readexactly(2)
+        await self.reader.readexactly(2)
+        return b"".join(parts)
+
 
 class Proxy:
     """The program as its own process, started with the line `run` of the deploy file."""
