--- a/review/9/case.py
+++ b/review/9/case.py
@@ -12,7 +12,7 @@
 from rig2 import TROUBLE, Answer, Client, Proxy, main, profile, settings
 
 MEMORY_MB, SOCKETS, CLIENTS = 128, 256, 40  # clients hold a third of the descriptors at most for requests
-SECONDS, LIMIT_S, WAIT_S = 25.0, 2.5, 0.05
+SECONDS, LIMIT_S, WAIT_S = 25.0, 1.5, 0.05
 SIZES = (300_000, 1_000_000, 4_000_000, 12_000_000) if TROUBLE else (100, 1_000, 10_000, 60_000)
 CHUNKED_SHARE, HOST_PACE = 0.3, 20_000_000
 
@@ -45,7 +45,9 @@
         await rig.add_host(f"h{n}", serve, read_pace=take)
     proxy = Proxy(rig)
     await proxy.start(
-        settings([profile("parcel-view", "repeatable", 0.6, 2.5), profile("survey-submit", "once", 0.6, LIMIT_S)]),
+        settings(
+            [profile("parcel-view", "repeatable", 0.6, 2.5), profile("survey-submit", "once", 0.6, 1.5)]
+        ),
         {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
     )
     blob, finished, answers, killed = os.urandom(max(SIZES)), [], {}, []
@@ -70,8 +72,9 @@
         """Send one survey and return its answer, which may come before the body has been sent."""
         framing = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {size}"
         client.writer.write(
-            f"POST /survey-submit/x HTTP/1.1\r\nHost: s\r\nRequest-Id: {tx}\r\nRequest-Class: survey-submit\r\n"
-            f"Cookie: k={tx}\r\nRequest-Timeout: {LIMIT_S}\r\n{framing}\r\n\r\n".encode()
+            f"POST /survey-submit/x HTTP/1.1\r\nHost: s\r\nRequest-Id: {tx}\r\n"
+            f"Request-Class: survey-submit\r\nCookie: k={tx}\r\n"
+            f"Request-Timeout: {LIMIT_S}\r\n{framing}\r\n\r\n".encode()
         )
 
         async def send_body():
