--- a/review/9/case.py
+++ b/review/9/case.py
@@ -12,7 +12,7 @@
 from rig2 import TROUBLE, Answer, Client, Proxy, main, profile, settings
 
 MEMORY_MB, SOCKETS, CLIENTS = 128, 256, 40  # clients hold a third of the descriptors at most for requests
-SECONDS, LIMIT_S, WAIT_S = 25.0, 1.5, 0.05
+SECONDS, LIMIT_S, WAIT_S = 40.0, 1.5, 0.05
 SIZES = (300_000, 1_000_000, 4_000_000, 12_000_000) if TROUBLE else (100, 1_000, 10_000, 60_000)
 CHUNKED_SHARE, HOST_PACE = 0.3, 20_000_000
 
