--- a/review/9/case.py
+++ b/review/9/case.py
@@ -87,7 +87,7 @@
 
         sending = asyncio.create_task(send_body())
         try:
-            answer = await asyncio.wait_for(client.read_answer(), 10.0)
+            answer = await asyncio.wait_for(client.read_answer(), 9.0)
         except (TimeoutError, OSError) as error:
             answer = Answer(end=repr(error))
         sending.cancel()
