Fix: a long keyed request ran twice, its last byte coming after the repeat window

Its first connection was reset after it had run, it was sent again within its window, and the slower second host had the last byte after the window.

Cause: the window, like every condition of an attempt, was asked before the first byte only. An attempt counts when its last byte has come.

Change: of a body over 64 KiB the last byte is kept back until the host's system has all others; window, deadline, drain and the host's life are asked while it is written, and before the last byte all that the first one asks for. A long keyed request is sent again only if twice the time of the attempt before fits into the window. Shorter requests go in one write as before.

Related paths with the same cause: a client that leaves, or a host that restarts, during the write.

--- a/basalthook/policy/hosts.py
+++ b/basalthook/policy/hosts.py
@@ -267,8 +267,8 @@
         elif host.unlisted and effect not in (None, "weigh"):  # an attempt that we cancelled proves nothing
             host.entry = host.entry._replace(ready=False)
             self.rebuild_rankings()
-        if ran and not tx.first_run:
-            tx.first_run = sent_at, host.entry
+        if ran:
+            tx.note_run(sent_at, host.entry, event.elapsed)
         at_fault = event.outcome == interface.TIMED_OUT and self.is_slow(tx)
         if tx.key is not None and event.outcome in KEYED_FAILURES:  # at KEY_HOSTS hosts: the key's fault
             at_fault |= len(self.key_failures.add(tx.key, host.id, self.now)) >= KEY_HOSTS
--- a/basalthook/policy/records.py
+++ b/basalthook/policy/records.py
@@ -45,6 +45,13 @@
         self.reason = ""  # why it gets no attempt now, for the log
         # open ones: attempt -> (host, sent at); when and on which host entry it may first have run
         self.attempts, self.first_run = {}, None
+        self.long_body = event.long_body
+        self.longest_run = 0  # ticks that an attempt which may have run took, its body included
+
+    def note_run(self, sent_at, entry, elapsed):
+        """Note an attempt at this host entry that may have run."""
+        self.first_run = self.first_run or (sent_at, entry)
+        self.longest_run = max(self.longest_run, elapsed)
 
     @property
     def limit_key(self):
--- a/basalthook/policy/rules.py
+++ b/basalthook/policy/rules.py
@@ -4,6 +4,8 @@
 
 COLD_KEY_COST = 2.5  # greatest cost of an attempt at a host without warm keys, relative to a warm one
 LATE_START = 500  # ticks after its decision: an attempt that begins later is counted again in a slow start
+# A host may take this many times as long to read a long body as one that has read it took in all.
+READING_TIME_FACTOR = 2
 
 
 class Rules:
@@ -19,21 +21,29 @@
             return False
         return self.may_repeat(tx)
 
-    def may_repeat(self, tx):
-        """Whether a further attempt now is certain to have no second effect."""
+    def may_repeat(self, tx, transit=0):
+        """Whether a further attempt now has no second effect; for `transit` see `reading_time`."""
         return (
             tx.profile.kind == interface.IDEMPOTENT
             or not tx.first_run
             or (
                 tx.profile.kind == interface.JOURNALLED
-                and self.now < tx.first_run[0] + tx.profile.repeat_window
+                and self.now + self.reading_time(tx, transit) < tx.first_run[0] + tx.profile.repeat_window
             )
         )
 
-    def start_refusal(self, now, tx_id, host_id):
-        """Why an attempt decided on earlier may no longer begin; None if it may, and then it counts as begun.
+    def reading_time(self, tx, transit):
+        """Ticks until the next host has surely read the whole request.
 
-        Called right before its first byte is sent.
+        `transit`: for how long its body has been written already. The host's process may be as far behind
+        its system, which has taken the bytes, so the same time may pass once more.
+        """
+        return max(transit, READING_TIME_FACTOR * tx.longest_run - transit) if tx.long_body else 0
+
+    def attempt_refusal(self, now, tx_id, host_id, transit=0):
+        """Why an attempt decided on earlier may no longer begin; None if it may.
+
+        `transit`: ticks since the first byte of a long request was written.
         """
         tx, host, self.now = self.txs.get(tx_id), self.hosts.get(host_id), now
         if tx is None or tx.state != "in flight":
@@ -42,12 +52,23 @@
             return interface.OUT_OF_TIME
         if host is None or not host.entry.ready:
             return interface.ENDPOINT_LEAVING
-        if not self.may_repeat(tx):
+        if not self.may_repeat(tx, transit):
             return interface.REPEAT_NOT_ALLOWED
         if not self.is_eligible(tx, host.entry):
             return interface.PLACEMENT
-        if host.cold_since is not None and any(now - at > LATE_START for _, at in tx.attempts.values()):
-            host.sent.add(now)  # its window moved on while the connection was being set up
+        return None
+
+    def start_refusal(self, now, tx_id, host_id, transit=0):
+        """Like `attempt_refusal`; if it may begin, it counts as begun.
+
+        Called right before its first byte is sent; of a long request, also right before the last one.
+        """
+        refusal = self.attempt_refusal(now, tx_id, host_id, transit)
+        tx, host = self.txs.get(tx_id), self.hosts.get(host_id)
+        if refusal is not None or host.cold_since is None:
+            return refusal
+        if any(now - at > LATE_START for _, at in tx.attempts.values()):
+            host.sent.add(now)  # its window moved on while the connection was set up or written to
         return None
 
     def is_eligible(self, tx, entry):
--- a/basalthook/routing/attempts.py
+++ b/basalthook/routing/attempts.py
@@ -18,6 +18,7 @@
 from .clock import TICK_NS, TICKS_PER_SECOND, Clock
 from .dispatcher import AttemptResult, Dispatcher, Transaction
 from .host_registry import HostRegistry, RegistryEntry
+from .long_request import LongRequestWriter, is_long
 from .rate_limited_log import RateLimitedLog
 
 # A response without a stated length is buffered up to this size. A longer one is streamed, so that the
@@ -43,6 +44,7 @@
         "stop_outcome",
         "reused",
         "response_parser",
+        "writer",
         "refusal",
         "timer",
         "finished",
@@ -70,7 +72,8 @@
         self.connection: Connection | None = None  # set while this attempt uses it
         self.stage, self.stop_outcome, self.reused, self.finished = Stage.UNTRIED, None, False, False
         self.response_parser: Parser | None = None
-        self.refusal: str | None = None  # why it was not sent
+        self.writer: LongRequestWriter | None = None
+        self.refusal: str | None = None  # why it was not sent, or not completed
         self.timer = None
         self.held = 0  # bytes of the response, as the account knows them
 
@@ -128,12 +131,32 @@
         )
         time_left = self.time_limit - (runner.clock.now() - self.begun_at)
         connection.start_reading(self.on_data, self.on_close)
-        if not self.finished and connection.write(
-            hosts.attempt_request(self.transaction.request.message, max(1, time_left) / TICKS_PER_SECOND),
-            self.on_written,
-        ):
+        if not self.finished:
+            self.write_request(
+                hosts.attempt_request(self.transaction.request.message, max(1, time_left) / TICKS_PER_SECOND)
+            )
+
+    def write_request(self, parts: tuple[bytes, ...]) -> None:
+        if is_long(self.transaction.request.message.body):
+            self.writer = LongRequestWriter(
+                self.connection, self.runner.timers, self.may_go_on, self.on_written
+            )
+            self.writer.start(parts)
+        elif self.connection.write(parts, self.on_written):
             self.on_written()
 
+    def may_go_on(self, transit: int, completes: bool) -> bool:
+        """Check whether a long request may be written further, or give it up; see `LongRequestWriter`."""
+        dispatcher = self.runner.dispatcher
+        check = dispatcher.refusal if completes else dispatcher.writing_refusal
+        refusal = check(self.transaction, self.host, self.entry, transit)
+        if refusal is None or self.finished:  # finished: the check found that the client has gone
+            return not self.finished
+        self.runner.refusal_counts[refusal] += 1
+        self.refusal = refusal
+        self.stop(interface.UNSENT)
+        return False
+
     def on_written(self) -> None:
         if self.stage == Stage.WRITING:
             self.stage = Stage.WRITTEN
@@ -218,6 +241,8 @@
         runner, connection = self.runner, self.connection
         self.held = runner.response_memory.change(self.held, 0)
         runner.timers.cancel(self.timer)
+        if self.writer is not None:
+            self.writer.stop()
         if connection is not None:
             unread += connection.connect_notice_delay // TICK_NS if not self.reused else 0
             if (
--- a/basalthook/routing/dispatcher.py
+++ b/basalthook/routing/dispatcher.py
@@ -13,6 +13,7 @@
 from ..transport.timers import Timers
 from .clock import TICK_NS, Clock
 from .host_registry import HostRegistry, RegistryEntry
+from .long_request import is_long
 from .request_ids import RequestIds
 
 MAX_LOGGED_IDS = 16  # host ids in a log line, for each kind of change
@@ -226,6 +227,7 @@
                 terms.stable_number(key) if key else None,
                 time_left,
                 waited,
+                long_body=is_long(transaction.request.message.body),
             )
         )
 
@@ -321,19 +323,35 @@
             )
         )
 
-    def refusal(self, transaction: Transaction, host: int, entry: RegistryEntry) -> str | None:
-        """Why an attempt decided earlier may not send its first byte now; None if it may.
+    def refusal(
+        self, transaction: Transaction, host: int, entry: RegistryEntry, transit: int = 0
+    ) -> str | None:
+        """Why an attempt decided earlier may not send its first byte now, or the last one; None if it may.
 
-        `entry`: of the host, when its connection was opened.
+        `entry`: of the host, when its connection was opened; `transit`: ticks since its first byte.
         """
+        if refusal := self.connection_refusal(transaction, host, entry):
+            return refusal
+        if transaction.client_gone():
+            return interface.CLIENT_GONE
+        refusal = self.policy.start_refusal(self.clock.now(), transaction.number, host, transit)
+        return refusal or self.note_id(transaction)
+
+    def writing_refusal(
+        self, transaction: Transaction, host: int, entry: RegistryEntry, transit: int
+    ) -> str | None:
+        """Why an attempt that is being written may not be written further; None if it may."""
+        return self.connection_refusal(transaction, host, entry) or self.policy.attempt_refusal(
+            self.clock.now(), transaction.number, host, transit
+        )
+
+    def connection_refusal(self, transaction: Transaction, host: int, entry: RegistryEntry) -> str | None:
+        """Why nothing may be written to this connection, whatever the policy allows; None if it may."""
         if transaction.closed:
             return interface.REQUEST_OVER
         if not self.registry.is_same_life(host, entry):
             return interface.ENDPOINT_LEAVING
-        if transaction.client_gone():
-            return interface.CLIENT_GONE
-        refusal = self.policy.start_refusal(self.clock.now(), transaction.number, host)
-        return refusal or self.note_id(transaction)
+        return None
 
     def must_run_once(self, profile: int) -> bool:
         """Whether a request of this profile may have a second effect if it is sent again."""
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -14,7 +14,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from . import socket_buffers, timestamps
+from . import send_queue, socket_buffers, timestamps
 from .buffers import BufferPool
 from .descriptors import DescriptorBudget
 from .processor_time import Usage
@@ -311,6 +311,12 @@
             fcntl.ioctl(self.stream.socket, termios.FIONREAD, count)
         return UNREAD_COUNT.unpack(count)[0]
 
+    def undelivered_bytes(self) -> int:
+        """Return how many written bytes the peer's system has not received yet; 0 if that can't be told."""
+        if self.closed or self.stream.closed():
+            return 0
+        return self.unsent + send_queue.undelivered_bytes(self.stream.socket)
+
     def is_idle(self) -> bool:
         """Return whether the connection is open with nothing to read.
 
