Fix: a late process passed on the head of a long answer and never the rest

Cause: Attempt.stream_response posted its result and then took "no client has the forwarder" as "the transaction is closed". While the dispatcher is at work, as when it runs an overdue timer between two items, the result is only queued: the forwarder was stopped, and the client got it dead.

A second hypothesis, the host's connection ending unseen while reading is paused, is ruled out by a test: reading is taken up again and finds the end.

Change: the item that carries a forwarder owns it; once the result has been handled the dispatcher stops it if no client has taken it (transaction closed, client gone, handler failed).

--- a/basalthook/bodies/forwarder.py
+++ b/basalthook/bodies/forwarder.py
@@ -16,8 +16,10 @@
 class ResponseForwarder:
     """Forwards the response that `parser` reads from `connection` to a client.
 
-    The client has two methods. `write_piece(data)` returns whether the kernel has accepted all of the data;
-    if not, the client calls `resume` once it has. `forwarding_finished(complete)` is called once, at the end.
+    Until a client has taken it with `start`, it belongs to whoever handles the attempt's result, who calls
+    `stop_unless_taken` in the end. The client has two methods. `write_piece(data)` returns whether the kernel
+    has accepted all of the data; if not, the client calls `resume` once it has.
+    `forwarding_finished(complete)` is called once, at the end.
     """
 
     __slots__ = ("connection", "parser", "timers", "release", "client", "timer", "ended")
@@ -83,6 +85,11 @@
             if self.client is not None:
                 self.client.forwarding_finished(False)
 
+    def stop_unless_taken(self) -> None:
+        """Stop forwarding if there is no client: nobody else would return the connection."""
+        if self.client is None:
+            self.stop()
+
     def _mark_ended(self) -> None:
         self.ended = True
         self.timers.cancel(self.timer)
--- a/basalthook/routing/attempts.py
+++ b/basalthook/routing/attempts.py
@@ -200,13 +200,12 @@
         elapsed = max(0, runner.clock.now() - unread - self.begun_at)
         runner.outcome_counts[interface.COMMITTED] += 1
         self.log_success(elapsed, length=head.length)
+        # the result may only be queued now; whoever handles it stops the forwarder if no client takes it
         runner.dispatcher.post(
             AttemptResult(
                 self.transaction, self.index, self.host, interface.COMMITTED, elapsed, unread, head, forwarder
             )
         )
-        if forwarder.client is None:  # the transaction was closed already, so no client has taken it over
-            forwarder.stop()
 
     def log_success(self, elapsed: int, **fields) -> None:
         """Log a response that is final; `length` is that of one that is passed on as it comes."""
--- a/basalthook/routing/dispatcher.py
+++ b/basalthook/routing/dispatcher.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from .. import terms
+from ..bodies.forwarder import ResponseForwarder
 from ..policy import interface
 from ..policy.decide import Proxy
 from ..protocol.application import TransactionRequest
@@ -28,7 +29,7 @@
     kind: str  # "committed", "declined", "rolled back", "abandoned"
     message: Message | None = None
     retry_after: int = 0  # ticks; 0: none is sent
-    forwarder: object = None  # streams the rest of a long response from the host
+    forwarder: ResponseForwarder | None = None  # streams the rest of a long response from the host
     reason: str = ""  # why no host responded
 
 
@@ -112,7 +113,7 @@
     elapsed: int  # ticks, without `unread`
     unread: int  # ticks that the host's response waited in this process before it was read
     message: Message | None
-    forwarder: object = None
+    forwarder: ResponseForwarder | None = None  # of a long response; stopped unless a client takes it
 
 
 class DiscoveryUpdate(NamedTuple):
@@ -251,6 +252,13 @@
             self.forget_if_finished(transaction)
 
     def on_attempt_result(self, item: AttemptResult) -> None:
+        try:
+            self.apply_attempt_result(item)
+        finally:
+            if item.forwarder is not None:
+                item.forwarder.stop_unless_taken()
+
+    def apply_attempt_result(self, item: AttemptResult) -> None:
         transaction = item.transaction
         transaction.attempts[item.attempt] = None
         transaction.has_run = transaction.has_run or item.outcome not in OUTCOMES_WITHOUT_EFFECT
