Fix: after an upgrade a host that a whole list had left out was used again

Cause: a host that a list leaves out while an attempt is open there keeps its entry, marked as not ready, and `discovered` went on saying that it is up. The record for the next process and an operator's call take `discovered` for the present list.

Evidence: the registry after such a list (test), and an upgrade of real processes (test): the new process listed the host. The start-up file did not name it, and the log said `taken over`.

Change: `discovered` is what discovery said last: a host that is removed or left out is removed there at once, with an attempt open or not, in use or not.

Related: enabling a host that has left made it ready again; where only draining binds, a host removed by a change and still in use ignored `disable` and stayed in use beside a new host at its address.

--- a/basalthook/routing/host_registry.py
+++ b/basalthook/routing/host_registry.py
@@ -16,7 +16,8 @@
     address: tuple[str, int]
     ready: bool
     id_hash: int  # the same at every proxy
-    discovered: HostRecord  # as in the last list, without operator overrides
+    # What discovery said last, without operator overrides: also that a host has left, if a list left it out.
+    discovered: HostRecord
 
     @property
     def pool_key(self) -> tuple:
@@ -59,6 +60,8 @@
         if host_list.complete:
             removed |= self.entries.keys() - named
         removed |= {self.numbers_by_id[record.id] for record in replaced}
+        for number in removed:
+            self._note_removed(number)
         self._drop(n for n in removed if not (self.use_unlisted and self.entries[n].ready))
         if from_discovery and self.start_times is not None:
             self.start_times.list_received()
@@ -86,7 +89,7 @@
             if latest.address != entry.address:  # it has moved
                 continue
             if entry.id not in named or latest.ready and latest.started_ns < newcomer.started_ns:
-                replaced.append(latest._replace(ready=False, draining=True))
+                replaced.append(latest._replace(ready=False, draining=True, removed=False))
         return replaced
 
     def reapply_overrides(self, hosts: set[str]) -> interface.HostListReceived:
@@ -107,6 +110,12 @@
         """Remove ready hosts that are not in `held`, the policy's hosts: they were left out of a list."""
         self._drop([n for n, entry in self.entries.items() if entry.ready and n not in held])
 
+    def _note_removed(self, number: int) -> None:
+        """Note that discovery lists the host no more, whether or not it stays in use."""
+        entry = self.entries[number]
+        discovered = entry.discovered._replace(ready=False, removed=True, draining=False)
+        self.entries[number] = entry._replace(discovered=discovered)
+
     def _drop(self, numbers) -> None:
         for number in numbers:
             if self.entries[number].ready:
--- a/basalthook/routing/overrides.py
+++ b/basalthook/routing/overrides.py
@@ -55,13 +55,16 @@
         return set(later)
 
     def apply_to(self, record: HostRecord) -> HostRecord:
-        """The record as overridden: a disabled host is draining, a re-enabled one is cold from then on."""
-        if record.removed or record.id not in self.by_host:
+        """The record as overridden: a disabled host is draining, a re-enabled one is cold from then on.
+
+        A host that has left may still be in use, so a disabled one is draining then too.
+        """
+        if record.id not in self.by_host:
             return record
         since, disabled = self.by_host[record.id]
         if disabled:
-            return record._replace(ready=False, draining=True)
-        return record._replace(started_ns=max(record.started_ns, since))
+            return record._replace(ready=False, draining=True, removed=False)
+        return record if record.removed else record._replace(started_ns=max(record.started_ns, since))
 
     def to_dict(self) -> dict:
         """The form that is stored on disk."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies as st
 
 from basalthook.handover import record
+from basalthook.handover.handover import WRITE_INTERVAL_S
 from basalthook.handover.inherited import InheritedSocketError, open_inherited
 from basalthook.handover.process_registry import ProcessRegistry
 from basalthook.handover.record import BadRecord
@@ -268,6 +269,25 @@
             await again.stop()
         self.assertEqual(sum(host.received.qsize() for host in self.hosts), 0)
 
+    async def test_a_new_process_does_not_use_a_host_that_a_whole_list_left_out(self):
+        # review/8: an attempt was still open there, so the old process's record named it as up
+        for host in self.hosts:
+            host.replies = [SILENT]
+        old = await self.start()
+        client = await Caller().connect(self.address)
+        self.addAsyncCleanup(client.stop)
+        client.send_request(timeout="8.0")
+        while not sum(host.received.qsize() for host in self.hosts):
+            await asyncio.sleep(0.01)
+        leaving = 0 if self.hosts[0].received.qsize() else 1
+        other = self.hosts[1 - leaving].line(f"s-{1 - leaving}")
+        self.discovery.publish(2, other, full=True)
+        await self.line(old, "endpoints")
+        await asyncio.sleep(2 * WRITE_INTERVAL_S)
+        new = await self.start("taken over")
+        listed = (await self.call(new, "GET", "hosts"))[1]
+        self.assertEqual((other["id"].encode() in listed, b"s-%d" % leaving in listed), (True, False))
+
     async def test_upgrades_under_load_refuse_reset_and_lose_nothing(self):
         process, until, answers = await self.start(), asyncio.Event(), []
         load = [asyncio.create_task(self.send_requests(until, answers)) for _ in range(4)]
