Fix: a sound record with unknown content ended the next process at its start

What operators saw: a record in $TMPDIR whose checksum is right and whose content another version wrote ended a new process with an AttributeError in place of one line in the log.

Change: the four lines name the right fields.

Result: tests/test_handover.py, the test of sound records with unknown content: AttributeError on the text before, passes now.

--- a/basalthook/handover/handover.py
+++ b/basalthook/handover/handover.py
@@ -102,7 +102,7 @@
             )
             return HostList(int(stored["list"]["version"]), True, records), stored["known"]
         except (*INVALID_RECORD_ERRORS, IndexError) as error:
-            self.log_error(f"{self.registry.state_path}: {error!r}")
+            self.log_error(f"{self.process_registry.state_path}: {error!r}")
             return fallback, None
 
     def restore_state(self, state: dict | None) -> None:
@@ -119,7 +119,7 @@
                 self.half_life,
             )
         except INVALID_RECORD_ERRORS as error:
-            return self.log_error(f"{self.registry.state_path}: {error!r}")
+            return self.log_error(f"{self.process_registry.state_path}: {error!r}")
         self.log_event(
             "taken over",
             hosts=restored,
@@ -211,11 +211,8 @@
         try:
             overrides = OperatorOverrides.from_dict(stored)
         except INVALID_RECORD_ERRORS as error:
-            stored = (
-                stored
-                if isinstance(stored, BadRecord)
-                else BadRecord(f"{self.registry.orders_path}: {error!r}")
-            )
+            if not isinstance(stored, BadRecord):
+                stored = BadRecord(f"{self.process_registry.overrides_path}: {error!r}")
         if isinstance(stored, BadRecord):
             return self.log_error(stored.reason)
         changed = self.host_registry.overrides.merge(overrides)
@@ -274,5 +271,7 @@
         """Waits for the last record and unregisters this process."""
         self.timers.cancel(self.timer)
         if not self.writer.wait(FINAL_WRITE_TIMEOUT_S):
-            self.log_error(f"{self.registry.state_path}: not written within {FINAL_WRITE_TIMEOUT_S:g} s")
+            self.log_error(
+                f"{self.process_registry.state_path}: not written within {FINAL_WRITE_TIMEOUT_S:g} s"
+            )
         self.process_registry.unregister()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -384,6 +384,15 @@
             await caller.stop()
             await self.kill(process)
 
+    async def test_sound_records_with_unknown_content_are_logged_and_not_used(self):
+        # the line about it named a field that does not exist, and the process ended at its start
+        await self.kill(await self.start())
+        for name in os.listdir(self.folder):
+            if name.endswith((".orders", ".known")):
+                record.write(os.path.join(self.folder, name), {"hosts": 1, "list": 2})
+        process = await self.start("handover")
+        self.assertEqual((await self.call(process, "GET", "hosts"))[1].count(b'"ready":true'), 2)
+
     async def test_a_bad_descriptor_is_an_error_of_one_line_and_a_nonzero_exit_code(self):
         process = await asyncio.create_subprocess_exec(
             sys.executable,
