Fix: a request given up while its host stood still ran there after its answer

What callers saw: a host that stands still takes a part of a request into its system; the attempt is given up and answered (504), and when the host goes on it gets the rest and runs it. No attempt may begin after the answer, and a keyed one may come after its window.

Closing a connection leaves what the kernel holds to be sent for as long as the peer takes.

Change: an attempt that ends without a connection to keep resets it while bytes are unacknowledged (Connection.give_up); otherwise it closes as before.

--- a/basalthook/routing/attempts.py
+++ b/basalthook/routing/attempts.py
@@ -258,7 +258,7 @@
             ):
                 self.release_connection()
             else:
-                connection.close()
+                connection.give_up()  # else the host may begin the request after its answer
                 self.connection = None
         outcome, message = runner.classify(self, result), result if isinstance(result, Message) else None
         elapsed = max(0, runner.clock.now() - unread - self.begun_at)
--- a/basalthook/transport/connection.py
+++ b/basalthook/transport/connection.py
@@ -311,6 +311,12 @@
             fcntl.ioctl(self.stream.socket, termios.FIONREAD, count)
         return UNREAD_COUNT.unpack(count)[0]
 
+    def unacknowledged_bytes(self) -> int:
+        """Return how many written bytes the peer's system has not acknowledged; 0 if that can't be told."""
+        if self.closed or self.stream.closed():
+            return 0
+        return self.unsent + send_queue.unacknowledged_bytes(self.stream.socket)
+
     def undelivered_bytes(self) -> int:
         """Return how many written bytes the peer's system has not received yet; 0 if that can't be told."""
         if self.closed or self.stream.closed():
@@ -353,6 +359,15 @@
         with suppress(OSError):
             self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
 
+    def give_up(self) -> None:
+        """Close the connection so that nothing more of what was written reaches the peer.
+
+        After an ordinary close the kernel goes on sending what it holds, for as long as the peer takes.
+        """
+        if self.unacknowledged_bytes():
+            self.reset_on_close()
+        self.close()
+
     def close(self) -> None:
         """Close the connection; no handler is called after this."""
         if self.closed:
--- a/basalthook/transport/send_queue.py
+++ b/basalthook/transport/send_queue.py
@@ -13,12 +13,17 @@
 MAX_DELAYED_SEGMENTS = 2
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many written bytes the peer's system has not acknowledged yet; 0 if that can't be told."""
+    return _queued(sock, UNACKNOWLEDGED)
+
+
 def undelivered_bytes(sock: socket.socket) -> int:
     """Return how many written bytes the peer's system has not received yet; 0 if that can't be told.
 
     What has been sent counts as received if only a delayed acknowledgement can be missing.
     """
-    unacknowledged = _queued(sock, UNACKNOWLEDGED)
+    unacknowledged = unacknowledged_bytes(sock)
     if not unacknowledged or _queued(sock, UNSENT):
         return unacknowledged
     try:
--- a/tests/test_long_requests.py
+++ b/tests/test_long_requests.py
@@ -13,6 +13,8 @@
 BODY = bytes(2_000_000)
 READ_BYTES = 50_000
 RECEIVE_BUFFER_BYTES = 64 * 1024
+SMALL_RECEIVE_BUFFER_BYTES = 4 * 1024
+SHORT_BODY_BYTES = 60_000  # goes in one write
 SLOW_PACE = 2_000_000  # bytes a second
 WINDOW_S = 1.0
 SCAN = {
@@ -28,6 +30,8 @@
 class PacedHost(SocketHost):
     """Reads requests at its pace (bytes a second), and notes when it got each one whole."""
 
+    receive_buffer = RECEIVE_BUFFER_BYTES
+
     def __init__(self, *replies, pace, delay=0.0):
         """`delay`: seconds from the whole request to the reply."""
         super().__init__(*replies)
@@ -35,7 +39,7 @@
 
     async def start(self):
         listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
         listener.bind(("127.0.0.1", 0))
         self.server = await asyncio.start_server(self.accept, sock=listener, limit=READ_BYTES // 2)
         self.address = f"127.0.0.1:{listener.getsockname()[1]}"
@@ -117,6 +121,34 @@
         self.assertEqual(self.log.failed_attempts(), [])
 
 
+class StoppedHost(PacedHost):
+    """Takes connections, and reads nothing until it goes on."""
+
+    receive_buffer = SMALL_RECEIVE_BUFFER_BYTES
+
+    def __init__(self):
+        super().__init__(OK, pace=1e9)
+        self.goes_on = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        writer.transport.pause_reading()
+        self.began.set()
+        await self.goes_on.wait()
+        writer.transport.resume_reading()
+        await super().serve(reader, writer)
+
+
+class GivenUp(Loopback):
+    async def test_a_request_given_up_while_its_host_stood_still_does_not_run_after_its_answer(self):
+        # same cause as review/6: after a close the kernel went on sending what it held
+        caller = await self.start_proxy(StoppedHost())
+        caller.send_request("submit", body=bytes(SHORT_BODY_BYTES), timeout="0.4")
+        self.assertEqual((await caller.read_response())[0], 504)
+        self.hosts[0].goes_on.set()
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.hosts[0].whole_at, [])
+
+
 class ReadingTime(unittest.TestCase):
     def repeats(self, elapsed, long_body):
         """How many attempts a keyed request with a window of 0.6 s gets, if each ends after `elapsed`."""
