Test: ten clients that don't read exceed the memory for answers, however late it is

Traced: two clients held 512 and 276 bytes in the end, 788 of an account of 1,000, so nothing had to give way and the test waited for good. What two clients hold is the rest of one read of 512 bytes each; only the bytes that the kernel had left decide whether that exceeds the account.

Now ten clients hold such a rest, with the same bound and the same checks. The program is unchanged.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -19,6 +19,7 @@
 MIB = 2**20
 LONG_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + b"a" * 60_000
 SLOW_READER_BUFFER_BYTES = 4096
+UNREAD_CLIENTS = 10
 
 
 class Accounts(unittest.TestCase):
@@ -136,10 +137,11 @@
             slow.send_request()
         await self.wait_until(lambda: self.service.clients.response_memory.in_use > 1_000)
         account.capacity = 1_000
-        other = await self.connect()
-        other.writer.transport.pause_reading()
-        for _ in range(200):
-            other.send_request()
+        for _ in range(UNREAD_CLIENTS):  # each holds the rest of one read of 512 bytes at most
+            other = await self.connect()
+            other.writer.transport.pause_reading()
+            for _ in range(200):
+                other.send_request()
         await self.wait_until(lambda: self.service.clients.evicted["responses"])
         self.assertLessEqual(account.in_use, account.capacity)
 
