Fix: a long keyed request was repeated at a host known to read slowly, and ran twice

What callers saw: in a random play of our own (stand-ins of review/, 20 clients, bodies to 1.5 MB, hosts that take in 1 to 1,000 MB a second) one keyed request ran 0.1 s after its start at a quick host, was reset, and ran again at a host of 1 MB a second, 1.6 s later and after its window of 1 s.

Cause: its system took the whole body at once, so the last byte was allowed early; and twice the time of the attempt before says nothing of a host that reads a hundred times slower.

Change: each host's time for a byte of a long body is noted, with its work beyond the usual latency, and counts in reading_time; a host without any counts as the slowest that is known. pick_host asks it as well, so that a quicker host is taken where there is one. TxArrived tells the body's bytes.

--- a/basalthook/policy/hosts.py
+++ b/basalthook/policy/hosts.py
@@ -268,7 +268,7 @@
             host.entry = host.entry._replace(ready=False)
             self.rebuild_rankings()
         if ran:
-            tx.note_run(sent_at, host.entry, event.elapsed)
+            self.note_run(tx, host, sent_at, event)
         at_fault = event.outcome == interface.TIMED_OUT and self.is_slow(tx)
         if tx.key is not None and event.outcome in KEYED_FAILURES:  # at KEY_HOSTS hosts: the key's fault
             at_fault |= len(self.key_failures.add(tx.key, host.id, self.now)) >= KEY_HOSTS
--- a/basalthook/policy/interface.py
+++ b/basalthook/policy/interface.py
@@ -101,7 +101,7 @@
     time_left: int  # ticks until its hard limit
     unread_for: int = 0  # ticks since its last byte arrived, if this process was late to read it
     tenant: int | None = None  # None: unknown
-    long_body: bool = False  # a host takes noticeable time to read it
+    body_bytes: int = 0  # of a body so long that a host takes noticeable time to read it; else 0
 
 
 class AttemptEnded(NamedTuple):
--- a/basalthook/policy/records.py
+++ b/basalthook/policy/records.py
@@ -26,6 +26,7 @@
         self.excluded_until = {}  # reason or profile index -> end of the exclusion; bounded by their number
         self.timeouts = {}  # profile index -> time-outs in a row, and when the first was sent
         self.slowdown, self.error_rate, self.last_error_key = 1.0, 0.0, None
+        self.ticks_per_byte = 0.0  # to read long bodies, at its slowest lately; 0: unknown
 
 
 class Transaction:
@@ -45,14 +46,9 @@
         self.reason = ""  # why it gets no attempt now, for the log
         # open ones: attempt -> (host, sent at); when and on which host entry it may first have run
         self.attempts, self.first_run = {}, None
-        self.long_body = event.long_body
+        self.body_bytes = event.body_bytes
         self.longest_run = 0  # ticks that an attempt which may have run took, its body included
 
-    def note_run(self, sent_at, entry, elapsed):
-        """Note an attempt at this host entry that may have run."""
-        self.first_run = self.first_run or (sent_at, entry)
-        self.longest_run = max(self.longest_run, elapsed)
-
     @property
     def limit_key(self):
         """The key of the fleet's limit that its next attempt counts against."""
--- a/basalthook/policy/rules.py
+++ b/basalthook/policy/rules.py
@@ -6,6 +6,7 @@
 LATE_START = 500  # ticks after its decision: an attempt that begins later is counted again in a slow start
 # A host may take this many times as long to read a long body as one that has read it took in all.
 READING_TIME_FACTOR = 2
+READING_DECAY = 0.8  # of a host's noted time to read a byte, with each further long body
 
 
 class Rules:
@@ -21,24 +22,38 @@
             return False
         return self.may_repeat(tx)
 
-    def may_repeat(self, tx, transit=0):
-        """Whether a further attempt now has no second effect; for `transit` see `reading_time`."""
+    def note_run(self, tx, host, sent_at, event):
+        """Note an attempt that may have run, and how long its host took to read a long body."""
+        tx.first_run = tx.first_run or (sent_at, host.entry)
+        tx.longest_run = max(tx.longest_run, event.elapsed)
+        if tx.body_bytes and event.outcome != interface.CANCELLED:
+            ticks_per_byte = (event.elapsed - self.latency[tx.profile_id].base) / tx.body_bytes
+            host.ticks_per_byte = max(ticks_per_byte, READING_DECAY * host.ticks_per_byte)
+
+    def may_repeat(self, tx, host=None, transit=0):
+        """Whether a further attempt now has no second effect; for the rest see `reading_time`."""
         return (
             tx.profile.kind == interface.IDEMPOTENT
             or not tx.first_run
             or (
                 tx.profile.kind == interface.JOURNALLED
-                and self.now + self.reading_time(tx, transit) < tx.first_run[0] + tx.profile.repeat_window
+                and self.now + self.reading_time(tx, host, transit)
+                < tx.first_run[0] + tx.profile.repeat_window
             )
         )
 
-    def reading_time(self, tx, transit):
-        """Ticks until the next host has surely read the whole request.
+    def reading_time(self, tx, host, transit):
+        """Ticks until the next host has surely read the whole request; `host`: that one, None if any.
 
         `transit`: for how long its body has been written already. The host's process may be as far behind
         its system, which has taken the bytes, so the same time may pass once more.
         """
-        return max(transit, READING_TIME_FACTOR * tx.longest_run - transit) if tx.long_body else 0
+        if not tx.body_bytes:
+            return 0
+        pace = host.ticks_per_byte if host else 0.0
+        if not pace:
+            pace = max((other.ticks_per_byte for other in self.hosts.values()), default=0.0)
+        return max(transit, max(READING_TIME_FACTOR * tx.longest_run, pace * tx.body_bytes) - transit)
 
     def attempt_refusal(self, now, tx_id, host_id, transit=0):
         """Why an attempt decided on earlier may no longer begin; None if it may.
@@ -52,7 +67,7 @@
             return interface.OUT_OF_TIME
         if host is None or not host.entry.ready:
             return interface.ENDPOINT_LEAVING
-        if not self.may_repeat(tx, transit):
+        if not self.may_repeat(tx, host, transit):
             return interface.REPEAT_NOT_ALLOWED
         if not self.is_eligible(tx, host.entry):
             return interface.PLACEMENT
@@ -94,7 +109,9 @@
         a cold host.
         """
         free = self.allowance.remaining((interface.PER_HOST, host.id), self.now) > len(host.attempts) and (
-            self.allowance.remaining(tx.limit_key, self.now) > 0 and self.is_eligible(tx, host.entry)
+            self.allowance.remaining(tx.limit_key, self.now) > 0
+            and self.is_eligible(tx, host.entry)
+            and self.may_repeat(tx, host)
         )
         if host.cold_since is None or not free:
             return free
--- a/basalthook/routing/dispatcher.py
+++ b/basalthook/routing/dispatcher.py
@@ -219,7 +219,8 @@
         transaction, number = item.transaction, self.next_number
         self.next_number += 1
         transaction.number, self.transactions[number] = number, transaction
-        key, time_left = transaction.request.key, max(0, transaction.deadline - self.clock.now())
+        key, body = transaction.request.key, transaction.request.message.body
+        time_left = max(0, transaction.deadline - self.clock.now())
         waited = max(0, self.clock.now() - transaction.received_at)
         self.handle_event(
             interface.TxArrived(
@@ -228,7 +229,7 @@
                 terms.stable_number(key) if key else None,
                 time_left,
                 waited,
-                long_body=is_long(transaction.request.message.body),
+                body_bytes=len(body) if is_long(body) else 0,
             )
         )
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -292,7 +292,7 @@
         self.assertEqual(result.faults, [])
 
     def test_a_proxy_that_repeats_a_transaction_that_may_have_run_is_reported(self):
-        with patch.object(Hosts, "may_repeat", lambda self, tx, transit=0: True):
+        with patch.object(Hosts, "may_repeat", lambda self, tx, host=None, transit=0: True):
             result = self.run_trial(1.5, [faults.Errors(at=0.1, hosts=[0, 1, 2, 3], lasts=2.0, share=1.0)])
         self.assertGreater(result.verdict.rules["doubled"], 0)
 
--- a/tests/test_long_requests.py
+++ b/tests/test_long_requests.py
@@ -150,18 +150,37 @@
 
 
 class ReadingTime(unittest.TestCase):
-    def repeats(self, elapsed, long_body):
-        """How many attempts a keyed request with a window of 0.6 s gets, if each ends after `elapsed`."""
+    """A keyed request with a window of 0.6 s at hosts that reset it after each attempt."""
+
+    def repeats(self, elapsed, body_bytes):
+        """How many attempts it gets, if each ends after `elapsed`."""
         stage = ProxyHarness([FakeHost(n, outcome=interface.RESET) for n in range(3)], elapsed=elapsed)
-        event = interface.TxArrived(0, JOURNALLED_EVERYWHERE, 1, 20_000, long_body=long_body)
-        stage.deliver(event)
+        self.arrive(stage, 0, body_bytes)
         return sum(len(host.received) for host in stage.hosts.values())
 
+    def arrive(self, stage, tx, body_bytes):
+        stage.deliver(interface.TxArrived(tx, JOURNALLED_EVERYWHERE, 1, 20_000, body_bytes=body_bytes))
+
     def test_a_long_keyed_request_is_not_sent_again_if_it_may_be_read_too_late(self):
         # review/6: the next host's system may take the body long before its process has read it
-        self.assertEqual(self.repeats(1_900, long_body=True), 2)
-        self.assertEqual(self.repeats(2_100, long_body=True), 1)
-        self.assertEqual(self.repeats(2_100, long_body=False), 2)
+        self.assertEqual(self.repeats(1_900, len(BODY)), 2)
+        self.assertEqual(self.repeats(2_100, len(BODY)), 1)
+        self.assertEqual(self.repeats(2_100, 0), 2)
+
+    def test_a_long_keyed_request_is_not_sent_again_to_a_host_that_is_known_to_read_slowly(self):
+        # same cause as review/6: that host took all of it at once, and had read it after the window
+        slow, quick = FakeHost(0), FakeHost(1, outcome=interface.RESET)
+        stage = ProxyHarness([slow, quick], elapsed=1_000)
+        for number in range(20):
+            stage.now += 10_000
+            stage.proxy.hosts[slow.entry.host_id].ticks_per_byte = 6_000 / len(BODY)
+            before = len(slow.received), len(quick.received)
+            stage.proxy.key_failures.drop(1)
+            self.arrive(stage, number, len(BODY))
+            after = len(slow.received), len(quick.received)
+            if after[1] > before[1]:  # it began at the quick host
+                self.assertEqual(after[0], before[0])
+        self.assertTrue(quick.received)
 
 
 if __name__ == "__main__":
