--- a/basalthook/transport/buffers.py
+++ b/basalthook/transport/buffers.py
@@ -1,6 +1,7 @@
 """Memory for what is received: a pool of read buffers of one size, and mapped memory for long bodies."""
 
 import mmap
+from contextlib import suppress
 
 PAGE_BYTES = mmap.PAGESIZE
 # The segments of a body of unknown length: the first one's size, doubled for each further one up to the last.
@@ -85,7 +86,8 @@
     def _add_segment(self) -> None:
         segment = mmap.mmap(-1, self.next_size, flags=mmap.MAP_PRIVATE | mmap.MAP_ANONYMOUS)
         if NO_HUGE_PAGES is not None:
-            segment.madvise(NO_HUGE_PAGES)
+            with suppress(OSError):  # a kernel that has none does not know the advice
+                segment.madvise(NO_HUGE_PAGES)
         self.segments.append(memoryview(segment))
         self.room = self.next_size
         self.next_size = max(FIRST_SEGMENT_BYTES, min(2 * self.next_size, MAX_SEGMENT_BYTES))
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -20,6 +20,7 @@
 LONG_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + b"a" * 60_000
 SLOW_READER_BUFFER_BYTES = 4096
 UNREAD_CLIENTS = 10
+UNKNOWN_ADVICE = 9_999  # madvise(2) answers EINVAL
 
 
 class Accounts(unittest.TestCase):
@@ -65,6 +66,12 @@
         with self.assertRaises(ValueError):  # never taken for an empty body
             buffer.parts()
 
+    def test_a_kernel_without_huge_pages_serves_long_bodies_as_well(self):
+        with mock.patch.object(buffers, "NO_HUGE_PAGES", UNKNOWN_ADVICE):
+            buffer = buffers.MappedBuffer(10_000)
+            buffer.append(b"x" * 10_000)
+        self.assertEqual(len(buffer), 10_000)
+
     def test_memory_of_bodies_of_many_sizes_goes_back_to_the_system_at_once(self):
         # review/9: the allocator kept what bodies of other sizes had left behind
         random_source, held = Random(1), []
