Fix: a long body for which the system had no memory lost its request

Cause: the failure went to Client.on_exception, which closes the connection.

Change: the request is refused with Retry-After like one whose body gets no share of the budget, and `no memory` is logged with the system's reason.

Result: tests/test_bodies.py, the body for which the system has no memory: connection reset on the text before, 503 now, and the next body is served.

--- a/basalthook/routing/client_connection.py
+++ b/basalthook/routing/client_connection.py
@@ -237,7 +237,11 @@
             reservation = memory.begin(self.on_memory_granted, self.on_body_evicted)
             self.body = RequestBody(reservation, self.parser.streamed_head.length)
         body = self.body
-        body.add(self.parser.take_body(), arrived_at)
+        try:
+            body.add(self.parser.take_body(), arrived_at)
+        except OSError as error:
+            self.refuse_body(f"none from the system: {error.strerror}")
+            return False
         needed = body.reservation.needed(body.length)
         if needed > memory.capacity:
             self.reject_body(Rejection(413, "body too long for the memory here"))
--- a/basalthook/routing/request_body.py
+++ b/basalthook/routing/request_body.py
@@ -33,7 +33,7 @@
         return self.reservation.waiting_since is not None
 
     def add(self, part: bytearray, arrived_at: int) -> None:
-        """Add bytes that arrived at this time."""
+        """Add bytes that arrived at this time. Raises OSError if the system has no memory for them."""
         if part and self.granted_at is not None and arrived_at > self.granted_at + CATCH_UP_TICKS:
             self.waiting_since = None  # the client is still sending
         self.data.append(part)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -2,6 +2,7 @@
 failure."""
 
 import asyncio
+import errno
 import hashlib
 import random
 import unittest
@@ -165,6 +166,19 @@
             ["no memory in its time"],
         )
 
+    async def test_a_body_for_which_the_system_has_no_memory_is_refused(self):
+        """Its connection was closed without an answer, as mmap(2) failed with ENOMEM."""
+        caller = await self.start_proxy(SocketHost())
+        no_memory = OSError(errno.ENOMEM, "Cannot allocate memory")
+        with unittest.mock.patch("basalthook.transport.buffers.mmap.mmap", side_effect=no_memory):
+            caller.writer.write(HEAD % b"big" + SENT)
+            status, _, head = await caller.read_response()
+        self.assertEqual((status, "Retry-After" in head), (503, True))
+        self.assertEqual((self.hosts[0].received.qsize(), self.service.memory.bodies.in_use), (0, 0))
+        other = await self.connect()
+        other.writer.write(HEAD % b"next" + SENT)
+        self.assertEqual((await other.read_response())[0], 200)
+
     async def test_the_time_of_a_request_runs_while_its_body_waits_for_memory(self):
         # what lay in the client's own system counted as sent after the wait: answered late by as long
         caller = await self.start_proxy(SocketHost(SILENT))
