Split: passing a long response on to a client is a class of its own

The client's side of a forwarder needs only the connection, the framing and two callbacks.

Change: StreamedResponse in routing/streamed_response.py has the head, the pieces and the last chunk; Client keeps it while it runs and decides what follows. No change in behaviour.

--- a/basalthook/routing/client_connection.py
+++ b/basalthook/routing/client_connection.py
@@ -21,6 +21,7 @@
     Transaction,
 )
 from .request_body import RequestBody
+from .streamed_response import StreamedResponse
 
 if TYPE_CHECKING:
     from .clients import Clients
@@ -69,8 +70,7 @@
         "continue_sent",
         "progress_mark",
         "body",
-        "forwarder",
-        "chunked",
+        "streamed",
         "request_bytes",
         "response_bytes",
     )
@@ -86,7 +86,7 @@
         self.request_bytes = self.response_bytes = 0  # as the accounts know them
         self.progress_mark = 0  # bytes of the body when the read timeout was last restarted
         self.body: RequestBody | None = None  # a long one, until its request is answered
-        self.forwarder, self.chunked = None, False
+        self.streamed: StreamedResponse | None = None  # a long response that is being passed on
         self.transaction: Transaction | None = None
         self.last_active = clients.clock.now()  # ticks; connected, read from, or answered
         self.arrivals = Arrivals()
@@ -398,38 +398,23 @@
             response.message.length is not None,
             transaction.request.message.minor_version > 0,
         )
-        self.chunked = not has_length and is_http_1_1
+        chunked = not has_length and is_http_1_1
         self.keep_alive = self.keep_alive and (has_length or is_http_1_1)
-        self.forwarder = response.forwarder
-        head = application.streamed_response_head(response.message, self.keep_alive, self.chunked)
-        self.forwarder.start(self)
-        if self.connection.write((head,), self.forwarder.resume):
-            self.forwarder.resume()
-
-    def write_piece(self, data) -> bool:
-        """Write a piece of the body. Returns whether the kernel accepted it; if not, the forwarder waits."""
-        accepted = self.connection.write(
-            application.encode_chunk(data) if self.chunked else (data,), self.on_piece_written
+        self.streamed = StreamedResponse(
+            self.connection, response.forwarder, chunked, self.account_response, self.on_streaming_finished
         )
-        if not accepted:
-            self.account_response()
-        return accepted
-
-    def on_piece_written(self) -> None:
-        self.account_response()
-        if self.forwarder is not None:
-            self.forwarder.resume()
+        self.streamed.start(application.streamed_response_head(response.message, self.keep_alive, chunked))
 
-    def forwarding_finished(self, complete: bool) -> None:
+    def on_streaming_finished(self, complete: bool) -> None:
         """The long response is complete, or it broke off: then the connection is reset, to show that."""
-        self.forwarder = None
+        streamed, self.streamed = self.streamed, None
         if self.connection.closed:
             return self.clients.close_client(self)
         if not complete:
             self.clients.rate_limited_log("cut short")
             self.connection.reset_on_close()
             return self.clients.close_client(self)
-        self.write((application.LAST_CHUNK,) if self.chunked else ())
+        self.write(streamed.last_parts())
 
     def on_deadline_missed(self) -> None:
         self.clients.dispatcher.post(
@@ -501,12 +486,12 @@
         self.clients.close_client(self)
 
     def on_close(self, _: ConnectionFailure | None) -> None:
-        transaction, forwarder = self.transaction, self.forwarder
+        transaction, streamed = self.transaction, self.streamed
         if transaction is not None:
             self.finish_transaction()
-        if forwarder is not None:
+        if streamed is not None:
             self.connection.close()
-            forwarder.stop()
+            streamed.stop()
         self.clients.close_client(self)
         if transaction is not None:
             self.clients.response_counts["client gone"] += 1
--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -254,7 +254,7 @@
         Each of them goes on for as long as its host and its client make progress.
         """
         until = self.clock.now() + int(seconds * TICKS_PER_SECOND)
-        while self.clock.now() < until and any(client.forwarder for client in self.open_clients):
+        while self.clock.now() < until and any(client.streamed for client in self.open_clients):
             await asyncio.sleep(LONG_ANSWER_POLL_S)
 
     def log_no_memory(self, client: Client, reason: str) -> None:
