--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -269,8 +269,8 @@
             await again.stop()
         self.assertEqual(sum(host.received.qsize() for host in self.hosts), 0)
 
-    async def test_a_new_process_does_not_use_a_host_that_a_whole_list_left_out(self):
-        # review/8: an attempt was still open there, so the old process's record named it as up
+    async def check_left_out_host_is_not_used(self, kills_old):
+        """A whole list leaves out a host at work; check which hosts the next process lists."""
         for host in self.hosts:
             host.replies = [SILENT]
         old = await self.start()
@@ -284,10 +284,21 @@
         self.discovery.publish(2, other, full=True)
         await self.line(old, "endpoints")
         await asyncio.sleep(2 * WRITE_INTERVAL_S)
+        if kills_old:
+            old.kill()
+            await old.wait()
         new = await self.start("taken over")
         listed = (await self.call(new, "GET", "hosts"))[1]
         self.assertEqual((other["id"].encode() in listed, b"s-%d" % leaving in listed), (True, False))
 
+    async def test_a_new_process_does_not_use_a_host_that_a_whole_list_left_out(self):
+        # review/8: an attempt was still open there, so the old process's record named it as up
+        await self.check_left_out_host_is_not_used(kills_old=False)
+
+    async def test_a_new_process_does_not_use_a_left_out_host_after_the_old_one_was_killed(self):
+        # same cause as review/8: the record that a killed process leaves named the host as up
+        await self.check_left_out_host_is_not_used(kills_old=True)
+
     async def test_upgrades_under_load_refuse_reset_and_lose_nothing(self):
         process, until, answers = await self.start(), asyncio.Event(), []
         load = [asyncio.create_task(self.send_requests(until, answers)) for _ in range(4)]
