Fix: a request that came while other idle connections were closed was lost

What callers would see: at SIGTERM, in an operator's drain and with too many idle connections, a request written while the process closes others ends with its connection. On a connection in use again the client may send it once more; the first one of a new connection is lost.

Change: each connection is looked at right before its own close. The two other loops call close_idle. What arrives between that look and the close of the same connection still crosses.

--- a/basalthook/routing/clients.py
+++ b/basalthook/routing/clients.py
@@ -137,20 +137,21 @@
         `max_count`: no more than this; `min_idle`: only those idle for this many seconds. Returns the number
         closed.
         """
-        idle, idle_since = [], self.clock.now() - int(min_idle * TICKS_PER_SECOND)
-        for client in self.open_clients:
-            if max_count is not None and len(idle) >= max_count:
+        closed, idle_since = 0, self.clock.now() - int(min_idle * TICKS_PER_SECOND)
+        for client in list(self.open_clients):
+            if max_count is not None and closed >= max_count:
                 break
-            state = client.state
-            if (
-                state in states
-                and client.last_active <= idle_since
-                and (state in (READING, LINGERING) or client.connection.is_idle())
-            ):
-                idle.append(client)
-        for client in idle:
-            client.on_timeout()
-        return len(idle)
+            # each is looked at right before its close: bytes may arrive while others are closed
+            if client.state in states and client.last_active <= idle_since and self.may_close(client):
+                client.on_timeout()
+                closed += 1
+        return closed
+
+    def may_close(self, client: Client) -> bool:
+        """Whether a connection is open, with nothing to read; within a request, unread bytes don't count."""
+        return client in self.open_clients and (
+            client.state in (READING, LINGERING) or client.connection.is_idle()
+        )
 
     def mark_idle(self, client: Client) -> None:
         del self.open_clients[client]
@@ -165,16 +166,8 @@
 
         Clients that send one request and stay connected would otherwise lock others out.
         """
-        excess, idle = len(self.open_clients) - self.descriptors.max_kept_alive_clients, []
-        idle_since = self.clock.now() - int(MAX_IDLE_S * TICKS_PER_SECOND)
-        if excess > 0:
-            idle = [
-                c
-                for c in self.open_clients
-                if c.state == IDLE and c.last_active <= idle_since and c.connection.is_idle()
-            ]
-        for client in idle[: max(0, excess)]:
-            self.close_client(client)
+        excess = len(self.open_clients) - self.descriptors.max_kept_alive_clients
+        self.close_idle(max(0, excess), min_idle=MAX_IDLE_S)
         self.sweep_scheduled = bool(self.open_clients)
         if self.sweep_scheduled:
             self.timers.set(int(MAX_IDLE_S * TICKS_PER_SECOND / 4), self.close_excess_idle)
@@ -217,15 +210,8 @@
         return self.drain_timer is not None
 
     def close_drained(self) -> None:
-        now = self.clock.now()
         self.close_idle()
-        for client in [
-            c
-            for c in self.open_clients
-            if c.state == NEW and now - c.last_active > int(DRAIN_NEW_DELAY_S * TICKS_PER_SECOND)
-        ]:
-            if client.connection.is_idle():
-                self.close_client(client)
+        self.close_idle(states=(NEW,), min_idle=DRAIN_NEW_DELAY_S)
         self.drain_timer = self.timers.set(int(DRAIN_SWEEP_INTERVAL_S * TICKS_PER_SECOND), self.close_drained)
 
     def close_client(self, client: Client) -> None:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -11,6 +11,7 @@
 from basalthook.program.startup import decode
 from basalthook.recovery.admission import EWMA_WEIGHT
 from basalthook.routing.attempts import Attempt, AttemptRunner
+from basalthook.routing.client_connection import Client
 from basalthook.routing.host_registry import HostRegistry
 from basalthook.transport.buffers import BufferPool
 from basalthook.transport.connection import Connection, Stage
@@ -320,6 +321,27 @@
             self.service.descriptors.max_kept_alive_clients = 2
             await self.wait_until(lambda: len(self.service.clients.open_clients) <= 2)
 
+    async def test_a_request_that_comes_while_other_idle_connections_are_closed_is_answered(self):
+        """All idle connections were looked at before the first was closed; a request in between was lost."""
+        first = await self.start_proxy(SocketHost())
+        callers = [first, await self.connect(), await self.connect()]
+        for caller in callers:
+            self.assertEqual(await caller.status(), 200)
+        on_timeout, last_client = Client.on_timeout, list(self.service.clients.open_clients)[-1]
+
+        def send_and_close(client):  # the last one sends while the first is closed
+            if not waiting.done():
+                callers[-1].send_request("submit")
+                while not last_client.connection.unread_bytes():
+                    time.sleep(0.001)
+                waiting.set_result(callers[-1].read_response())
+            on_timeout(client)
+
+        waiting = asyncio.get_running_loop().create_future()
+        with unittest.mock.patch.object(Client, "on_timeout", send_and_close):
+            self.assertEqual(self.service.clients.close_idle(), 2)
+        self.assertEqual((await waiting.result())[0], 200)
+
     async def test_a_request_id_that_is_open_is_rejected(self):
         first = await self.start_proxy(SocketHost(SILENT))
         second = await self.connect()
