Lab: a soak class of long keyed bodies at hosts that read slowly

A host begins such a request once it has read it, and what it was told counts from the head. A client's time counts from the last byte that its system took, so clients that send bodies have small buffers.

--- a/basalthook/lab/command.py
+++ b/basalthook/lab/command.py
@@ -41,7 +41,12 @@
 
 
 def run_soak(
-    first: int, count: int, minutes: float | None, output_path: str | None, costly: bool = False
+    first: int,
+    count: int,
+    minutes: float | None,
+    output_path: str | None,
+    costly: bool = False,
+    long_bodies: bool = False,
 ) -> bool:
     """Runs the random scenarios of these seeds one after the other and prints a line for each.
 
@@ -52,7 +57,7 @@
     for seed in range(first, first + count):
         if deadline is not None and time.monotonic() >= deadline:
             break
-        outcomes.append(run_soak_scenario(seed, console, costly))
+        outcomes.append(run_soak_scenario(seed, console, costly, long_bodies))
     failed_seeds = [outcome["seed"] for outcome in outcomes if not outcome["kept"]]
     console.print(
         f"{len(outcomes) - len(failed_seeds)} of {len(outcomes)} days kept all rules; broken: {failed_seeds}",
@@ -62,13 +67,13 @@
     return not failed_seeds
 
 
-def run_soak_scenario(seed: int, console: Console, costly: bool = False) -> dict:
+def run_soak_scenario(seed: int, console: Console, costly: bool = False, long_bodies: bool = False) -> dict:
     """Runs the random scenario of a seed and prints its outcome.
 
     After a failure it also prints how to repeat it and a timeline.
     """
     rigs: list[processes.Rig] = []
-    result = processes.run_scenario(soak.draw_scenario(seed, costly), rigs)
+    result = processes.run_scenario(soak.draw_scenario(seed, costly, long_bodies), rigs)
     verdict, passed = result.verdict, result.verdict.passed and not result.faults
     answers = sum(verdict.answers.values())
     console.print(
@@ -77,7 +82,7 @@
     )
     lines = []
     if not passed:
-        option = " --costly" if costly else ""
+        option = " --costly" * costly + " --long-bodies" * long_bodies
         repeat_command = f"python -m basalthook lab soak --first {seed} --count 1{option}"
         console.print(f"  {verdict.rules}, {verdict.first_violation}, {result.faults[:2]}", highlight=False)
         console.print(f"  again: {repeat_command}", highlight=False)
--- a/basalthook/lab/endpoints.py
+++ b/basalthook/lab/endpoints.py
@@ -16,6 +16,9 @@
 DUPLICATE_DEADLINE_S = 0.008  # a duplicate that would come later is not sent
 GARBAGE = b"\x15\x03\x01\x00\x02\x02\x46 no HTTP\r\n\r\n"
 MISSING_BYTES = 50  # by which a truncated answer is too short
+MIN_PAUSE_S = 0.002  # between two reads of a host that takes bytes at a limited rate
+# receive buffer of such a host: what its system holds is read late, and no proxy can see that
+SLOW_RECEIVE_BUFFER_BYTES = 32 * 1024
 
 
 class HostConnection(MessageProtocol):
@@ -26,6 +29,7 @@
         self.fleet, self.host, self.proxy = fleet, host, proxy
         self.unanswered = self.answer_count = 0  # requests without an answer; number of answers sent
         self.idle_since = 0.0  # time of the last answer
+        self.request_began_at = 0.0  # when the first bytes of the request being read came
 
     def connection_made(self, transport) -> None:
         super().connection_made(transport)
@@ -36,11 +40,26 @@
     def connection_lost(self, _) -> None:
         self.fleet.host_connections[self.host].discard(self)
 
+    def data_received(self, data: bytes) -> None:
+        if not self.buffer:
+            self.request_began_at = self.fleet.clock() - self.read_delay()
+        read_rate = self.fleet.machines[self.host].read_rate
+        if read_rate is None or len(data) / read_rate < MIN_PAUSE_S:
+            return super().data_received(data)
+        self.transport.pause_reading()
+        asyncio.get_running_loop().call_later(len(data) / read_rate, self.finish_read, data)
+
+    def finish_read(self, data: bytes) -> None:
+        """Handles bytes that took the host some time to read, and reads on."""
+        super().data_received(data)
+        self.transport.resume_reading()
+
     def message_received(self, first_line: str, fields: dict, body: bytes) -> None:
         if self.is_forgotten():
             return self.reset()
         self.unanswered += 1
-        delay = self.read_delay()
+        # what a host reads slowly has been in its system for long, and begins when the host has read it
+        delay = 0.0 if body else self.read_delay()
         sent_at = self.fleet.clock() - delay
         self.fleet.deliver(f"p{self.proxy}", f"h{self.host}", self.handle_request, fields, sent_at, delay)
 
@@ -95,6 +114,9 @@
         tx, key = fields.get("request-id", ""), fields.get("cookie", "")
         cost = machine.cost(now, key, float(fields.get("lab-work", 0)))
         cold, capacity = machine.started_at if machine.warmth(now) < 1.0 else None, machine.capacity(now)
+        told = float(fields["request-timeout"]) if "request-timeout" in fields else None
+        if told is not None:
+            told -= sent_at - min(sent_at, self.request_began_at)  # the head was sent so much earlier
         ends_at = None if machine.occupied_slots >= machine.slots else now
         fails = ends_at is not None and any(
             fleet.host_rngs[self.host].random() < share for share in machine.error_shares
@@ -112,7 +134,7 @@
                 ends_at is not None,
                 self.proxy,
                 sent_at,
-                float(fields["request-timeout"]) if "request-timeout" in fields else None,
+                told,
             )
         )
         if ends_at is None:
@@ -167,6 +189,8 @@
         self.make_protocol = partial(HostConnection, fleet, host, proxy)
         self.socket = socket.create_server((loopback.ADDRESS, port), backlog=BACKLOG)
         self.socket.setblocking(False)
+        if fleet.machines[host].read_rate is not None:  # connections inherit it
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_RECEIVE_BUFFER_BYTES)
         self.port = self.socket.getsockname()[1]
         self.fillers: list[socket.socket] = []
         self.tasks: set[asyncio.Task] = set()  # of connections being accepted; each removes itself
--- a/basalthook/lab/load.py
+++ b/basalthook/lab/load.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 from bisect import bisect
 from itertools import accumulate
 from random import Random
@@ -19,6 +20,7 @@
 ANSWER_GRACE_S = 1.0  # after the hard limit, until a connection without an answer is closed
 UNREAD_CLOSE_S = 0.05  # an idle connection that closes so soon after a write has not read the request
 MAX_STALLED_S = 3.5  # until a half-sent request has to be ended: 3 s, plus 0.5 s of tolerance
+SEND_BUFFER_BYTES = 32 * 1024  # of clients that send bodies: what is written has nearly been sent
 HALF_REQUEST = b"GET /read/half HTTP/1.1\r\nHost: lab\r\nRequ"
 HURRIED_WAIT_S = (0.002, 0.1)  # range of the time limits of hurried clients
 REPLACE_DELAY_S = 0.3  # longest delay until a silent connection that ended is replaced
@@ -33,6 +35,14 @@
         self.clients, self.proxy, self.open_request, self.abort_timer = clients, proxy, None, None
         # requests so far; whether the client left before its answer
         self.request_count, self.has_left = 0, False
+        self.is_writing = False  # whether a part of the open request is still to be written
+
+    def connection_made(self, transport) -> None:
+        super().connection_made(transport)
+        if self.clients.sends_bodies:
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+            transport.set_write_buffer_limits(high=0)  # `resume_writing` is called after the last byte
 
     def send(
         self, profile, key: str, work: float, due: float, tx: str, first_tx: str, retry_count: int
@@ -52,13 +62,18 @@
         )
         self.request_count += 1
         self.retry_arguments = profile, key, work, due, first_tx, retry_count
-        content_length = "Content-Length: 0\r\n" if once else ""
-        self.clients.wire.append(self.open_request)
-        self.transport.write(
-            f"{'POST' if once else 'GET'} /{profile.name}/it HTTP/1.1\r\nHost: lab\r\nRequest-Id: {tx}\r\n"
-            f"Cookie: k={key}\r\nRequest-Timeout: {limit:.3f}\r\nLab-Work: {work:.6f}\r\n"
-            f"{content_length}\r\n".encode()
+        body = bytes(self.clients.draw_body_bytes(profile))
+        has_body = once or body
+        content_length = f"Content-Length: {len(body)}\r\n" if has_body else ""
+        head = (
+            f"{'POST' if has_body else 'GET'} /{profile.name}/it HTTP/1.1\r\nHost: lab\r\n"
+            f"Request-Id: {tx}\r\nCookie: k={key}\r\nRequest-Timeout: {limit:.3f}\r\n"
+            f"Lab-Work: {work:.6f}\r\n{content_length}\r\n"
         )
+        self.transport.write(head.encode() + body)
+        self.is_writing = self.transport.get_write_buffer_size() > 0
+        if not self.is_writing:
+            self.clients.wire.append(self.open_request)
         wait = limit + ANSWER_GRACE_S
         loop, behaviour_rng, load = asyncio.get_running_loop(), self.clients.behaviour_rng, self.clients.load
         self.abort_timer = loop.call_later(wait, self.transport.abort)
@@ -66,13 +81,25 @@
             starts_next = behaviour_rng.random() < load.ahead
             loop.call_later(behaviour_rng.random() * limit, self.leave, self.open_request, starts_next)
 
+    def resume_writing(self) -> None:
+        self.note_written()
+
+    def note_written(self) -> None:
+        """Records a request that took time to write: its time counts from its last byte."""
+        if not self.is_writing:
+            return
+        self.is_writing, request, now = False, self.open_request, self.clients.clock()
+        self.open_request = request._replace(at=now, limit=request.limit + now - request.at)
+        self.clients.wire.append(self.open_request)
+
     def leave(self, request: Asked, starts_next: bool) -> None:
         """Closes the connection before the answer.
 
         `starts_next`: first writes the beginning of the next request.
         """
-        if self.open_request is not request or self.transport.is_closing():
+        if self.open_request is None or self.open_request.tx != request.tx or self.transport.is_closing():
             return
+        self.note_written()
         if starts_next:
             self.transport.write(b"GET /")
         self.has_left = True
@@ -80,6 +107,7 @@
         self.transport.close()
 
     def message_received(self, first_line: str, fields: dict, body: bytes) -> None:
+        self.note_written()
         request, self.open_request = self.open_request, None
         if request is None:
             return self.transport.abort()
@@ -99,10 +127,13 @@
         if self in self.clients.idle_connections[self.proxy]:
             self.clients.idle_connections[self.proxy].remove(self)
         self.clients.connections.discard(self)
+        was_writing = self.is_writing
+        self.note_written()
         now, request = self.clients.clock(), self.open_request
         if request is None or self.has_left or now >= request.limit + ANSWER_GRACE_S:
             return
-        if self.request_count > 1 and now < request.at + UNREAD_CLOSE_S and not self.buffer:
+        was_idle = self.request_count > 1 and now < request.at + UNREAD_CLOSE_S
+        if (was_writing or was_idle) and not self.buffer:
             self.clients.wire.append(ClosedBeforeRead(now, request.tx))
             self.clients.start_transaction(*self.retry_arguments)
         else:
@@ -147,7 +178,8 @@
         self.arrival_rng, self.request_rng, self.behaviour_rng = (
             Random(f"{name} of {seed}") for name in ("schedule", "draws", "manners")
         )
-        self.hurry_rng = Random(f"hurries of {seed}")
+        self.hurry_rng, self.body_rng = Random(f"hurries of {seed}"), Random(f"bodies of {seed}")
+        self.sends_bodies = any(profile.body_bytes[1] for profile in load.profiles)
         self.key_weights = list(accumulate(rank**-load.zipf for rank in range(1, load.keys + 1)))
         self.idle_connections: list[list[Client]] = [[] for _ in addresses]  # by proxy
         self.connections: set[Client] = set()  # each removes itself when it ends
@@ -196,6 +228,11 @@
             return min(profile.hard_limit, self.hurry_rng.uniform(*HURRIED_WAIT_S))
         return profile.hard_limit
 
+    def draw_body_bytes(self, profile) -> int:
+        """Length of a request's body."""
+        shortest, longest = profile.body_bytes
+        return self.body_rng.randint(shortest, longest) if longest else 0
+
     def schedule_silent_connection(self, proxy: int, connection_type: type[SilentConnection]) -> None:
         """Opens a connection of this kind after a short random delay."""
         if self.running:
--- a/basalthook/lab/model.py
+++ b/basalthook/lab/model.py
@@ -36,6 +36,7 @@
             key_memory,
             key_savings,
         )
+        self.read_rate = kind.read_rate
         self.slowdown, self.silent, self.vanished = 1.0, 0, 0  # set by faults, which may overlap
         # one share per active fault
         self.error_shares, self.answer_loss_shares = [], []
--- a/basalthook/lab/scenario.py
+++ b/basalthook/lab/scenario.py
@@ -31,6 +31,7 @@
     zones: list[str] = msgspec.field(default_factory=lambda: ["a"])  # assigned in turn
     choke: Count | None = None  # number of transactions at which the host slows down, until it has none
     choke_slow: Positive = 3.0  # factor of that slowdown
+    read_rate: Positive | None = None  # bytes of requests per second on a connection; None: all at once
 
 
 class Profile(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -43,6 +44,7 @@
     hard_limit: Positive
     share: Positive = 1.0  # of all transactions, relative to the other profiles
     window: Positive = 5.0  # by_key: how long the hosts of a group discard repeats
+    body_bytes: tuple[Annotated[int, msgspec.Meta(ge=0)], Annotated[int, msgspec.Meta(ge=0)]] = (0, 0)
 
 
 class Load(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/basalthook/lab/soak.py
+++ b/basalthook/lab/soak.py
@@ -20,15 +20,20 @@
     set(BEHAVIOURS)
     - {"unread-answers", "long-unread-answers", "pipelined-keys", "trickled-bodies", "mixed-bodies"}
 )
+LONG_BODY_BYTES = 200_000, 2_000_000
+READ_RATES = ((2e6, 5e6), (2e6, 2e7), (5e6, 2e6))  # bytes per second, of the hosts of each zone
 RESTART_DELAY_S = 4.5  # from SIGTERM to the next start; past the earliest SIGKILL
 
 
-def draw_scenario(seed: int, costly: bool = False) -> Scenario:
+def draw_scenario(seed: int, costly: bool = False, long_bodies: bool = False) -> Scenario:
     """Draws the scenario of this seed; any change to the order of draws in this module changes it.
 
     `costly`: costly clients connect to some of the proxies besides, which are told how much memory they have.
+    `long_bodies`: keyed requests with long bodies, to hosts that read slowly and reset some after they ran.
     """
     scenario = _draw_scenario(seed)
+    if long_bodies:
+        scenario = with_long_bodies(scenario)
     if not costly:
         return scenario
     rng = Random(f"costly clients of soak {seed}")
@@ -93,6 +98,35 @@
     )
 
 
+def with_long_bodies(scenario: Scenario) -> Scenario:
+    """The scenario with long bodies; hosts of one zone read at another rate than those of the other."""
+    rng = Random(f"long bodies of soak {scenario.seed}")
+    upload = Profile(
+        name="upload",
+        effect="by_key",
+        work=0.05,
+        service_goal=1.0,
+        hard_limit=2.5,
+        share=0.4,
+        window=rng.choice((0.8, 1.0)),
+        body_bytes=LONG_BODY_BYTES,
+    )
+    hosts = [
+        HostKind(count=HOSTS // 2, zones=[zone], read_rate=read_rate)
+        for zone, read_rate in zip(("a", "b"), rng.choice(READ_RATES), strict=True)
+    ]
+    resets = faults.SpoilAnswers(
+        at=0, lasts=LOAD_SECONDS, hosts=list(range(HOSTS)), how="reset", share=rng.uniform(0.2, 0.5)
+    )
+    load = msgspec.structs.replace(scenario.load, profiles=[*scenario.load.profiles, upload])
+    system_calls = scenario.system_calls
+    if system_calls is not None:  # a long body in reads of a few bytes only measures the processor
+        system_calls = msgspec.structs.replace(system_calls, short=0.0)
+    return msgspec.structs.replace(
+        scenario, hosts=hosts, load=load, system_calls=system_calls, faults=[*scenario.faults, resets]
+    )
+
+
 def costly_clients(rng: Random) -> list:
     """One or two kinds of costly clients, each at one proxy; none of their requests reaches a host."""
     return [
--- a/basalthook/lab/wire.py
+++ b/basalthook/lab/wire.py
@@ -66,7 +66,7 @@
     ran: bool  # false: rejected before any work, with an answer that says so
     proxy: int = 0
     left: float | None = None  # when it was sent, if the link delayed it
-    told: float | None = None  # time limit in seconds that the proxy sent with the attempt
+    told: float | None = None  # seconds left at `left` of the time limit that the proxy sent in the head
 
 
 class Done(NamedTuple):
--- a/basalthook/program/commands.py
+++ b/basalthook/program/commands.py
@@ -193,14 +193,17 @@
 @click.option("--minutes", type=click.FloatRange(0, min_open=True), help="Start no day after this time.")
 @click.option("--json", "out", type=click.Path(dir_okay=False), help="Also write the results to this file.")
 @click.option("--costly", is_flag=True, help="Add clients that cost memory or processor time.")
-def lab_soak(first: int, count: int, minutes: float | None, out: str | None, costly: bool) -> None:
+@click.option("--long-bodies", is_flag=True, help="Add keyed requests with long bodies, and slow hosts.")
+def lab_soak(
+    first: int, count: int, minutes: float | None, out: str | None, costly: bool, long_bodies: bool
+) -> None:
     """Run short days of many faults at once on real processes, one drawn from each seed.
 
     For a day that breaks a rule, prints the command that repeats it and the timeline of the first violation.
 
     Exit code 0: all rules held; 3: one broke.
     """
-    run_in_lab(lambda command: command.run_soak(first, count, minutes, out, costly))
+    run_in_lab(lambda command: command.run_soak(first, count, minutes, out, costly, long_bodies))
 
 
 def run_in_lab(start) -> NoReturn:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -16,8 +16,10 @@
 from basalthook.lab import decisions, faults, scenario, timeline, trial
 from basalthook.lab.deadlines import ProxyView, deemed_known_at
 from basalthook.lab.judge import judge
+from basalthook.lab.loopback import ADDRESS
 from basalthook.lab.messages import MessageProtocol
 from basalthook.lab.model import Machine
+from basalthook.lab.standins import SocketFleet
 from basalthook.lab.wire import (
     Answered,
     Asked,
@@ -205,6 +207,26 @@
         self.assertGreater(delays[1], 0.15)
 
 
+class SlowHosts(unittest.IsolatedAsyncioTestCase):
+    async def test_a_request_to_a_host_that_reads_slowly_begins_when_the_host_has_read_it(self):
+        loaded = scenario.parse(TRY_SCENARIO, "try.toml")
+        kind = scenario.HostKind(1, read_rate=500_000.0)
+        wire, clock = [], asyncio.get_running_loop().time
+        fleet = SocketFleet(scenario.msgspec.structs.replace(loaded, hosts=[kind]), wire, clock, 1)
+        await fleet.listen(0)
+        _, writer = await asyncio.open_connection(ADDRESS, fleet.ports[0][0])
+        began_at = clock()
+        head = b"POST /p HTTP/1.1\r\nRequest-Id: t\r\nRequest-Timeout: 2.0\r\nContent-Length: 100000\r\n\r\n"
+        writer.write(head + bytes(100_000))
+        while not wire:
+            await asyncio.sleep(0.01)
+        writer.close()
+        fleet.stop_listening(0)
+        (got,) = wire
+        self.assertGreater(got.at - began_at, 0.15)
+        self.assertLess(got.told, 1.85)  # so much of the told time is left
+
+
 class MachineModel(unittest.TestCase):
     def machine(self, **changes):
         defaults = {"cores": 2, "speed": 1.0, "slots": 3}
