--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -332,7 +332,8 @@
         def send_and_close(client):  # the last one sends while the first is closed
             if not waiting.done():
                 callers[-1].send_request("submit")
-                while not last_client.connection.unread_bytes():
+                until = time.monotonic() + 10.0
+                while not last_client.connection.unread_bytes() and time.monotonic() < until:
                     time.sleep(0.001)
                 waiting.set_result(callers[-1].read_response())
             on_timeout(client)
