--- a/basalthook/lab/endpoints.py
+++ b/basalthook/lab/endpoints.py
@@ -59,9 +59,15 @@
             return self.reset()
         self.unanswered += 1
         # what a host reads slowly has been in its system for long, and begins when the host has read it
-        delay = 0.0 if body else self.read_delay()
+        reads_slowly = self.fleet.machines[self.host].read_rate is not None
+        delay = 0.0 if body and reads_slowly else self.read_delay()
         sent_at = self.fleet.clock() - delay
-        self.fleet.deliver(f"p{self.proxy}", f"h{self.host}", self.handle_request, fields, sent_at, delay)
+        told = float(fields["request-timeout"]) if "request-timeout" in fields else None
+        if told is not None and body:
+            told -= max(0.0, sent_at - self.request_began_at)  # the head was sent so much earlier
+        self.fleet.deliver(
+            f"p{self.proxy}", f"h{self.host}", self.handle_request, fields, told, sent_at, delay
+        )
 
     def send_answer(self, status: int, body: bytes = b"", extra_headers: str = "") -> None:
         self.fleet.deliver(f"h{self.host}", f"p{self.proxy}", self.answer, status, body, extra_headers)
@@ -105,18 +111,16 @@
             )
         )
 
-    def handle_request(self, fields: dict, sent_at: float, delay: float) -> None:
+    def handle_request(self, fields: dict, told: float | None, sent_at: float, delay: float) -> None:
         """Starts the work on a request.
 
-        `sent_at`: when it was sent; `delay`: seconds that it had been in this process's kernel buffer.
+        `told`: seconds left of the time limit that came with it; `sent_at`: when it was sent; `delay`:
+        seconds that it had been in this process's kernel buffer.
         """
         fleet, machine, now = self.fleet, self.fleet.machines[self.host], self.fleet.clock()
         tx, key = fields.get("request-id", ""), fields.get("cookie", "")
         cost = machine.cost(now, key, float(fields.get("lab-work", 0)))
         cold, capacity = machine.started_at if machine.warmth(now) < 1.0 else None, machine.capacity(now)
-        told = float(fields["request-timeout"]) if "request-timeout" in fields else None
-        if told is not None:
-            told -= sent_at - min(sent_at, self.request_began_at)  # the head was sent so much earlier
         ends_at = None if machine.occupied_slots >= machine.slots else now
         fails = ends_at is not None and any(
             fleet.host_rngs[self.host].random() < share for share in machine.error_shares
--- a/basalthook/lab/scenario.py
+++ b/basalthook/lab/scenario.py
@@ -31,7 +31,8 @@
     zones: list[str] = msgspec.field(default_factory=lambda: ["a"])  # assigned in turn
     choke: Count | None = None  # number of transactions at which the host slows down, until it has none
     choke_slow: Positive = 3.0  # factor of that slowdown
-    read_rate: Positive | None = None  # bytes of requests per second on a connection; None: all at once
+    # bytes of requests per second on a connection; None, and in virtual time: all at once
+    read_rate: Positive | None = None
 
 
 class Profile(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -44,6 +45,7 @@
     hard_limit: Positive
     share: Positive = 1.0  # of all transactions, relative to the other profiles
     window: Positive = 5.0  # by_key: how long the hosts of a group discard repeats
+    # least and most bytes of a request's body; none in virtual time
     body_bytes: tuple[Annotated[int, msgspec.Meta(ge=0)], Annotated[int, msgspec.Meta(ge=0)]] = (0, 0)
 
 
@@ -235,4 +237,9 @@
                 f"{path}: Expected no less than the service goal, got {profile.hard_limit} - "
                 f"at `$.load.profiles[{index}].hard_limit`"
             )
+        if profile.body_bytes[0] > profile.body_bytes[1]:
+            raise ScenarioError(
+                f"{path}: Expected the least bytes before the most, got {list(profile.body_bytes)} - "
+                f"at `$.load.profiles[{index}].body_bytes`"
+            )
     return scenario
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -218,8 +218,9 @@
         began_at = clock()
         head = b"POST /p HTTP/1.1\r\nRequest-Id: t\r\nRequest-Timeout: 2.0\r\nContent-Length: 100000\r\n\r\n"
         writer.write(head + bytes(100_000))
-        while not wire:
-            await asyncio.sleep(0.01)
+        async with asyncio.timeout(10):
+            while not wire:
+                await asyncio.sleep(0.01)
         writer.close()
         fleet.stop_listening(0)
         (got,) = wire
@@ -260,6 +261,7 @@
             ("hosts = [4]", "hosts = [6]", ("from 0 to 5", "$.faults[1].hosts[0]")),
             ('what = "slow"', 'what = "sly"', ("sly", "$.faults[1].what")),
             ("hard_limit = 2", "hard_limit = 0.1", ("$.load.profiles[1].hard_limit",)),
+            ('effect = "once"', 'effect = "once"\nbody_bytes = [9, 5]', ("$.load.profiles[1].body_bytes",)),
             ('name = "order"', 'name = "read"', ("$.load.profiles[1].name",)),
             ("seconds = 20", "seconds = ", ("no TOML", "line")),
         ):
